--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,247 @@
+//! The instances of one process, and the calls that each event record becomes.
+
+use crate::frame::{self, Frame, Record, Reply};
+use crate::settings;
+use ivyward::front::*;
+use ivyward::policy::Manager;
+use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::time::Duration;
+
+const LISTS: usize = 16;
+const ROW: usize = 23;
+
+struct Instance {
+    manager: Manager,
+    report: Vec<settings::Gauge>,
+}
+
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u32, Instance>,
+    lists: [Vec<Listed>; LISTS],
+}
+
+/// The actions of one instance, written into the reply.
+struct Hand<'a> {
+    who: u32,
+    reply: &'a mut Reply,
+}
+
+fn micros(span: Duration) -> [u8; 4] {
+    u32::try_from(span.as_micros()).unwrap_or(u32::MAX).to_le_bytes()
+}
+
+impl Actions for Hand<'_> {
+    fn tune_in(&mut self, vw: ViewingId, server: ServerId, limit: Duration) {
+        self.reply.push(self.who, 1, &[&vw.0.to_le_bytes(), &micros(limit), &server.0]);
+    }
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>) {
+        self.reply.push(self.who, 2, &[&vw.0.to_le_bytes(), &micros(come_back.unwrap_or_default())]);
+    }
+    fn abort(&mut self, vw: ViewingId) {
+        self.reply.push(self.who, 3, &[&vw.0.to_le_bytes()]);
+    }
+    fn call_off(&mut self, vw: ViewingId, tune_in: u16) {
+        self.reply.push(self.who, 4, &[&vw.0.to_le_bytes(), &tune_in.to_le_bytes()]);
+    }
+    fn set_rung(&mut self, vw: ViewingId, rung: usize) {
+        self.reply.push(self.who, 13, &[&vw.0.to_le_bytes(), &[rung as u8]]);
+    }
+    fn move_off(&mut self, vw: ViewingId) {
+        self.reply.push(self.who, 14, &[&vw.0.to_le_bytes()]);
+    }
+    fn probe(&mut self, server: ServerId) {
+        self.reply.push(self.who, 6, &[&server.0]);
+    }
+    fn follow_list(&mut self) {
+        self.reply.push(self.who, 11, &[&[1]]);
+    }
+    fn wake(&mut self, after: Duration, token: u64) {
+        self.reply.push(self.who, 5, &[&micros(after), &token.to_le_bytes()]);
+    }
+    fn log(&mut self, line: &str) {
+        self.reply.push_text(self.who, 9, line);
+    }
+}
+
+fn ending(code: u16) -> Result<Ending, String> {
+    Ok(match code {
+        0 => Ending::Served,
+        1 => Ending::CalledOff,
+        4 => Ending::Unanswered,
+        8 => Ending::TurnedAway,
+        9 => Ending::Unsent,
+        10 => Ending::Broken,
+        13 => Ending::Errored,
+        14 => Ending::Unreachable,
+        other => return Err(format!("reason: unknown code {other}")),
+    })
+}
+
+fn load(record: &Record, at: usize, report: &[settings::Gauge]) -> Result<Load, String> {
+    let mut load = Load::default();
+    let values = usize::from(record.u8(at, "gauge")?);
+    if values > 4 {
+        return Err(format!("gauge: {values} values at byte {at}"));
+    }
+    for (i, gauge) in report.iter().enumerate().take(values) {
+        let value = Some(record.f32(at + 1 + 4 * i, "gauge")?);
+        match gauge {
+            settings::Gauge::Streams => load.streams = value,
+            settings::Gauge::Link => load.link = value,
+            settings::Gauge::Uplink => load.uplink = value,
+            settings::Gauge::Other => {}
+        }
+    }
+    Ok(load)
+}
+
+fn listed(row: &[u8]) -> Result<Listed, String> {
+    let [zone, state, kind] = frame::bytes(row, 12, "zone")?;
+    let born = u64::from_le_bytes(frame::bytes(row, 4, "born-us")?);
+    Ok(Listed {
+        server: ServerId(frame::bytes(row, 15, "server")?),
+        standing: match state {
+            0 => Standing::Gone,
+            1 => Standing::Ready,
+            2 => Standing::Draining,
+            other => return Err(format!("lifecycle: unknown code {other}")),
+        },
+        born: (born > 0).then(|| Duration::from_micros(born)),
+        weight: f64::from(f32::from_le_bytes(frame::bytes(row, 0, "rating")?)),
+        zone: ZoneId(zone),
+        kind: KindId(usize::from(kind)),
+        cell: u32::from(u16::from_le_bytes(frame::bytes(row, 21, "place")?)),
+    })
+}
+
+impl Host {
+    pub fn answer(&mut self, frame: &Frame) -> Result<Vec<u8>, String> {
+        let mut reply = Reply::default();
+        let mut who = None;
+        for record in frame.records() {
+            match record.u16(0, "code")? {
+                8 => who = Some(record.u32(2, "who")?),
+                13 => self.list(&record)?,
+                code => {
+                    let who = who.ok_or_else(|| format!("code {code}: no instance named before it"))?;
+                    let event = AssertUnwindSafe(|| self.event(who, code, &record, frame.clock, &mut reply));
+                    let caught = catch_unwind(event);
+                    match caught {
+                        Ok(done) => done?,
+                        Err(panic) => {
+                            let text = panic.downcast_ref::<String>().map(String::as_str);
+                            let text = text.or(panic.downcast_ref::<&str>().copied());
+                            reply.push_text(who, 10, text.unwrap_or("panic"));
+                        }
+                    }
+                }
+            }
+        }
+        Ok(reply.finish(frame.batch))
+    }
+
+    fn list(&mut self, record: &Record) -> Result<(), String> {
+        let number = record.u32(2, "ref")? as usize;
+        let rows = record.tail(6, ROW, "rows-in")?;
+        let list = self.lists.get_mut(number).ok_or_else(|| format!("ref: no list {number}"))?;
+        *list = rows.chunks_exact(ROW).map(listed).collect::<Result<_, _>>()?;
+        Ok(())
+    }
+
+    fn event(
+        &mut self, who: u32, code: u16, r: &Record, now: Duration, reply: &mut Reply,
+    ) -> Result<(), String> {
+        let act = &mut Hand { who, reply };
+        if code == 3 {
+            let seed = r.u64(2, "prng")?;
+            let (mut manager, report) = settings::manager(seed, r.tail(10, 1, "options")?)?;
+            manager.start(act, now);
+            self.instances.insert(who, Instance { manager, report });
+            return Ok(());
+        }
+        if code == 9 {
+            self.instances.remove(&who);
+            return Ok(());
+        }
+        let named = format!("who: no instance {who}");
+        let Instance { manager, report } = self.instances.get_mut(&who).ok_or(named)?;
+        let vw = |field| r.u32(2, field).map(ViewingId);
+        let span = |at, field| r.u64(at, field).map(Duration::from_micros);
+        let count = |at, field| r.f32(at, field).map(|x| x as u32);
+        match code {
+            1 => manager.playing(
+                now,
+                vw("req")?,
+                ServerId(r.server(17, "server")?),
+                PackageId(usize::from(r.u8(16, "type")?)),
+                CustomerId(usize::from(r.u16(14, "org")?)),
+                TitleId(r.u64(48, "title")?),
+                count(44, "ceiling-rung")? as usize,
+            ),
+            2 => {
+                let answered = r.u16(8, "reason")? == 0;
+                manager.probed(now, ServerId(r.server(2, "server")?), answered, load(r, 14, report)?);
+            }
+            4 => {
+                r.tail(6, 1, "payload")?;
+            }
+            5 => manager.asked(
+                act,
+                now,
+                vw("req")?,
+                PackageId(usize::from(r.u8(6, "type")?)),
+                CustomerId(usize::from(r.u16(7, "org")?)),
+                TitleId(r.u64(17, "title")?),
+                Cells { first: count(37, "from-cell")?, spread: count(41, "spread")? },
+                count(45, "ceiling-rung")? as usize,
+                span(25, "client-deadline-us")?,
+            ),
+            6 => {
+                let number = r.u32(11, "ref")? as usize;
+                let extent = match r.u8(2, "kind")? {
+                    0 => Extent::Changes,
+                    1 => Extent::Whole,
+                    2 => Extent::Remembered,
+                    3 => {
+                        manager.list_failed(act);
+                        return Ok(());
+                    }
+                    other => return Err(format!("kind: unknown code {other}")),
+                };
+                let list = self.lists.get(number).ok_or_else(|| format!("ref: no list {number}"))?;
+                manager.listed(now, list, extent);
+            }
+            7 => manager.ended(
+                act,
+                now,
+                vw("req")?,
+                r.u16(6, "n")?,
+                ServerId(r.server(8, "server")?),
+                ending(r.u16(14, "reason")?)?,
+                r.u8(20, "terminal")? != 0,
+                load(r, 21, report)?,
+            ),
+            10 => manager.left(act, now, vw("req")?),
+            11 => {
+                let took = Duration::from_micros(u64::from(r.u32(14, "latency-us")?));
+                manager.plays(now, vw("req")?, ServerId(r.server(6, "server")?), took);
+            }
+            12 => manager.woken(act, now, r.u64(2, "cookie")?),
+            14 => {
+                let x = r.f32(15, "x")?;
+                let news = match r.u8(14, "what")? {
+                    1 => News::Share(x),
+                    2 => News::Rung(x as usize),
+                    3 => News::Link(x),
+                    4 => News::Uplink(x),
+                    _ => return Ok(()),
+                };
+                manager.news(act, now, vw("req")?, ServerId(r.server(8, "server")?), news);
+            }
+            other => return Err(format!("code: unknown event {other}")),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/front.rs
@@ -0,0 +1,125 @@
+//! The interface of the decision module: id types, the actions it may take, the inputs it gets.
+//! Times are spans since the start of the clock that the caller keeps.
+
+use std::time::Duration;
+
+macro_rules! ids {
+    ($($name:ident($inner:ty)),* $(,)?) => {$(
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    ViewingId(u32),
+    ServerId([u8; 6]),
+    TitleId(u64),
+    ViewerId(u64),
+    PackageId(usize),
+    CustomerId(usize),
+    ZoneId(u8),
+    KindId(usize),
+    RackId(u32),
+}
+
+/// How a tune-in, or the viewing that came of it, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It played to its end.
+    Served,
+    /// The server turned it away unseen: its link or its places are full, or it drains.
+    TurnedAway,
+    /// No connection came about, so it never ran.
+    Unreachable,
+    /// It was not sent at all.
+    Unsent,
+    /// The server answered with an error; it may have run.
+    Errored,
+    /// No answer in time; it may have run.
+    Unanswered,
+    /// The connection broke; it may have run.
+    Broken,
+    /// Called off or moved by us, or the viewer left; it may have run.
+    CalledOff,
+}
+
+impl Ending {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::TurnedAway | Ending::Unreachable | Ending::Unsent)
+    }
+}
+
+/// News of a server, heard on one of its viewings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    /// The share of their rates that viewings there got a while ago.
+    Share(f64),
+    /// The rung in force.
+    Rung(usize),
+    /// What is asked of the server's link over what it gives.
+    Link(f64),
+    /// What is asked of its rack's uplink over what that gives.
+    Uplink(f64),
+}
+
+/// A server's load report, as far as it came.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub streams: Option<f64>,
+    pub link: Option<f64>,
+    pub uplink: Option<f64>,
+}
+
+/// The cells that hold a title: so many in a row from the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cells {
+    pub first: u32,
+    pub spread: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of servers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listed {
+    pub server: ServerId,
+    pub standing: Standing,
+    /// When it last started; none: long ago.
+    pub born: Option<Duration>,
+    pub weight: f64,
+    pub zone: ZoneId,
+    pub kind: KindId,
+    pub cell: u32,
+}
+
+/// How much of the list an update carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Extent {
+    Changes,
+    Whole,
+    /// The whole list as last held before a restart; it may be stale.
+    Remembered,
+}
+
+/// What the module may do. Each call takes effect at the time of the input being handled.
+pub trait Actions {
+    fn tune_in(&mut self, vw: ViewingId, server: ServerId, limit: Duration);
+    /// Final answer: the viewing is turned down; the viewer may come back after the span given.
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>);
+    /// Final answer: the viewing failed, nothing is promised about what ran.
+    fn abort(&mut self, vw: ViewingId);
+    fn call_off(&mut self, vw: ViewingId, tune_in: u16);
+    fn set_rung(&mut self, vw: ViewingId, rung: usize);
+    /// Takes a playing viewing off its server; the viewer comes back as a new one.
+    fn move_off(&mut self, vw: ViewingId);
+    fn probe(&mut self, server: ServerId);
+    /// Asks the list of servers to tell its changes from now on.
+    fn follow_list(&mut self);
+    fn wake(&mut self, after: Duration, token: u64);
+    fn log(&mut self, line: &str);
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! ivyward: admission and quality control for media sessions. The decisions are in `policy`,
+//! what they are called with and what they may do is in `front`.
+
+pub mod front;
+pub mod policy;
