--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -180,10 +180,7 @@
                 TitleId(r.u64(48, "title")?),
                 count(44, "ceiling-rung")? as usize,
             ),
-            2 => {
-                let answered = r.u16(8, "reason")? == 0;
-                manager.probed(now, ServerId(r.server(2, "server")?), answered, load(r, 14, report)?);
-            }
+            2 => manager.reported(now, ServerId(r.server(2, "server")?), load(r, 14, report)?),
             4 => {
                 r.tail(6, 1, "payload")?;
             }
@@ -204,10 +201,7 @@
                     0 => Extent::Changes,
                     1 => Extent::Whole,
                     2 => Extent::Remembered,
-                    3 => {
-                        manager.list_failed(act);
-                        return Ok(());
-                    }
+                    3 => return Ok(()),
                     other => return Err(format!("kind: unknown code {other}")),
                 };
                 let list = self.lists.get(number).ok_or_else(|| format!("ref: no list {number}"))?;
@@ -223,7 +217,7 @@
                 r.u8(20, "terminal")? != 0,
                 load(r, 21, report)?,
             ),
-            10 => manager.left(act, now, vw("req")?),
+            10 => manager.left(act, vw("req")?),
             11 => {
                 let took = Duration::from_micros(u64::from(r.u32(14, "latency-us")?));
                 manager.plays(now, vw("req")?, ServerId(r.server(6, "server")?), took);
@@ -238,7 +232,7 @@
                     4 => News::Uplink(x),
                     _ => return Ok(()),
                 };
-                manager.news(act, now, vw("req")?, ServerId(r.server(8, "server")?), news);
+                manager.news(now, vw("req")?, ServerId(r.server(8, "server")?), news);
             }
             other => return Err(format!("code: unknown event {other}")),
         }
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings text of an instance, turned into the calls that set a manager up.
 
-use ivyward::policy::Manager;
+use ivyward::front::ZoneId;
+use ivyward::policy::{Customer, Ladder, Manager, Network, Pace, Package, Ration, TuneIns};
 use serde_json::Value;
 use std::time::Duration;
 
@@ -41,66 +42,65 @@
     Duration::from_micros(value as u64)
 }
 
+fn packages(all: &Value) -> Result<Vec<Package>, String> {
+    let scales = numbers(all, "/specifics/class-scale")?;
+    let floors = numbers(all, "/specifics/floor-by-class")?;
+    let tops = numbers(all, "/specifics/top-by-class")?;
+    let seats = numbers(all, "/specifics/class-seats")?;
+    let package = |(i, package): (usize, &Value)| {
+        let of = |figures: &[f64], name: &str| {
+            figures.get(i).copied().ok_or_else(|| format!("options: {name} lacks package {i}"))
+        };
+        let rungs = (of(&floors, "floor-by-class")? as usize, of(&tops, "top-by-class")? as usize);
+        let once = package.pointer("/semantics").and_then(Value::as_str) != Some("read_like");
+        let (value, target) = (number(package, "/worth")?, micros(number(package, "/slo-us")?));
+        let (scale, seats) = (of(&scales, "class-scale")?, of(&seats, "class-seats")? as usize);
+        Ok(Package::new(value, target, once, scale, rungs, seats))
+    };
+    list(all, "/profiles")?.iter().enumerate().map(package).collect()
+}
+
 pub fn manager(seed: u64, text: &[u8]) -> Result<(Manager, Vec<Gauge>), String> {
     let all: Value = serde_json::from_slice(text).map_err(|e| format!("options: {e}"))?;
-    let zone = or_zero(&all, "/my-zone") as u8;
     let siblings = number(&all, "/siblings")? as u32;
     let rates = numbers(&all, "/specifics/rates-kb")?;
     let worths = numbers(&all, "/specifics/rung-worth")?;
     if rates.is_empty() || worths.len() < rates.len() {
         return Err("options: /specifics/rates-kb and rung-worth do not match".into());
     }
-    let mut manager = Manager::new(seed, siblings, zone, or_zero(&all, "/prices/cross-zone"));
-    manager.ladder(rates, worths, number(&all, "/specifics/switch-s")?);
-    manager.fleet(number(&all, "/specifics/places")? as u32, number(&all, "/specifics/shelves")? as u32);
-    manager.links(
+    let ladder = Ladder::new(rates, worths, number(&all, "/specifics/switch-s")?);
+    let network = Network::new(
+        number(&all, "/specifics/places")? as u32,
+        number(&all, "/specifics/shelves")? as u32,
         number(&all, "/specifics/weight-kb")?,
         number(&all, "/specifics/rack-link-kb")?,
         micros(or_zero(&all, "/specifics/told-every-us")),
         micros(or_zero(&all, "/specifics/seen-after-us")),
     );
-    manager.cold(
-        numbers(&all, "/specifics/kind-streams")?,
+    let pace = Pace::new(
+        siblings,
+        &numbers(&all, "/specifics/kind-streams")?,
         micros(number(&all, "/guarantees/cold-us")?),
         number(&all, "/guarantees/cold-from")?,
         number(&all, "/guarantees/tip-multiple")?,
-        micros(number(&all, "/guarantees/fall-us")?),
-    );
-    let scales = numbers(&all, "/specifics/class-scale")?;
-    let floors = numbers(&all, "/specifics/floor-by-class")?;
-    let tops = numbers(&all, "/specifics/top-by-class")?;
-    let seats = numbers(&all, "/specifics/class-seats")?;
-    for (i, package) in list(&all, "/profiles")?.iter().enumerate() {
-        let of = |figures: &[f64], name: &str| {
-            figures.get(i).copied().ok_or_else(|| format!("options: {name} lacks package {i}"))
-        };
-        let once = package.pointer("/semantics").and_then(Value::as_str) != Some("read_like");
-        manager.package(
-            number(package, "/worth")?,
-            micros(number(package, "/slo-us")?),
-            once,
-            of(&scales, "class-scale")?,
-            of(&floors, "floor-by-class")? as usize,
-            of(&tops, "top-by-class")? as usize,
-            of(&seats, "class-seats")? as usize,
-        );
-    }
-    if let Ok(customers) = list(&all, "/projects") {
-        let over = or_zero(&all, "/over-share-worth");
-        customers.iter().for_each(|c| manager.customer(or_zero(c, "/quota-per-s"), over));
-    }
-    if let Ok(span) = number(&all, "/guarantees/budget-span-us") {
-        let free = or_zero(&all, "/guarantees/min-extra");
-        manager.ration(micros(span), free, or_zero(&all, "/guarantees/further-ratio"));
-    }
-    let back = micros(or_zero(&all, "/limits/max-retry-after-us"));
-    manager.tune_ins(number(&all, "/limits/max-attempts")? as u16);
-    manager.allowed(
-        truth(&all, "/limits/may-probe"),
-        truth(&all, "/limits/cancelling"),
-        truth(&all, "/limits/retry-after").then_some(back),
-        all.pointer("/discovery").and_then(Value::as_str) == Some("ask"),
     );
+    let over = or_zero(&all, "/over-share-worth");
+    let customers = list(&all, "/projects").into_iter().flatten();
+    let customers = customers.map(|c| Customer::new(or_zero(c, "/quota-per-s"), over)).collect();
+    let ration = number(&all, "/guarantees/budget-span-us").ok().map(|span| {
+        let (free, share) =
+            (or_zero(&all, "/guarantees/min-extra"), or_zero(&all, "/guarantees/further-ratio"));
+        Ration::new(micros(span), free, share)
+    });
+    let longest = micros(or_zero(&all, "/limits/max-retry-after-us"));
+    let come_back = truth(&all, "/limits/retry-after").then_some(longest);
+    let most = number(&all, "/limits/max-attempts")? as u16;
+    let tune_ins = TuneIns::new(most, truth(&all, "/limits/cancelling"), come_back, ration);
+    let zone = ZoneId(or_zero(&all, "/my-zone") as u8);
+    let cross = or_zero(&all, "/prices/cross-zone");
+    let packages = packages(&all)?;
+    let manager =
+        Manager::new(seed, siblings, zone, cross, ladder, network, pace, tune_ins, packages, customers);
     let fields = all.pointer("/report/fields").and_then(Value::as_array);
     let report = fields.into_iter().flatten().map(|field| match field.as_str() {
         Some("rif") => Gauge::Streams,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,11 +1,11 @@
-//! All decisions of a session manager. The caller sets a `Manager` up (`new`, then one call for each
-//! group of settings), calls `start`, and hands it every input by the methods under "Inputs"; it acts
-//! through `front::Actions`. Ids, inputs and actions are in `front.rs`.
+//! All decisions of a session manager. The caller makes a `Manager` of its parts, each with its own few
+//! settings, calls `start`, and hands it every input by the methods under "Inputs"; it acts through
+//! `front::Actions`. Ids, inputs and actions are in `front.rs`.
 //!
 //! The ordinary path is the design page's: interval readings of delivered share and asking per server,
 //! the two-sided alarm, a bucket per server steered by a scoreboard, two-choice placement.
 //! Beside it stand six mechanisms:
-//!  1. rungs by the price of a link (`rung_for`, `replan`);
+//!  1. rungs by the price of a link (`ideal`, `replan`);
 //!  2. the account of links and uplinks (`Link`);
 //!  3. server health by symptom (`Health`);
 //!  4. tune-ins: their limits, the ration, what may follow an ending (`tune_in`, `after`);
@@ -34,6 +34,9 @@
 /// What is asked of a link: rungs rise up to the first, and fall from the second down to the first.
 const AIM: f64 = 0.88;
 const HIGH: f64 = 0.96;
+/// The part of the room that one look may fill, and how long a change of rung is reckoned to last.
+const HASTE: f64 = 0.5;
+const OUTLOOK: Duration = Duration::from_secs(10);
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
 /// A tune-in's limit before a further one, in parts of the join target, and in usual set-up times.
@@ -65,7 +68,7 @@
 /// Mechanism 2: what is asked of a link or an uplink over what it gives, from what was heard of it and
 /// from the part that is ours. What others ask is taken to have followed our own rungs since: they hear
 /// the same and do alike, so each moves its own part only and the fleet doesn't swing.
-struct Link {
+pub struct Link {
     kb: f64,
     half: Duration,
     heard: VecDeque<(Duration, f64)>,
@@ -197,15 +200,15 @@
 
 impl Warning {
     /// Closes an interval. `room`: set-ups that the link has room for by our account. `stuck`: it is short
-    /// with all our viewings there at their lowest rungs.
+    /// with all our viewings there at their lowest rungs, which counts as an alarm without more asking.
     fn close(&mut self, now: Duration, room: f64, stuck: bool) {
         let share = self.share.take().unwrap_or(1.0);
         let (asked, admitted) = (std::mem::take(&mut self.asked), std::mem::take(&mut self.admitted));
         let per_s = 1.0 / INTERVAL.as_secs_f64();
         let alarmed = self.bucket.as_ref().is_some_and(|b| b.alarmed);
         let share_was = average(&self.readings, |r| r.share).unwrap_or(1.0);
-        // Notes are late and the calm average follows at once: the rise may stand one reading earlier. A change
-        // of one viewing is no rise.
+        // Notes are late and the calm average follows at once: the rise may stand one reading earlier.
+        // A change of one viewing is no rise.
         let rise = |asked: f64, was: f64| asked > was * (1.0 + DELTA) && asked > was + 1.0;
         let asked_was = average(&self.readings, |r| r.asked).unwrap_or(asked);
         let mut before = self.readings.clone();
@@ -259,29 +262,32 @@
 }
 
 /// Mechanism 5: our part of the lowest pace that the settings promise of a server that has just started.
-struct Pace {
+pub struct Pace {
     gaps: Vec<Duration>,
     cold_for: Duration,
 }
 
-struct Server {
-    listed: Listed,
-    link: Link,
-    warning: Warning,
-    health: Health,
-    cold_until: Duration,
-    sent: Option<Duration>,
-    short: Option<Duration>,
+impl Pace {
+    pub fn new(siblings: u32, streams: &[f64], cold_for: Duration, from: f64, multiple: f64) -> Self {
+        let all = |streams: f64| PACED * multiple * from * streams / cold_for.as_secs_f64().max(0.1);
+        let gap = |streams: &f64| f64::from(siblings.max(1)) / all(*streams).max(1e-3);
+        let gaps = streams.iter().map(|s| Duration::from_secs_f64(gap(s).min(600.0))).collect();
+        Pace { gaps, cold_for }
+    }
 }
 
 /// Mechanism 6: traffic over a customer's share is worth less.
-struct Customer {
+pub struct Customer {
     quota: f64,
     over: f64,
     taken: VecDeque<Duration>,
 }
 
 impl Customer {
+    pub fn new(quota: f64, over: f64) -> Self {
+        Customer { quota, over, taken: VecDeque::new() }
+    }
+
     fn standing(&self, now: Duration, siblings: f64) -> f64 {
         let span = INTERVAL * 4;
         let recent = self.taken.iter().filter(|t| now.saturating_sub(**t) < span).count();
@@ -291,7 +297,7 @@
 }
 
 /// Mechanism 4: the ration of further tune-ins, counted over the sliding window as the rule has it.
-struct Ration {
+pub struct Ration {
     span: Duration,
     free: f64,
     share: f64,
@@ -300,6 +306,10 @@
 }
 
 impl Ration {
+    pub fn new(span: Duration, free: f64, share: f64) -> Self {
+        Ration { span, free, share, taken: VecDeque::new(), further: VecDeque::new() }
+    }
+
     fn allows(&mut self, now: Duration) -> bool {
         let Ration { span, taken, further, .. } = self;
         while taken.front().is_some_and(|t| *t + *span <= now) {
@@ -312,10 +322,24 @@
     }
 }
 
-struct Package {
+/// What may be done about a tune-in that fails.
+pub struct TuneIns {
+    most: u16,
+    may_call_off: bool,
+    come_back: Option<Duration>,
+    ration: Option<Ration>,
+}
+
+impl TuneIns {
+    /// `come_back`: the longest stay away that viewers hear of, if they hear any.
+    pub fn new(most: u16, may_call_off: bool, come_back: Option<Duration>, ration: Option<Ration>) -> Self {
+        TuneIns { most, may_call_off, come_back, ration }
+    }
+}
+
+pub struct Package {
     value: f64,
     target: Duration,
-    /// Paid at set-up: never set up twice.
     once: bool,
     scale: f64,
     floor: usize,
@@ -323,6 +347,72 @@
     seats: usize,
 }
 
+impl Package {
+    /// `once`: paid at set-up, so never set up twice. `seats`: 0 for no cap.
+    pub fn new(
+        value: f64, target: Duration, once: bool, scale: f64, rungs: (usize, usize), seats: usize,
+    ) -> Self {
+        Package { value, target, once, scale, floor: rungs.0.min(rungs.1), top: rungs.1, seats }
+    }
+}
+
+/// The ladder of rates: kB a second and worth of each rung, and the seconds of value that a change costs.
+pub struct Ladder {
+    rates: Vec<f64>,
+    worths: Vec<f64>,
+    switch: f64,
+}
+
+impl Ladder {
+    pub fn new(rates: Vec<f64>, worths: Vec<f64>, switch: f64) -> Self {
+        Ladder { rates, worths, switch }
+    }
+
+    /// kB and worth between two rungs.
+    fn between(&self, from: usize, to: usize) -> (f64, f64) {
+        (self.rates[to] - self.rates[from], self.worths[to] - self.worths[from])
+    }
+}
+
+/// Cells, racks and their uplinks, and how links are heard of.
+pub struct Network {
+    places: u32,
+    weight_kb: f64,
+    half: Duration,
+    told: Duration,
+    seen: Duration,
+    uplinks: Vec<Link>,
+}
+
+impl Network {
+    pub fn new(
+        places: u32, racks: u32, weight_kb: f64, uplink_kb: f64, told: Duration, seen: Duration,
+    ) -> Self {
+        let told = told.max(INTERVAL / 2);
+        let half = told / 2;
+        let uplinks = (0..racks.max(1)).map(|_| Link::new(uplink_kb, half)).collect();
+        Network { places: places.max(1), weight_kb, half, told, seen, uplinks }
+    }
+
+    fn rack(&self, cell: u32) -> usize {
+        cell as usize % self.uplinks.len()
+    }
+
+    fn holds(&self, cell: u32, cells: Cells) -> bool {
+        (cell % self.places + self.places - cells.first % self.places) % self.places < cells.spread
+    }
+}
+
+struct Server {
+    listed: Listed,
+    link: Link,
+    warning: Warning,
+    health: Health,
+    cold_until: Duration,
+    sent: Option<Duration>,
+    short: Option<Duration>,
+}
+
 /// What a step of a viewing leaves behind: it is handed how the step ended.
 type Next = Box<dyn FnOnce(&mut Manager, &mut dyn Actions, Duration, ViewingId, Ending)>;
 
@@ -348,143 +438,62 @@
     siblings: f64,
     zone: ZoneId,
     cross: f64,
-    rates: Vec<f64>,
-    worths: Vec<f64>,
-    switch: f64,
-    places: u32,
-    racks: u32,
-    weight_kb: f64,
-    told: Duration,
-    seen: Duration,
+    ladder: Ladder,
+    network: Network,
     pace: Pace,
+    tune_ins: TuneIns,
     packages: Vec<Package>,
     customers: Vec<Customer>,
-    ration: Option<Ration>,
-    most_tune_ins: u16,
-    may_probe: bool,
-    may_call_off: bool,
-    come_back: Option<Duration>,
-    must_follow: bool,
     started: Duration,
     looks: u32,
     set_ups: VecDeque<Duration>,
     viewings: BTreeMap<ViewingId, Viewing>,
     servers: BTreeMap<ServerId, Server>,
-    uplinks: Vec<Link>,
 }
 
-/// Settings.
+/// Inputs.
 impl Manager {
-    pub fn new(seed: u64, siblings: u32, zone: u8, cross: f64) -> Self {
+    pub fn new(
+        seed: u64, siblings: u32, zone: ZoneId, cross: f64, ladder: Ladder, network: Network, pace: Pace,
+        tune_ins: TuneIns, packages: Vec<Package>, customers: Vec<Customer>,
+    ) -> Self {
         Manager {
             chance: Pcg(seed),
             siblings: f64::from(siblings.max(1)),
-            zone: ZoneId(zone),
+            zone,
             cross,
-            rates: vec![],
-            worths: vec![],
-            switch: 0.0,
-            places: 1,
-            racks: 1,
-            weight_kb: 1.0,
-            told: INTERVAL,
-            seen: Duration::ZERO,
-            pace: Pace { gaps: vec![], cold_for: Duration::ZERO },
-            packages: vec![],
-            customers: vec![],
-            ration: None,
-            most_tune_ins: 1,
-            may_probe: false,
-            may_call_off: false,
-            come_back: None,
-            must_follow: false,
+            ladder,
+            network,
+            pace,
+            tune_ins,
+            packages,
+            customers,
             started: Duration::ZERO,
             looks: 0,
             set_ups: VecDeque::new(),
             viewings: BTreeMap::new(),
             servers: BTreeMap::new(),
-            uplinks: vec![],
         }
     }
 
-    pub fn ladder(&mut self, rates: Vec<f64>, worths: Vec<f64>, switch: f64) {
-        (self.rates, self.worths, self.switch) = (rates, worths, switch);
-    }
-
-    pub fn fleet(&mut self, places: u32, racks: u32) {
-        (self.places, self.racks) = (places.max(1), racks.max(1));
-    }
-
-    pub fn links(&mut self, weight_kb: f64, uplink_kb: f64, told: Duration, seen: Duration) {
-        (self.weight_kb, self.told, self.seen) = (weight_kb, told.max(INTERVAL / 2), seen);
-        self.uplinks = (0..self.racks).map(|_| Link::new(uplink_kb, self.told / 2)).collect();
-    }
-
-    pub fn cold(&mut self, streams: Vec<f64>, cold_for: Duration, from: f64, multiple: f64, _fall: Duration) {
-        let all = |streams: f64| PACED * multiple * from * streams / cold_for.as_secs_f64().max(0.1);
-        let gap =
-            |streams: &f64| Duration::from_secs_f64((self.siblings / all(*streams).max(1e-3)).min(600.0));
-        self.pace = Pace { gaps: streams.iter().map(gap).collect(), cold_for };
-    }
-
-    pub fn package(
-        &mut self, value: f64, target: Duration, once: bool, scale: f64, floor: usize, top: usize,
-        seats: usize,
-    ) {
-        let top = top.min(self.rates.len().saturating_sub(1));
-        self.packages.push(Package { value, target, once, scale, floor: floor.min(top), top, seats });
-    }
-
-    pub fn customer(&mut self, quota: f64, over: f64) {
-        self.customers.push(Customer { quota, over, taken: VecDeque::new() });
-    }
-
-    pub fn ration(&mut self, span: Duration, free: f64, share: f64) {
-        let (taken, further) = (VecDeque::new(), VecDeque::new());
-        self.ration = Some(Ration { span, free, share, taken, further });
-    }
-
-    pub fn tune_ins(&mut self, most: u16) {
-        self.most_tune_ins = most;
-    }
-
-    pub fn allowed(&mut self, probe: bool, call_off: bool, come_back: Option<Duration>, follow: bool) {
-        (self.may_probe, self.may_call_off) = (probe, call_off);
-        (self.come_back, self.must_follow) = (come_back, follow);
-    }
-}
-
-/// Inputs.
-impl Manager {
     pub fn start(&mut self, act: &mut dyn Actions, now: Duration) {
         self.started = now;
-        if self.must_follow {
-            act.follow_list();
-        }
         act.wake(INTERVAL / LOOKS, LOOK);
     }
 
-    pub fn list_failed(&mut self, act: &mut dyn Actions) {
-        if self.must_follow {
-            act.follow_list();
-        }
-    }
-
     pub fn listed(&mut self, now: Duration, list: &[Listed], extent: Extent) {
-        if extent != Extent::Changes {
-            for server in self.servers.values_mut() {
-                if !list.iter().any(|l| l.server == server.listed.server) {
-                    server.listed.standing = Standing::Gone;
-                }
+        for server in self.servers.values_mut().filter(|_| extent != Extent::Changes) {
+            if !list.iter().any(|l| l.server == server.listed.server) {
+                server.listed.standing = Standing::Gone;
             }
         }
         for listed in list {
             // Guards against a start before us that a remembered list doesn't show: all is cold at first.
-            let cold = (listed.born.unwrap_or(Duration::ZERO)).max(self.started) + self.pace.cold_for;
-            let kb = listed.weight * self.weight_kb;
+            let cold = listed.born.unwrap_or_default().max(self.started) + self.pace.cold_for;
+            let kb = listed.weight * self.network.weight_kb;
             let server = self.servers.entry(listed.server).or_insert_with(|| Server {
                 listed: *listed,
-                link: Link::new(kb, self.told / 2),
+                link: Link::new(kb, self.network.half),
                 warning: Warning::default(),
                 health: Health::default(),
                 cold_until: cold,
@@ -505,58 +514,31 @@
         &mut self, now: Duration, vw: ViewingId, server: ServerId, package: PackageId, customer: CustomerId,
         title: TitleId, top: usize,
     ) {
-        let Some(p) = self.packages.get(package.0) else { return };
-        let viewing = Viewing {
-            package: package.0,
-            customer: customer.0,
-            title,
-            cells: Cells { first: 0, spread: 0 },
-            top: top.min(p.top),
-            rung: p.floor,
-            server: Some(server),
-            ends: now,
-            tune_ins: 1,
-            answered: true,
-            playing: true,
-            changed: now,
-            shunned: vec![],
-            next: None,
-        };
-        self.viewings.insert(vw, viewing);
-        self.mark(now, server, false);
+        let cells = Cells { first: 0, spread: 0 };
+        if self.take(vw, package, customer, title, cells, top, now) {
+            self.viewings.entry(vw).and_modify(|v| {
+                (v.server, v.tune_ins, v.answered, v.playing) = (Some(server), 1, true, true);
+            });
+            self.mark(now, server, false);
+        }
     }
 
     pub fn asked(
         &mut self, act: &mut dyn Actions, now: Duration, vw: ViewingId, package: PackageId,
         customer: CustomerId, title: TitleId, cells: Cells, top: usize, ends: Duration,
     ) {
-        if let Some(ration) = &mut self.ration {
+        if let Some(ration) = &mut self.tune_ins.ration {
             ration.taken.push_back(now);
         }
         if let Some(customer) = self.customers.get_mut(customer.0) {
             keep(&mut customer.taken, 32 * KEPT, now);
         }
-        for server in self.servers.values_mut().filter(|s| holds(s.listed.cell, cells, self.places)) {
+        for server in self.servers.values_mut().filter(|s| self.network.holds(s.listed.cell, cells)) {
             server.warning.asked += 1.0;
         }
-        let Some(p) = self.packages.get(package.0) else { return act.abort(vw) };
-        let viewing = Viewing {
-            package: package.0,
-            customer: customer.0,
-            title,
-            cells,
-            top: top.min(p.top).max(p.floor),
-            rung: p.floor,
-            server: None,
-            ends,
-            tune_ins: 0,
-            answered: false,
-            playing: false,
-            changed: now,
-            shunned: vec![],
-            next: None,
-        };
-        self.viewings.insert(vw, viewing);
+        if !self.take(vw, package, customer, title, cells, top, ends) {
+            return act.abort(vw);
+        }
         act.wake(ends.saturating_sub(now), PATIENCE | u64::from(vw.0));
         self.tune_in(act, now, vw, true);
     }
@@ -577,15 +559,11 @@
         match ending {
             Ending::Unreachable | Ending::Broken | Ending::Unanswered => {
                 self.tried(now, server, vw, false);
-                if let Some(s) = self.servers.get_mut(&server) {
-                    s.health.lost = true;
-                }
+                self.servers.entry(server).and_modify(|s| s.health.lost = true);
             }
             Ending::Errored => self.tried(now, server, vw, false),
             Ending::TurnedAway => {
-                if let Some(s) = self.servers.get_mut(&server) {
-                    s.link.hear(now, 1.0 / FULL);
-                }
+                self.servers.entry(server).and_modify(|s| s.link.hear(now, 1.0 / FULL));
             }
             Ending::Served | Ending::Unsent | Ending::CalledOff => {}
         }
@@ -594,10 +572,7 @@
         {
             s.health.trial = None;
         }
-        let Some(viewing) = self.viewings.get_mut(&vw) else { return };
-        if viewing.tune_ins != n + 1 {
-            return;
-        }
+        let Some(viewing) = self.viewings.get_mut(&vw).filter(|v| v.tune_ins == n + 1) else { return };
         let next = viewing.next.take().filter(|_| !terminal && !viewing.answered);
         viewing.server = None;
         self.mark(now, server, false);
@@ -607,21 +582,21 @@
         }
     }
 
-    pub fn left(&mut self, act: &mut dyn Actions, _now: Duration, vw: ViewingId) {
+    pub fn left(&mut self, act: &mut dyn Actions, vw: ViewingId) {
         let Some(viewing) = self.viewings.get_mut(&vw) else { return };
         viewing.answered = true;
         if viewing.server.is_none() {
             self.viewings.remove(&vw);
-        } else if !viewing.playing && self.may_call_off {
+        } else if !viewing.playing && self.tune_ins.may_call_off {
             act.call_off(vw, viewing.tune_ins - 1);
         }
     }
 
-    pub fn news(
-        &mut self, _act: &mut dyn Actions, now: Duration, vw: ViewingId, server: ServerId, news: News,
-    ) {
-        let then = now.saturating_sub(self.seen);
-        let at = if self.is_new(vw, now) { now } else { then };
+    pub fn news(&mut self, now: Duration, vw: ViewingId, server: ServerId, news: News) {
+        // A note at set-up is fresh, later ones are late.
+        let fresh = self.viewings.get(&vw).is_some_and(|v| !v.playing);
+        let then = if fresh { now } else { now.saturating_sub(self.network.seen) };
+        let Some(s) = self.servers.get_mut(&server) else { return };
         match news {
             News::Rung(rung) => {
                 if let Some(viewing) = self.viewings.get_mut(&vw) {
@@ -629,62 +604,68 @@
                     self.mark(now, server, false);
                 }
             }
-            News::Link(full) => {
-                if let Some(s) = self.servers.get_mut(&server) {
-                    s.link.hear(at, full);
-                }
-            }
+            News::Link(full) => s.link.hear(then, full),
             News::Uplink(full) => {
-                if let Some(rack) = self.rack(server) {
-                    self.uplinks[rack].hear(at, full);
-                }
+                let rack = self.network.rack(s.listed.cell);
+                self.network.uplinks[rack].hear(then, full);
             }
             News::Share(share) => self.short(now, then, server, share),
         }
     }
 
-    pub fn probed(&mut self, now: Duration, server: ServerId, answered: bool, load: Load) {
-        if answered {
-            self.reported(now, server, load);
-        }
-    }
-
     pub fn woken(&mut self, act: &mut dyn Actions, now: Duration, token: u64) {
         if token & PATIENCE != 0 {
             // Guards against any viewing left without an answer, whatever has not come back.
             let vw = ViewingId(token as u32);
             if self.viewings.get(&vw).is_some_and(|v| !v.answered) {
-                self.give_up(act, now, vw);
+                self.give_up(act, vw);
             }
             return;
         }
         act.wake(INTERVAL / LOOKS, LOOK);
         self.looks += 1;
-        if self.looks % LOOKS == 0 {
+        if self.looks.is_multiple_of(LOOKS) {
             self.close_interval(now);
         }
-        self.replan(act, now);
+        for rack in 0..self.network.uplinks.len() {
+            self.replan(act, now, rack);
+        }
     }
 }
 
-fn holds(cell: u32, cells: Cells, places: u32) -> bool {
-    (cell % places + places - cells.first % places) % places < cells.spread
-}
-
 /// Decisions.
 impl Manager {
-    fn rack(&self, server: ServerId) -> Option<usize> {
-        let cell = self.servers.get(&server)?.listed.cell;
-        Some((cell % self.racks) as usize).filter(|r| *r < self.uplinks.len())
-    }
-
-    /// A note at set-up is fresh, later ones are late.
-    fn is_new(&self, vw: ViewingId, now: Duration) -> bool {
-        self.viewings.get(&vw).is_some_and(|v| !v.playing || now.saturating_sub(v.changed) < self.seen / 4)
+    fn take(
+        &mut self, vw: ViewingId, package: PackageId, customer: CustomerId, title: TitleId, cells: Cells,
+        top: usize, ends: Duration,
+    ) -> bool {
+        let Some(p) = self.packages.get(package.0) else { return false };
+        let top = top.min(p.top).min(self.ladder.rates.len() - 1).max(p.floor);
+        let (package, customer, rung) = (package.0, customer.0, p.floor);
+        self.viewings.insert(
+            vw,
+            Viewing {
+                package,
+                customer,
+                title,
+                cells,
+                top,
+                rung,
+                server: None,
+                ends,
+                tune_ins: 0,
+                answered: false,
+                playing: false,
+                changed: Duration::ZERO,
+                shunned: vec![],
+                next: None,
+            },
+        );
+        true
     }
 
     fn kb(&self, viewing: &Viewing, rung: usize) -> f64 {
-        self.rates[rung] * self.packages[viewing.package].scale
+        self.ladder.rates[rung] * self.packages[viewing.package].scale
     }
 
     fn value(&self, viewing: &Viewing, now: Duration) -> f64 {
@@ -692,47 +673,43 @@
         self.packages[viewing.package].value * standing
     }
 
-    /// Value per kB of the step from `rung` to the next.
-    fn step(&self, viewing: &Viewing, rung: usize, now: Duration) -> (f64, f64) {
-        let kb = (self.kb(viewing, rung + 1) - self.kb(viewing, rung)).max(1e-6);
-        (self.value(viewing, now) * (self.worths[rung + 1] - self.worths[rung]) / kb, kb)
+    fn rack(&self, server: ServerId) -> Option<usize> {
+        self.servers.get(&server).map(|s| self.network.rack(s.listed.cell))
     }
 
     /// Books what we ask of a server's link and its rack's uplink.
     fn mark(&mut self, now: Duration, server: ServerId, by_rungs: bool) {
         let there = self.viewings.values().filter(|v| v.server == Some(server));
         let kb = there.map(|v| self.kb(v, v.rung)).sum();
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.link.mark(now, kb, by_rungs);
-        }
-        if let Some(rack) = self.rack(server) {
-            let racks = self.racks;
-            let there = self.servers.values().filter(|s| (s.listed.cell % racks) as usize == rack);
-            let kb = there.map(|s| s.link.own()).sum();
-            self.uplinks[rack].mark(now, kb, by_rungs);
-        }
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        s.link.mark(now, kb, by_rungs);
+        let rack = self.network.rack(s.listed.cell);
+        let there = self.servers.values().filter(|s| self.network.rack(s.listed.cell) == rack);
+        let kb = there.map(|s| s.link.own()).sum();
+        self.network.uplinks[rack].mark(now, kb, by_rungs);
     }
 
     fn tried(&mut self, now: Duration, server: ServerId, vw: ViewingId, good: bool) {
-        let cold_for = self.pace.cold_for;
-        if let Some(s) = self.servers.get_mut(&server) {
-            keep(&mut s.health.tries, KEPT, (now, good));
-            if good && std::mem::take(&mut s.health.lost) {
-                // Guards against a restart that the list hasn't told of: what was lost may have come back cold.
-                s.cold_until = s.cold_until.max(now + cold_for);
-            }
-            if s.health.trial == Some(vw) {
-                s.health.trial = None;
-            }
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        keep(&mut s.health.tries, KEPT, (now, good));
+        if good && std::mem::take(&mut s.health.lost) {
+            // Guards against a restart that the list hasn't told of: what was lost may have come back cold.
+            s.cold_until = s.cold_until.max(now + self.pace.cold_for);
+        }
+        if s.health.trial == Some(vw) {
+            s.health.trial = None;
         }
     }
 
-    fn reported(&mut self, now: Duration, server: ServerId, load: Load) {
-        if let (Some(full), Some(s)) = (load.link, self.servers.get_mut(&server)) {
+    /// A load report, with an ending or of a probe.
+    pub fn reported(&mut self, now: Duration, server: ServerId, load: Load) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        if let Some(full) = load.link {
             s.link.hear(now, full);
         }
-        if let (Some(full), Some(rack)) = (load.uplink, self.rack(server)) {
-            self.uplinks[rack].hear(now, full);
+        if let Some(full) = load.uplink {
+            let rack = self.network.rack(s.listed.cell);
+            self.network.uplinks[rack].hear(now, full);
         }
     }
 
@@ -745,30 +722,24 @@
         if share >= FULL {
             return;
         }
-        let full = 1.0 / share.max(0.05);
-        let rack = self.rack(server);
-        let racks = self.racks;
-        let peers = self.servers.values().filter(|s| Some((s.listed.cell % racks) as usize) == rack);
-        let peers: Vec<bool> = peers
-            .filter(|s| s.link.own() > 0.0)
-            .map(|s| s.short.is_some_and(|t| now.saturating_sub(t) < INTERVAL))
-            .collect();
-        let short = peers.iter().filter(|p| **p).count();
-        let siblings = self.siblings;
-        let link = match (rack, self.servers.get_mut(&server)) {
-            (Some(rack), _) if short > 1 && short * 2 > peers.len() => &mut self.uplinks[rack],
-            (_, Some(s)) => &mut s.link,
-            _ => return,
+        let rack = self.network.rack(s.listed.cell);
+        let peers = self.servers.values().filter(|s| self.network.rack(s.listed.cell) == rack);
+        let peers = peers.filter(|s| s.link.own() > 0.0);
+        let short = |s: &&Server| s.short.is_some_and(|t| now.saturating_sub(t) < INTERVAL);
+        let (short, peers) = (peers.clone().filter(short).count(), peers.count());
+        let link = match self.servers.get_mut(&server) {
+            Some(s) if short < 2 || short * 2 <= peers => &mut s.link,
+            _ => &mut self.network.uplinks[rack],
         };
-        if link.full(now, siblings) < full {
+        let full = 1.0 / share.max(0.05);
+        if link.full(now, self.siblings) < full {
             link.hear(then, full);
         }
     }
 
     fn carry(&self, server: &Server, now: Duration) -> f64 {
-        let rack = (server.listed.cell % self.racks) as usize;
-        let uplink = self.uplinks.get(rack).map_or(0.0, |u| u.full(now, self.siblings));
-        server.link.full(now, self.siblings).max(uplink)
+        let uplink = &self.network.uplinks[self.network.rack(server.listed.cell)];
+        server.link.full(now, self.siblings).max(uplink.full(now, self.siblings))
     }
 
     /// The design's two choices among the holders that may take a set-up now; over its bucket, any with tokens.
@@ -779,16 +750,17 @@
         let recall = self.pace.cold_for;
         let mut wait = Duration::MAX;
         let (mut fit, mut suspects) = (vec![], vec![]);
-        for (id, s) in &mut self.servers {
-            if s.listed.standing != Standing::Ready || !holds(s.listed.cell, viewing.cells, self.places) {
+        for (id, s) in &self.servers {
+            if s.listed.standing != Standing::Ready || !self.network.holds(s.listed.cell, viewing.cells) {
                 continue;
             }
             let gap = self.pace.gaps.get(s.listed.kind.0).copied().unwrap_or(self.pace.cold_for);
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
+            let shunned = viewing.shunned.contains(id);
             if (now < s.cold_until || s.health.lost) && now < next {
                 wait = wait.min(next - now);
-            } else if s.health.suspect(now, pause, recall) || viewing.shunned.contains(id) {
-                suspects.push((viewing.shunned.contains(id), s.health.bad(now, recall), *id));
+            } else if shunned || s.health.suspect(now, pause, recall) {
+                suspects.push((shunned, s.health.bad(now, recall), *id));
             } else {
                 fit.push(*id);
             }
@@ -797,20 +769,19 @@
             // With all holders suspect, still the best of them.
             fit.extend(suspects.iter().min().map(|s| s.2));
         }
-        let near = |id: &ServerId| self.servers[id].listed.zone == self.zone;
-        let roomy = |id: &ServerId| self.carry(&self.servers[id], now) < AIM;
-        if self.cross > 0.0 && fit.iter().any(|id| near(id) && roomy(id)) {
-            fit.retain(|id| near(id) && roomy(id));
+        let carries: BTreeMap<ServerId, f64> =
+            fit.iter().map(|id| (*id, self.carry(&self.servers[id], now))).collect();
+        let carry = |id: &ServerId| carries[id];
+        let near = |id: &ServerId| self.servers[id].listed.zone == self.zone && carry(id) < AIM;
+        if self.cross > 0.0 && fit.iter().any(near) {
+            fit.retain(near);
         }
         let mut order = vec![];
         while order.len() < 2 && !fit.is_empty() {
             order.push(fit.swap_remove(self.chance.below(fit.len())));
         }
-        let by_carry = |a: &ServerId, b: &ServerId| {
-            self.carry(&self.servers[a], now).total_cmp(&self.carry(&self.servers[b], now))
-        };
-        order.sort_by(by_carry);
-        fit.sort_by(by_carry);
+        order.sort_by(|a, b| carry(a).total_cmp(&carry(b)));
+        fit.sort_by(|a, b| carry(a).total_cmp(&carry(b)));
         order.extend(fit);
         for id in order {
             let Some(s) = self.servers.get_mut(&id) else { continue };
@@ -829,48 +800,48 @@
     fn tune_in(&mut self, act: &mut dyn Actions, now: Duration, vw: ViewingId, first: bool) {
         let viewing = &self.viewings[&vw];
         let p = &self.packages[viewing.package];
-        let seated = self
-            .viewings
-            .values()
-            .filter(|v| v.server.is_some() && v.package == viewing.package && v.title == viewing.title);
-        let seats = p.seats == 0 || seated.count() < p.seats;
+        let alike =
+            |v: &&Viewing| v.server.is_some() && v.package == viewing.package && v.title == viewing.title;
+        let seats = p.seats == 0 || self.viewings.values().filter(alike).count() < p.seats;
         let left = viewing.ends.saturating_sub(now);
-        let tries = self.most_tune_ins.saturating_sub(viewing.tune_ins);
-        let rationed = !first && self.ration.as_mut().is_some_and(|r| !r.allows(now));
+        let tries = self.tune_ins.most.saturating_sub(viewing.tune_ins);
+        let rationed = !first && self.tune_ins.ration.as_mut().is_some_and(|r| !r.allows(now));
         if !seats || left.is_zero() || tries == 0 || rationed {
-            return self.give_up(act, now, vw);
+            return self.give_up(act, vw);
         }
         let server = match self.choose(now, vw) {
             Ok(server) => server,
             Err(wait) => return self.turn_down(act, vw, wait),
         };
-        if let Some(ration) = self.ration.as_mut().filter(|_| !first) {
+        if let Some(ration) = self.tune_ins.ration.as_mut().filter(|_| !first) {
             ration.further.push_back(now);
         }
         let mut usual: Vec<Duration> = self.set_ups.iter().copied().collect();
         usual.sort();
         let usual = usual.get(usual.len() / 2).copied().unwrap_or_default();
-        let p = &self.packages[self.viewings[&vw].package];
         // A paid viewing can't be sent again after silence, and a last tune-in has nothing after it.
+        let p = &self.packages[self.viewings[&vw].package];
         let limit =
             if p.once || tries == 1 { left } else { p.target.mul_f64(LIMIT).max(usual * USUAL).min(left) };
-        let rung = self.rung_for(now, vw, server);
-        let viewing = self.viewings.get_mut(&vw).expect("looked up above");
+        let Some(viewing) = self.viewings.get_mut(&vw) else { return };
         viewing.tune_ins += 1;
-        (viewing.rung, viewing.server, viewing.changed) = (rung, Some(server), now);
+        (viewing.server, viewing.changed) = (Some(server), now);
         viewing.next = Some(Box::new(move |manager, act, now, vw, ending| {
             manager.after(act, now, vw, server, ending);
         }));
-        let recall = self.pace.cold_for;
+        let rung = self.rack(server).and_then(|rack| self.ideal(now, rack).get(&vw).copied());
+        if let Some(viewing) = self.viewings.get_mut(&vw) {
+            viewing.rung = rung.unwrap_or(viewing.rung);
+            act.set_rung(vw, viewing.rung);
+        }
         if let Some(s) = self.servers.get_mut(&server) {
             s.sent = Some(now);
             s.warning.admitted += 1.0;
-            if s.health.bad(now, recall) > 0 {
+            if s.health.bad(now, self.pace.cold_for) > 0 {
                 s.health.trial = Some(vw);
             }
         }
         self.mark(now, server, false);
-        act.set_rung(vw, rung);
         act.tune_in(vw, server, limit);
     }
 
@@ -888,75 +859,104 @@
         self.tune_in(act, now, vw, false);
     }
 
-    fn give_up(&mut self, act: &mut dyn Actions, _now: Duration, vw: ViewingId) {
+    fn give_up(&mut self, act: &mut dyn Actions, vw: ViewingId) {
         let Some(viewing) = self.viewings.get_mut(&vw) else { return };
-        let once = self.packages[viewing.package].once;
-        if viewing.server.is_some() {
-            viewing.answered = true;
-            if self.may_call_off {
-                act.call_off(vw, viewing.tune_ins - 1);
-            }
-            return if once { act.abort(vw) } else { act.block(vw, None) };
+        if viewing.server.is_none() {
+            return self.turn_down(act, vw, Duration::ZERO);
+        }
+        viewing.answered = true;
+        if self.tune_ins.may_call_off {
+            act.call_off(vw, viewing.tune_ins - 1);
         }
-        self.turn_down(act, vw, Duration::ZERO);
+        if self.packages[viewing.package].once { act.abort(vw) } else { act.block(vw, None) }
     }
 
     /// Blocks a viewing of which nothing is out and nothing ran, or which may be set up again.
     fn turn_down(&mut self, act: &mut dyn Actions, vw: ViewingId, wait: Duration) {
         self.viewings.remove(&vw);
-        act.block(vw, self.come_back.map(|most| wait.min(most)).filter(|w| !w.is_zero()));
-    }
-
-    /// Mechanism 1: the rung at which a link's price is met, if all our viewings there were set anew with this one.
-    fn rung_for(&self, now: Duration, vw: ViewingId, server: ServerId) -> usize {
-        let new = &self.viewings[&vw];
-        let floor = |v: &Viewing| self.packages[v.package].floor;
-        let mut rungs: Vec<(&Viewing, usize)> =
-            self.viewings.values().filter(|v| v.server == Some(server)).map(|v| (v, floor(v))).collect();
-        rungs.push((new, floor(new)));
-        let Some(s) = self.servers.get(&server) else { return floor(new) };
-        let uplink = self.rack(server).map_or(f64::MAX, |rack| {
-            let uplink = &self.uplinks[rack];
-            uplink.budget(now, self.siblings, AIM) - uplink.own() + s.link.own()
-        });
-        let mut room = s.link.budget(now, self.siblings, AIM).min(uplink);
-        room -= rungs.iter().map(|(v, r)| self.kb(v, *r)).sum::<f64>();
-        loop {
-            let steps = rungs.iter().enumerate().filter(|(_, (v, r))| *r < v.top);
-            let best =
-                steps.map(|(i, (v, r))| (self.step(v, *r, now), i)).max_by(|a, b| a.0.0.total_cmp(&b.0.0));
-            match best {
-                Some(((_, kb), i)) if kb <= room => {
-                    room -= kb;
-                    rungs[i].1 += 1;
-                }
-                _ => return rungs.last().map_or(0, |r| r.1),
+        act.block(vw, self.tune_ins.come_back.map(|most| wait.min(most)).filter(|w| !w.is_zero()));
+    }
+
+    /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings of a rack.
+    fn ideal(&self, now: Duration, rack: usize) -> BTreeMap<ViewingId, usize> {
+        let room = |link: &Link| link.budget(now, self.siblings, AIM);
+        let mut uplink = room(&self.network.uplinks[rack]);
+        let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
+        let mut links: BTreeMap<ServerId, f64> = there.map(|(id, s)| (*id, room(&s.link))).collect();
+        let (mut rungs, mut steps) = (BTreeMap::new(), vec![]);
+        for (vw, v) in &self.viewings {
+            let Some((id, link)) = v.server.and_then(|id| Some((id, links.get_mut(&id)?))) else { continue };
+            let floor = self.packages[v.package].floor;
+            let (value, scale) = (self.value(v, now), self.packages[v.package].scale);
+            uplink -= self.kb(v, floor);
+            *link -= self.kb(v, floor);
+            rungs.insert(*vw, floor);
+            for rung in floor..v.top {
+                let (kb, worth) = self.ladder.between(rung, rung + 1);
+                steps.push((value * worth / (kb * scale).max(1e-6), kb * scale, *vw, id, rung + 1));
+            }
+        }
+        steps.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, kb, vw, id, rung) in steps {
+            let Some(link) = links.get_mut(&id).filter(|link| kb <= **link && kb <= uplink) else { continue };
+            if rungs.get(&vw) == Some(&(rung - 1)) {
+                (*link, uplink) = (*link - kb, uplink - kb);
+                rungs.insert(vw, rung);
             }
         }
+        rungs
     }
 
-    /// Mechanism 1: lowers rungs where a link or uplink is asked too much, raises them where there is room.
-    fn replan(&mut self, act: &mut dyn Actions, now: Duration) {
-        let servers: Vec<ServerId> = self.servers.keys().copied().collect();
-        for &id in &servers {
-            let link = &self.servers[&id].link;
-            if link.own() > 0.0 && link.full(now, self.siblings) > HIGH {
-                let over = link.own() - link.budget(now, self.siblings, AIM);
-                self.lower(act, now, &[id], over);
+    /// Mechanism 1: lowers rungs where a link or the uplink is asked too much, raises them where there is room.
+    /// A change costs the same however far it goes, so it goes to the ideal rung at once.
+    fn replan(&mut self, act: &mut dyn Actions, now: Duration, rack: usize) {
+        let ideal = self.ideal(now, rack);
+        let over = |link: &Link| {
+            let full = link.full(now, self.siblings);
+            if full > HIGH { link.own() - link.budget(now, self.siblings, AIM) } else { 0.0 }
+        };
+        let room = |link: &Link| (link.budget(now, self.siblings, AIM) - link.own()) * HASTE;
+        let uplink = &self.network.uplinks[rack];
+        let (mut over_up, mut room_up) = (over(uplink), room(uplink));
+        let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
+        let mut links: BTreeMap<_, _> = there.map(|(id, s)| (*id, (over(&s.link), room(&s.link)))).collect();
+        let (mut downs, mut ups) = (vec![], vec![]);
+        let hold = self.network.told + self.network.seen;
+        for (vw, rung) in &ideal {
+            let v = &self.viewings[vw];
+            let floor = self.packages[v.package].floor;
+            let to = if *rung < v.rung { *rung } else { v.rung.saturating_sub(1).max(floor) };
+            let Some(server) = v.server.filter(|_| v.playing) else { continue };
+            let of = |from, to| {
+                let (kb, worth) = self.ladder.between(from, to);
+                let (kb, value) = (kb * self.packages[v.package].scale, self.value(v, now));
+                (kb, value * (worth * OUTLOOK.as_secs_f64()), value * self.ladder.switch)
+            };
+            if to < v.rung {
+                let (kb, worth, cost) = of(to, v.rung);
+                downs.push(((worth + cost) / kb, kb, *vw, server, to));
+            }
+            if *rung > v.rung && now.saturating_sub(v.changed) > hold {
+                let (kb, worth, cost) = of(v.rung, *rung);
+                if worth > cost {
+                    ups.push(((worth - cost) / kb, kb, *vw, server, *rung));
+                }
             }
         }
-        for rack in 0..self.uplinks.len() {
-            let there: Vec<ServerId> =
-                servers.iter().copied().filter(|id| self.rack(*id) == Some(rack)).collect();
-            let uplink = &self.uplinks[rack];
-            if uplink.own() > 0.0 && uplink.full(now, self.siblings) > HIGH {
-                let over = uplink.own() - uplink.budget(now, self.siblings, AIM);
-                self.lower(act, now, &there, over);
+        downs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        ups.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (_, kb, vw, server, to) in downs {
+            let Some((over, room)) = links.get_mut(&server) else { continue };
+            if *over > 0.0 || over_up > 0.0 {
+                (*over, *room, over_up, room_up) = (*over - kb, 0.0, over_up - kb, 0.0);
+                self.set_rung(act, now, vw, to);
             }
-            let uplink = &self.uplinks[rack];
-            let mut room = (uplink.budget(now, self.siblings, AIM) - uplink.own()) / 2.0;
-            for id in there {
-                room -= self.raise(act, now, id, room);
+        }
+        for (_, kb, vw, server, to) in ups {
+            let Some((_, room)) = links.get_mut(&server) else { continue };
+            if kb <= *room && kb <= room_up {
+                (*room, room_up) = (*room - kb, room_up - kb);
+                self.set_rung(act, now, vw, to);
             }
         }
     }
@@ -965,57 +965,24 @@
         let Some(viewing) = self.viewings.get_mut(&vw) else { return };
         (viewing.rung, viewing.changed) = (rung, now);
         act.set_rung(vw, rung);
-        if let Some(server) = self.viewings[&vw].server {
+        if let Some(server) = viewing.server {
             self.mark(now, server, true);
         }
     }
 
-    /// Takes the cheapest steps down at these servers until so much is freed.
-    fn lower(&mut self, act: &mut dyn Actions, now: Duration, servers: &[ServerId], mut over: f64) {
-        while over > 0.0 {
-            let there = self
-                .viewings
-                .iter()
-                .filter(|(_, v)| v.playing && v.server.is_some_and(|s| servers.contains(&s)));
-            let steps = there.filter(|(_, v)| v.rung > self.packages[v.package].floor);
-            let worst = steps.map(|(id, v)| (self.step(v, v.rung - 1, now), *id, v.rung - 1));
-            let Some(((_, kb), vw, rung)) = worst.min_by(|a, b| a.0.0.total_cmp(&b.0.0)) else { return };
-            over -= kb;
-            self.set_rung(act, now, vw, rung);
-        }
-    }
-
-    /// Takes the best steps up at a server that fit in its room and the uplink's; tells what they take.
-    fn raise(&mut self, act: &mut dyn Actions, now: Duration, server: ServerId, most: f64) -> f64 {
-        let link = &self.servers[&server].link;
-        let room = ((link.budget(now, self.siblings, AIM) - link.own()) / 2.0).min(most);
-        let hold = self.told + self.seen;
-        let there =
-            self.viewings.iter().filter(|(_, v)| v.playing && v.server == Some(server) && v.rung < v.top);
-        let steps = there.filter(|(_, v)| now.saturating_sub(v.changed) > hold);
-        let best = steps.map(|(id, v)| (self.step(v, v.rung, now), *id, v.rung + 1));
-        match best.filter(|b| b.0.1 <= room).max_by(|a, b| a.0.0.total_cmp(&b.0.0)) {
-            Some(((_, kb), vw, rung)) => {
-                self.set_rung(act, now, vw, rung);
-                kb
-            }
-            None => 0.0,
-        }
-    }
-
     /// The design's interval, for each server.
     fn close_interval(&mut self, now: Duration) {
-        let servers: Vec<ServerId> = self.servers.keys().copied().collect();
-        let lowest = self.rates.first().copied().unwrap_or(1.0);
-        for id in servers {
-            let there = self.viewings.values().filter(|v| v.server == Some(id));
-            let least: f64 = there.map(|v| self.kb(v, self.packages[v.package].floor)).sum();
-            let link = &self.servers[&id].link;
-            let room = (link.budget(now, self.siblings, AIM) - least) / lowest;
-            let stuck = link.own() > 0.0 && link.full(now, self.siblings) > 1.0 / FULL && link.own() <= least;
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.warning.close(now, room.max(0.0), stuck);
-            }
+        for (id, s) in &mut self.servers {
+            let there = self.viewings.values().filter(|v| v.server == Some(*id));
+            let least = |v: &Viewing| {
+                let p = &self.packages[v.package];
+                self.ladder.rates[p.floor] * p.scale
+            };
+            let least: f64 = there.map(least).sum();
+            let room = (s.link.budget(now, self.siblings, AIM) - least) / self.ladder.rates[0].max(1e-6);
+            let stuck =
+                s.link.own() > 0.0 && s.link.full(now, self.siblings) > 1.0 / FULL && s.link.own() <= least;
+            s.warning.close(now, room.max(0.0), stuck);
         }
     }
 }
