--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,8 +32,8 @@
 /// Rungs are looked at so many times an interval.
 const LOOKS: u32 = 8;
 /// What is asked of a link: rungs rise up to the first, and fall from the second down to the first.
-const AIM: f64 = 0.88;
-const HIGH: f64 = 0.96;
+const AIM: f64 = 0.97;
+const HIGH: f64 = 1.06;
 /// The part of the room that one look may fill, and how long a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
 const OUTLOOK: Duration = Duration::from_secs(10);
