--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,8 +34,8 @@
 /// What is asked of a link: rungs rise up to the first, and fall from the second down to the first.
 const AIM: f64 = 0.97;
 const HIGH: f64 = 1.06;
-/// How often managers together raise rungs, in looks, and how long a change of rung is reckoned to last.
-const HASTE: f64 = 0.25;
+/// The part of the room that one look may fill, and how long a change of rung is reckoned to last.
+const HASTE: f64 = 0.5;
 const OUTLOOK: Duration = Duration::from_secs(10);
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
@@ -121,11 +121,14 @@
         if weights > 1e-6 { sum / weights } else { own * siblings / self.kb }
     }
 
-    /// What we may ask of it so that all together ask `AIM`: where that is too much, each goes down by its own
-    /// part; where there is room, whoever moves next may have it.
-    fn budget(&self, now: Duration, siblings: f64) -> f64 {
+    /// What we may ask of it so that all together ask `aim`.
+    fn budget(&self, now: Duration, siblings: f64, aim: f64) -> f64 {
         let (own, full) = (self.own(), self.full(now, siblings));
-        if full > AIM { own * AIM / full } else { own + (AIM - full) * self.kb }
+        if full > aim {
+            return own * aim / full;
+        }
+        let part = (own / (full * self.kb).max(1.0)).max(1.0 / siblings).min(1.0);
+        own + (aim - full) * self.kb * part
     }
 }
 
@@ -876,7 +879,7 @@
 
     /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings of a rack.
     fn ideal(&self, now: Duration, rack: usize) -> BTreeMap<ViewingId, usize> {
-        let room = |link: &Link| link.budget(now, self.siblings);
+        let room = |link: &Link| link.budget(now, self.siblings, AIM);
         let mut uplink = room(&self.network.uplinks[rack]);
         let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
         let mut links: BTreeMap<ServerId, f64> = there.map(|(id, s)| (*id, room(&s.link))).collect();
@@ -910,9 +913,9 @@
         let ideal = self.ideal(now, rack);
         let over = |link: &Link| {
             let full = link.full(now, self.siblings);
-            if full > HIGH { link.own() - link.budget(now, self.siblings) } else { 0.0 }
+            if full > HIGH { link.own() - link.budget(now, self.siblings, AIM) } else { 0.0 }
         };
-        let room = |link: &Link| link.budget(now, self.siblings) - link.own();
+        let room = |link: &Link| (link.budget(now, self.siblings, AIM) - link.own()) * HASTE;
         let uplink = &self.network.uplinks[rack];
         let (mut over_up, mut room_up) = (over(uplink), room(uplink));
         let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
@@ -940,9 +943,6 @@
                 }
             }
         }
-        // A step is large beside one manager's part of the room, so managers take turns at the whole, by chance.
-        let turn = (self.chance.below(1 << 16) as f64) < HASTE / self.siblings * f64::from(1 << 16);
-        ups.retain(|_| turn);
         downs.sort_by(|a, b| a.0.total_cmp(&b.0));
         ups.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, kb, vw, server, to) in downs {
@@ -979,7 +979,7 @@
                 self.ladder.rates[p.floor] * p.scale
             };
             let least: f64 = there.map(least).sum();
-            let room = (s.link.budget(now, self.siblings) - least) / self.ladder.rates[0].max(1e-6);
+            let room = (s.link.budget(now, self.siblings, AIM) - least) / self.ladder.rates[0].max(1e-6);
             let stuck =
                 s.link.own() > 0.0 && s.link.full(now, self.siblings) > 1.0 / FULL && s.link.own() <= least;
             s.warning.close(now, room.max(0.0), stuck);
