--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,7 +30,7 @@
 /// The share from which delivery counts as full.
 const FULL: f64 = 0.98;
 /// Rungs are looked at so many times an interval.
-const LOOKS: u32 = 8;
+const LOOKS: u32 = 4;
 /// What is asked of a link: rungs rise up to the first, and fall from the second down to the first.
 const AIM: f64 = 0.97;
 const HIGH: f64 = 1.06;
