--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -1,7 +1,8 @@
 //! The settings text of an instance, turned into the calls that set a manager up.
 
 use ivyward::front::ZoneId;
-use ivyward::policy::{Customer, Ladder, Manager, Network, Pace, Package, Ration, TuneIns};
+use ivyward::policy::{Manager, Pace};
+use ivyward::state::{Customer, Ladder, Limits, Network, Package, Ration};
 use serde_json::Value;
 use std::time::Duration;
 
@@ -51,11 +52,15 @@
         let of = |figures: &[f64], name: &str| {
             figures.get(i).copied().ok_or_else(|| format!("options: {name} lacks package {i}"))
         };
-        let rungs = (of(&floors, "floor-by-class")? as usize, of(&tops, "top-by-class")? as usize);
-        let once = package.pointer("/semantics").and_then(Value::as_str) != Some("read_like");
-        let (value, target) = (number(package, "/worth")?, micros(number(package, "/slo-us")?));
-        let (scale, seats) = (of(&scales, "class-scale")?, of(&seats, "class-seats")? as usize);
-        Ok(Package::new(value, target, once, scale, rungs, seats))
+        Ok(Package {
+            value: number(package, "/worth")?,
+            target: micros(number(package, "/slo-us")?),
+            once: package.pointer("/semantics").and_then(Value::as_str) != Some("read_like"),
+            scale: of(&scales, "class-scale")?,
+            floor: of(&floors, "floor-by-class")? as usize,
+            top: of(&tops, "top-by-class")? as usize,
+            seats: of(&seats, "class-seats")? as usize,
+        })
     };
     list(all, "/profiles")?.iter().enumerate().map(package).collect()
 }
@@ -68,15 +73,15 @@
     if rates.is_empty() || worths.len() < rates.len() {
         return Err("options: /specifics/rates-kb and rung-worth do not match".into());
     }
-    let ladder = Ladder::new(rates, worths, number(&all, "/specifics/switch-s")?);
-    let network = Network::new(
-        number(&all, "/specifics/places")? as u32,
-        number(&all, "/specifics/shelves")? as u32,
-        number(&all, "/specifics/weight-kb")?,
-        number(&all, "/specifics/rack-link-kb")?,
-        micros(or_zero(&all, "/specifics/told-every-us")),
-        micros(or_zero(&all, "/specifics/seen-after-us")),
-    );
+    let ladder = Ladder { rates, worths, switch: number(&all, "/specifics/switch-s")? };
+    let network = Network {
+        places: number(&all, "/specifics/places")? as u32,
+        racks: number(&all, "/specifics/shelves")? as u32,
+        weight_kb: number(&all, "/specifics/weight-kb")?,
+        uplink_kb: number(&all, "/specifics/rack-link-kb")?,
+        told: micros(or_zero(&all, "/specifics/told-every-us")),
+        seen: micros(or_zero(&all, "/specifics/seen-after-us")),
+    };
     let pace = Pace::new(
         siblings,
         &numbers(&all, "/specifics/kind-streams")?,
@@ -93,14 +98,13 @@
         Ration::new(micros(span), free, share)
     });
     let longest = micros(or_zero(&all, "/limits/max-retry-after-us"));
-    let come_back = truth(&all, "/limits/retry-after").then_some(longest);
-    let most = number(&all, "/limits/max-attempts")? as u16;
-    let tune_ins = TuneIns::new(most, truth(&all, "/limits/cancelling"), come_back, ration);
-    let zone = ZoneId(or_zero(&all, "/my-zone") as u8);
-    let cross = or_zero(&all, "/prices/cross-zone");
-    let packages = packages(&all)?;
-    let manager =
-        Manager::new(seed, siblings, zone, cross, ladder, network, pace, tune_ins, packages, customers);
+    let limits = Limits {
+        tune_ins: number(&all, "/limits/max-attempts")? as u16,
+        call_off: truth(&all, "/limits/cancelling"),
+        come_back: truth(&all, "/limits/retry-after").then_some(longest),
+    };
+    let here = (seed, siblings, ZoneId(or_zero(&all, "/my-zone") as u8), or_zero(&all, "/prices/cross-zone"));
+    let manager = Manager::new(here, ladder, network, pace, limits, ration, packages(&all)?, customers);
     let fields = all.pointer("/report/fields").and_then(Value::as_array);
     let report = fields.into_iter().flatten().map(|field| match field.as_str() {
         Some("rif") => Gauge::Streams,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,3 +3,4 @@
 
 pub mod front;
 pub mod policy;
+pub mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,229 @@
+//! What a manager holds: settings as they were given, viewings, samples. No decision is made here.
+
+use crate::front::*;
+use crate::policy::KEPT;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A permuted congruential generator.
+pub(crate) struct Pcg(pub u64);
+
+impl Pcg {
+    pub fn below(&mut self, n: usize) -> usize {
+        let s = self.0;
+        self.0 = s.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        let word = ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32);
+        ((u64::from(word) * n as u64) >> 32) as usize
+    }
+}
+
+/// The last few samples of something.
+pub(crate) fn keep<T>(samples: &mut VecDeque<T>, most: usize, sample: T) {
+    if samples.len() >= most {
+        samples.pop_front();
+    }
+    samples.push_back(sample);
+}
+
+/// The ladder of rates: kB a second and worth of each rung, and the seconds of value that a change costs.
+pub struct Ladder {
+    pub rates: Vec<f64>,
+    pub worths: Vec<f64>,
+    pub switch: f64,
+}
+
+impl Ladder {
+    /// kB and worth between two rungs.
+    pub(crate) fn between(&self, from: usize, to: usize) -> (f64, f64) {
+        (self.rates[to] - self.rates[from], self.worths[to] - self.worths[from])
+    }
+}
+
+pub struct Package {
+    pub value: f64,
+    pub target: Duration,
+    /// Paid at set-up, so never set up twice.
+    pub once: bool,
+    pub scale: f64,
+    pub floor: usize,
+    pub top: usize,
+    /// Viewings of one title that a manager may hold; 0 for no cap.
+    pub seats: usize,
+}
+
+/// Cells and racks, the size of links, and how news of them comes.
+pub struct Network {
+    pub places: u32,
+    pub racks: u32,
+    pub weight_kb: f64,
+    pub uplink_kb: f64,
+    pub told: Duration,
+    pub seen: Duration,
+}
+
+impl Network {
+    pub(crate) fn rack(&self, cell: u32) -> usize {
+        (cell % self.racks.max(1)) as usize
+    }
+
+    pub(crate) fn holds(&self, cell: u32, cells: Cells) -> bool {
+        let places = self.places.max(1);
+        (cell % places + places - cells.first % places) % places < cells.spread
+    }
+}
+
+/// A customer's share: set-ups a second over all managers, and what more than that is worth.
+pub struct Customer {
+    pub quota: f64,
+    pub over: f64,
+    pub(crate) taken: VecDeque<Duration>,
+}
+
+impl Customer {
+    pub fn new(quota: f64, over: f64) -> Self {
+        Customer { quota, over, taken: VecDeque::new() }
+    }
+}
+
+/// What is allowed of tune-ins: how many, whether they may be called off, and the longest stay away that
+/// viewers hear of, if they hear any.
+pub struct Limits {
+    pub tune_ins: u16,
+    pub call_off: bool,
+    pub come_back: Option<Duration>,
+}
+
+pub(crate) struct Viewing<Next> {
+    pub package: usize,
+    pub customer: usize,
+    pub title: TitleId,
+    pub cells: Cells,
+    pub top: usize,
+    pub rung: usize,
+    pub server: Option<ServerId>,
+    pub ends: Duration,
+    pub tune_ins: u16,
+    pub answered: bool,
+    pub playing: bool,
+    pub changed: Duration,
+    pub shunned: Vec<ServerId>,
+    pub next: Option<Next>,
+}
+
+impl<Next> Viewing<Next> {
+    pub fn new(package: usize, customer: usize, title: TitleId, cells: Cells, rungs: (usize, usize)) -> Self {
+        let (rung, top) = rungs;
+        let (ends, changed, shunned) = (Duration::ZERO, Duration::ZERO, vec![]);
+        let (server, tune_ins, answered, playing, next) = (None, 0, false, false, None);
+        Viewing {
+            package,
+            customer,
+            title,
+            cells,
+            top,
+            rung,
+            server,
+            ends,
+            tune_ins,
+            answered,
+            playing,
+            changed,
+            shunned,
+            next,
+        }
+    }
+}
+
+/// A link or an uplink: what was heard of its fullness, and the part that is ours.
+pub(crate) struct Link {
+    pub kb: f64,
+    pub half: Duration,
+    pub siblings: f64,
+    pub heard: VecDeque<(Duration, f64)>,
+    /// When, what we asked of it, and how far our rungs had grown it, in all.
+    pub trail: VecDeque<(Duration, f64, f64)>,
+}
+
+impl Link {
+    pub fn new(kb: f64, half: Duration, siblings: f64) -> Self {
+        let trail = VecDeque::from([(Duration::ZERO, 0.0, 1.0)]);
+        Link { kb: kb.max(1.0), half, siblings, heard: VecDeque::new(), trail }
+    }
+
+    pub fn hear(&mut self, at: Duration, full: f64) {
+        if full.is_finite() && full >= 0.0 {
+            keep(&mut self.heard, KEPT, (at, full));
+        }
+    }
+
+    pub fn last(&self) -> (Duration, f64, f64) {
+        self.trail.back().copied().unwrap_or((Duration::ZERO, 0.0, 1.0))
+    }
+
+    pub fn own(&self) -> f64 {
+        self.last().1
+    }
+}
+
+/// One interval's reading of a server.
+#[derive(Clone, Copy)]
+pub(crate) struct Reading {
+    pub share: f64,
+    pub asked: f64,
+    pub alarmed: bool,
+}
+
+/// The design's limit on one server's set-ups, with its scoreboard.
+pub(crate) struct Bucket {
+    pub rate: f64,
+    pub tokens: f64,
+    pub at: Duration,
+    pub alarmed: bool,
+    pub up: i32,
+    pub down: i32,
+    pub last: Option<bool>,
+    pub full_for: usize,
+}
+
+/// The design's detector and controller of one server.
+#[derive(Default)]
+pub(crate) struct Warning {
+    pub readings: VecDeque<Reading>,
+    pub bucket: Option<Bucket>,
+    pub asked: f64,
+    pub admitted: f64,
+    pub share: Option<f64>,
+}
+
+/// When tune-ins and viewings at a server ended well or badly, and whether it was lost since it last played.
+#[derive(Default)]
+pub(crate) struct Health {
+    pub tries: VecDeque<(Duration, bool)>,
+    pub lost: bool,
+}
+
+/// How many tune-ins beyond each viewing's first are allowed in a span, and when viewings were taken and
+/// further tune-ins made.
+pub struct Ration {
+    pub(crate) span: Duration,
+    pub(crate) free: f64,
+    pub(crate) share: f64,
+    pub(crate) taken: VecDeque<Duration>,
+    pub(crate) further: VecDeque<Duration>,
+}
+
+impl Ration {
+    pub fn new(span: Duration, free: f64, share: f64) -> Self {
+        Ration { span, free, share, taken: VecDeque::new(), further: VecDeque::new() }
+    }
+}
+
+pub(crate) struct Server {
+    pub listed: Listed,
+    pub link: Link,
+    pub warning: Warning,
+    pub health: Health,
+    pub cold_until: Duration,
+    pub sent: Option<Duration>,
+    pub short: Option<Duration>,
+}
