--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -51,18 +51,9 @@
     fn move_off(&mut self, vw: ViewingId) {
         self.reply.push(self.who, 14, &[&vw.0.to_le_bytes()]);
     }
-    fn probe(&mut self, server: ServerId) {
-        self.reply.push(self.who, 6, &[&server.0]);
-    }
-    fn follow_list(&mut self) {
-        self.reply.push(self.who, 11, &[&[1]]);
-    }
     fn wake(&mut self, after: Duration, token: u64) {
         self.reply.push(self.who, 5, &[&micros(after), &token.to_le_bytes()]);
     }
-    fn log(&mut self, line: &str) {
-        self.reply.push_text(self.who, 9, line);
-    }
 }
 
 fn ending(code: u16) -> Result<Ending, String> {
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -1,1 +1,238 @@
+//! Frames in, replies out: round trips and malformed input.
 
+use std::io::Cursor;
+
+const OPTIONS: &str = r#"{"azs": ["a"], "unknown": 1, "siblings": 2, "my-zone": 0, "discovery": "push",
+ "guarantees": {"cold-from": 0.4, "cold-us": 12000000, "drain-grace-us": 250000, "fall-us": 2000000,
+  "tip-multiple": 2.0},
+ "limits": {"cancelling": true, "max-attempts": 3, "max-retry-after-us": 2000000, "retry-after": true},
+ "prices": {"cross-zone": 0.0},
+ "profiles": [{"slo-us": 1000000, "worth": 1.0, "semantics": "read_like"}],
+ "report": {"fields": ["rif", "x0", "what"], "how": "inline"},
+ "specifics": {"class-scale": [1.0], "class-seats": [0], "floor-by-class": [0], "top-by-class": [3],
+  "kind-streams": [34], "places": 12, "rack-link-kb": 66788.0, "rates-kb": [220, 453, 931, 1913],
+  "rung-worth": [0.24, 0.52, 0.77, 1.0], "seen-after-us": 900000, "shelves": 2, "switch-s": 0.6,
+  "told-every-us": 3750000, "weight-kb": 4246.0}}"#;
+
+/// An event record: its code, then fields at their offsets.
+fn event(code: u16, fields: &[(usize, &[u8])]) -> Vec<u8> {
+    let mut record = vec![0; crate::frame::EVENT];
+    record[..2].copy_from_slice(&code.to_le_bytes());
+    for (at, bytes) in fields {
+        record[*at..*at + bytes.len()].copy_from_slice(bytes);
+    }
+    record
+}
+
+fn frame(clock: u64, batch: u32, records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
+    let size = crate::frame::HEADER + records.concat().len() + tail.len();
+    let header =
+        [&(size as u32).to_le_bytes()[..], &clock.to_le_bytes(), &(records.len() as u32).to_le_bytes()];
+    [header.concat(), batch.to_le_bytes().to_vec(), records.concat(), tail.to_vec()].concat()
+}
+
+fn span(start: usize, length: usize) -> Vec<u8> {
+    [(start as u32).to_le_bytes(), (length as u32).to_le_bytes()].concat()
+}
+
+/// One row of a list: a server, its state and cell.
+fn row(server: u8, state: u8, cell: u16) -> Vec<u8> {
+    let mut row = 1.5f32.to_le_bytes().to_vec();
+    row.extend([0; 8]);
+    row.extend([0, state, 0, server, server, server, server, 0x93, 0x1f]);
+    row.extend(cell.to_le_bytes());
+    row
+}
+
+fn named(who: u32) -> Vec<u8> {
+    event(8, &[(2, &who.to_le_bytes())])
+}
+
+fn attach(options: usize) -> Vec<u8> {
+    event(3, &[(2, &7u64.to_le_bytes()), (10, &span(0, options))])
+}
+
+fn catalog(number: u32, start: usize, rows: usize) -> Vec<u8> {
+    event(13, &[(2, &number.to_le_bytes()), (6, &span(start, rows))])
+}
+
+fn discovery(kind: u8, number: u32) -> Vec<u8> {
+    event(6, &[(2, &[kind]), (11, &number.to_le_bytes())])
+}
+
+fn accept(req: u32, patience: u64) -> Vec<u8> {
+    let (cells, top) = (3f32.to_le_bytes(), 3f32.to_le_bytes());
+    let at = [(2, &req.to_le_bytes()[..]), (25, &patience.to_le_bytes()), (41, &cells), (45, &top)];
+    event(5, &at)
+}
+
+fn serve(input: &[u8]) -> (Result<(), String>, Vec<u8>) {
+    let mut output = vec![];
+    (crate::serve(&mut Cursor::new(input), &mut output), output)
+}
+
+/// The actions of each reply, as code and bytes after it.
+fn replies(mut output: &[u8]) -> Vec<Vec<(u16, Vec<u8>)>> {
+    let word = |bytes: &[u8], at: usize| u32::from_le_bytes(bytes[at..at + 4].try_into().unwrap()) as usize;
+    let mut replies = vec![];
+    while !output.is_empty() {
+        let (reply, rest) = output.split_at(word(output, 0));
+        let records = reply[12..].chunks_exact(16).take(word(reply, 4));
+        replies.push(records.map(|r| (u16::from_le_bytes([r[0], r[1]]), r[2..].to_vec())).collect());
+        output = rest;
+    }
+    replies
+}
+
+fn sent_to(actions: &[(u16, Vec<u8>)]) -> Vec<u8> {
+    actions.iter().filter(|a| a.0 == 1).map(|a| a.1[8]).collect()
+}
+
+#[test]
+fn an_empty_batch_gets_the_documented_reply() {
+    let (done, output) = serve(&frame(1_000_000, 1, &[], &[]));
+    assert_eq!(done, Ok(()));
+    assert_eq!(output, [12, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0]);
+}
+
+#[test]
+fn lists_and_instances_go_by_the_order_of_events() {
+    let options = OPTIONS.len();
+    let rows = [row(1, 1, 0), row(2, 1, 0), row(1, 0, 0)].concat();
+    let tail = [OPTIONS.as_bytes(), &rows].concat();
+    let list = |first: usize, rows: usize| catalog(0, options + 23 * first, rows);
+    // Records of one batch; servers that are sent to in it.
+    let cases: Vec<(Vec<Vec<u8>>, Vec<u8>)> = vec![
+        (vec![named(3), attach(options), accept(1, 9_000_000)], vec![]),
+        (vec![list(0, 1), named(3), attach(options), discovery(2, 0), accept(1, 9_000_000)], vec![1]),
+        (
+            // The list's number is used again within the batch.
+            vec![
+                list(0, 1),
+                named(3),
+                attach(options),
+                discovery(2, 0),
+                list(1, 1),
+                discovery(1, 0),
+                accept(1, 9_000_000),
+            ],
+            vec![2],
+        ),
+        (
+            vec![
+                list(0, 1),
+                named(3),
+                attach(options),
+                discovery(2, 0),
+                list(2, 1),
+                discovery(0, 0),
+                accept(1, 9_000_000),
+            ],
+            vec![],
+        ),
+        (
+            // A failed call leaves the list as it was.
+            vec![
+                list(0, 1),
+                named(3),
+                attach(options),
+                discovery(2, 0),
+                discovery(3, 9),
+                accept(1, 9_000_000),
+            ],
+            vec![1],
+        ),
+        (
+            // Killed and attached again: what it knew is gone.
+            vec![
+                list(0, 1),
+                named(3),
+                attach(options),
+                discovery(2, 0),
+                event(9, &[]),
+                attach(options),
+                accept(1, 9_000_000),
+            ],
+            vec![],
+        ),
+        (
+            // Two instances share nothing.
+            vec![
+                list(0, 1),
+                named(3),
+                attach(options),
+                discovery(2, 0),
+                named(4),
+                attach(options),
+                accept(1, 9_000_000),
+                named(3),
+                accept(1, 9_000_000),
+            ],
+            vec![1],
+        ),
+    ];
+    for (i, (records, expected)) in cases.into_iter().enumerate() {
+        let (done, output) = serve(&frame(5_000_000, 2, &records, &tail));
+        assert_eq!(done, Ok(()), "case {i}");
+        assert_eq!(sent_to(&replies(&output)[0]), expected, "case {i}");
+    }
+}
+
+#[test]
+fn endings_are_told_apart() {
+    let tail = [OPTIONS.as_bytes(), &row(1, 1, 0), &row(2, 1, 1)].concat();
+    // Completion code, whether the request has concluded; the code of the last action that follows, if any.
+    let cases =
+        [(0, 1, None), (8, 0, Some(1)), (14, 0, Some(1)), (4, 0, Some(1)), (13, 0, Some(1)), (9, 1, None)];
+    for (code, concluded, follows) in cases {
+        let setup = [
+            catalog(0, OPTIONS.len(), 2),
+            named(3),
+            attach(OPTIONS.len()),
+            discovery(2, 0),
+            accept(1, 9_000_000),
+        ];
+        let first = frame(5_000_000, 1, &setup, &tail);
+        let server = sent_to(&replies(&serve(&first).1)[0])[0];
+        let address = [server, server, server, server, 0x93, 0x1f];
+        let fields = [(2, &1u32.to_le_bytes()[..]), (8, &address), (14, &[code, 0]), (20, &[concluded])];
+        let second = frame(5_200_000, 2, &[named(3), event(7, &fields)], &[]);
+        let (done, output) = serve(&[first, second].concat());
+        assert_eq!(done, Ok(()));
+        assert_eq!(replies(&output)[1].last().map(|a| a.0), follows, "code {code}");
+    }
+}
+
+#[test]
+fn malformed_input_ends_with_a_line_that_names_it() {
+    let options = OPTIONS.len();
+    let good = frame(1, 1, &[named(3), attach(options)], OPTIONS.as_bytes());
+    let broken = |from: &str, to: &str| {
+        let text = OPTIONS.replace(from, to);
+        frame(1, 1, &[named(3), attach(text.len())], text.as_bytes())
+    };
+    let cases = [
+        (good[..good.len() - 1].to_vec(), "frame length"),
+        (good[..2].to_vec(), "frame length"),
+        (vec![3, 0, 0, 0, 0], "frame length"),
+        ([&[20, 0, 0, 0][..], &[0; 8], &[9, 0, 0, 0], &[0; 4]].concat(), "record count"),
+        (frame(1, 1, &[event(99, &[])], &[]), "code 99"),
+        (frame(1, 1, &[named(3), event(12, &[])], &[]), "who"),
+        (frame(1, 1, &[named(3), attach(options + 1)], OPTIONS.as_bytes()), "options: offset"),
+        (frame(1, 1, &[catalog(0, 0, 1)], &[]), "rows-in"),
+        (frame(1, 1, &[catalog(16, 0, 0)], &[]), "ref"),
+        (frame(1, 1, &[catalog(0, 0, 1)], &row(1, 7, 0)), "lifecycle"),
+        (frame(1, 1, &[named(3), attach(options), event(7, &[(14, &[77])])], OPTIONS.as_bytes()), "reason"),
+        (frame(1, 1, &[named(3), attach(options), event(77, &[])], OPTIONS.as_bytes()), "code"),
+        (broken("{\"azs\"", "\"azs\""), "options"),
+        (broken("slo-us", "other"), "slo-us"),
+        (broken("rates-kb", "other"), "rates-kb"),
+        (broken("cold-us", "other"), "cold-us"),
+    ];
+    for (input, names) in cases {
+        let (done, _) = serve(&input);
+        let line = done.expect_err(names);
+        assert!(line.contains(names) && !line.contains('\n'), "{line} lacks {names}");
+    }
+    assert_eq!(serve(&good).0, Ok(()));
+}
--- a/src/front.rs
+++ b/src/front.rs
@@ -117,9 +117,5 @@
     fn set_rung(&mut self, vw: ViewingId, rung: usize);
     /// Takes a playing viewing off its server; the viewer comes back as a new one.
     fn move_off(&mut self, vw: ViewingId);
-    fn probe(&mut self, server: ServerId);
-    /// Asks the list of servers to tell its changes from now on.
-    fn follow_list(&mut self);
     fn wake(&mut self, after: Duration, token: u64);
-    fn log(&mut self, line: &str);
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,6 @@
 pub mod front;
 pub mod policy;
 pub mod state;
+
+#[cfg(test)]
+mod tests;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -115,7 +115,7 @@
     }
 
     /// One interval while alarmed: scores the last step, and takes the next unless the alarm cleared.
-    fn steer(&mut self, cleared: bool) {
+    pub(crate) fn steer(&mut self, cleared: bool) {
         let score = if cleared { 1 } else { -1 };
         match self.last {
             Some(true) => self.up += score,
@@ -132,7 +132,7 @@
 impl Warning {
     /// Closes an interval. `room`: set-ups that the link has room for by our account. `stuck`: it is short
     /// with all our viewings there at their lowest rungs, which counts as an alarm without more asking.
-    fn close(&mut self, now: Duration, room: f64, stuck: bool) {
+    pub(crate) fn close(&mut self, now: Duration, room: f64, stuck: bool) {
         let share = self.share.take().unwrap_or(1.0);
         let (asked, admitted) = (std::mem::take(&mut self.asked), std::mem::take(&mut self.admitted));
         let per_s = 1.0 / INTERVAL.as_secs_f64();
@@ -680,7 +680,7 @@
             }
             let (kb, value) = self.between(v, v.rung, ideal.max(v.rung));
             if value > cost && now.saturating_sub(v.changed) > self.network.told + self.network.seen {
-                ups.push(((value - cost) / kb, kb, vw, server, ideal));
+                ups.push(((value - cost) / kb, vw, server, ideal));
             }
         }
         downs.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -692,9 +692,11 @@
                 self.set_rung(act, vw, to);
             }
         }
-        for (_, kb, vw, server, to) in ups {
+        for (_, vw, server, ideal) in ups {
             let Some((_, room)) = links.get_mut(&server) else { continue };
-            if kb <= *room && kb <= room_up {
+            let v = &self.viewings[&vw];
+            let to = (v.rung + 1..=ideal).rev().map(|to| (self.between(v, v.rung, to).0, to));
+            if let Some((kb, to)) = { to }.find(|(kb, _)| *kb <= *room && *kb <= room_up) {
                 (*room, room_up) = (*room - kb, room_up - kb);
                 self.set_rung(act, vw, to);
             }
--- /dev/null
+++ b/src/tests.rs
@@ -0,0 +1,429 @@
+//! Tables of cases for the decision module, on a recorder of its actions.
+
+use crate::front::*;
+use crate::policy::*;
+use crate::state::*;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Did {
+    TuneIn(u32, u8, Duration),
+    Block(u32, Option<Duration>),
+    Abort(u32),
+    CallOff(u32, u16),
+    Rung(u32, usize),
+    MoveOff(u32),
+    Wake(Duration, u64),
+}
+
+#[derive(Default)]
+struct Recorder(Vec<Did>);
+
+impl Actions for Recorder {
+    fn tune_in(&mut self, vw: ViewingId, server: ServerId, limit: Duration) {
+        self.0.push(Did::TuneIn(vw.0, server.0[0], limit));
+    }
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>) {
+        self.0.push(Did::Block(vw.0, come_back));
+    }
+    fn abort(&mut self, vw: ViewingId) {
+        self.0.push(Did::Abort(vw.0));
+    }
+    fn call_off(&mut self, vw: ViewingId, tune_in: u16) {
+        self.0.push(Did::CallOff(vw.0, tune_in));
+    }
+    fn set_rung(&mut self, vw: ViewingId, rung: usize) {
+        self.0.push(Did::Rung(vw.0, rung));
+    }
+    fn move_off(&mut self, vw: ViewingId) {
+        self.0.push(Did::MoveOff(vw.0));
+    }
+    fn wake(&mut self, after: Duration, token: u64) {
+        self.0.push(Did::Wake(after, token));
+    }
+}
+
+/// Package 0 is free, 1 is paid at set-up, 2 has a floor of one and two seats; rack = cell mod 2.
+struct Desk {
+    manager: Manager,
+    did: Recorder,
+    now: Duration,
+}
+
+const START: Duration = Duration::from_secs(1000);
+
+impl Desk {
+    fn new(ration: Option<Ration>, customers: Vec<Customer>) -> Self {
+        let (rates, worths) = (vec![100.0, 200.0, 400.0, 800.0], vec![0.25, 0.5, 0.75, 1.0]);
+        let ladder = Ladder { rates, worths, switch: 0.5 };
+        let (told, seen) = (ms(3000), ms(1000));
+        let network = Network { places: 8, racks: 2, weight_kb: 1000.0, uplink_kb: 8000.0, told, seen };
+        let pace = Pace::new(2, &[40.0], ms(10_000), 0.4, 2.0);
+        let limits = Limits { tune_ins: 3, call_off: true, come_back: Some(ms(2000)) };
+        let package = |once, floor, seats| Package {
+            value: 1.0,
+            target: ms(1000),
+            once,
+            scale: 1.0,
+            floor,
+            top: 3,
+            seats,
+        };
+        let packages = vec![package(false, 0, 0), package(true, 0, 0), package(false, 1, 2)];
+        let here = (7, 2, ZoneId(0), 0.0);
+        let manager = Manager::new(here, ladder, network, pace, limits, ration, packages, customers);
+        let mut desk = Desk { manager, did: Recorder::default(), now: START };
+        desk.manager.start(&mut desk.did, START);
+        for server in 0..4 {
+            desk.list(server, Standing::Ready, None);
+        }
+        // Past the time in which all servers are taken for cold.
+        desk.now += ms(20_000);
+        desk.did.0.clear();
+        desk
+    }
+
+    fn list(&mut self, server: u8, standing: Standing, born: Option<Duration>) {
+        let (weight, zone, kind, cell) = (2.0, ZoneId(0), KindId(0), u32::from(server));
+        let server = ServerId([server; 6]);
+        let listed = Listed { server, standing, born, weight, zone, kind, cell };
+        self.manager.listed(self.now, &[listed], Extent::Changes);
+    }
+
+    /// Asks for a viewing of a title on the cells from `first`; tells what was done.
+    fn ask(&mut self, vw: u32, package: usize, first: u32, spread: u32) -> Vec<Did> {
+        let (package, customer, title) = (PackageId(package), CustomerId(0), TitleId(u64::from(first)));
+        let (cells, ends) = (Cells { first, spread }, self.now + ms(4000));
+        let id = ViewingId(vw);
+        self.manager.asked(&mut self.did, self.now, id, package, customer, title, cells, 3, ends);
+        self.take()
+    }
+
+    fn end(&mut self, vw: u32, n: u16, server: u8, ending: Ending, terminal: bool) -> Vec<Did> {
+        let (id, server) = (ViewingId(vw), ServerId([server; 6]));
+        self.manager.ended(&mut self.did, self.now, id, n, server, ending, terminal, Load::default());
+        self.take()
+    }
+
+    fn play(&mut self, vw: u32, server: u8) {
+        self.manager.plays(self.now, ViewingId(vw), ServerId([server; 6]), ms(100));
+    }
+
+    fn news(&mut self, vw: u32, server: u8, news: News) {
+        self.manager.news(self.now, ViewingId(vw), ServerId([server; 6]), news);
+    }
+
+    /// Lets time pass by looks; tells what was done.
+    fn pass(&mut self, looks: u32) -> Vec<Did> {
+        for _ in 0..looks {
+            self.now += ms(500);
+            self.manager.woken(&mut self.did, self.now, 0);
+        }
+        self.take()
+    }
+
+    fn patience(&mut self, vw: u32) -> Vec<Did> {
+        self.now += ms(4000);
+        self.manager.woken(&mut self.did, self.now, 1 << 32 | u64::from(vw));
+        self.take()
+    }
+
+    fn take(&mut self) -> Vec<Did> {
+        let mut did = std::mem::take(&mut self.did.0);
+        did.retain(|d| !matches!(d, Did::Wake(..)));
+        did
+    }
+}
+
+fn sent_to(did: &[Did]) -> Option<u8> {
+    did.iter().find_map(|d| if let Did::TuneIn(_, server, _) = d { Some(*server) } else { None })
+}
+
+fn blocked(did: &[Did]) -> bool {
+    did.iter().any(|d| matches!(d, Did::Block(..)))
+}
+
+#[test]
+fn what_follows_a_tune_in() {
+    // package, ending, what must follow: s a further tune-in, a aborted.
+    let cases = [
+        (0, Ending::TurnedAway, 's'),
+        (0, Ending::Unreachable, 's'),
+        (0, Ending::Unanswered, 's'),
+        (0, Ending::Broken, 's'),
+        (1, Ending::TurnedAway, 's'),
+        (1, Ending::Unreachable, 's'),
+        (1, Ending::Unsent, 's'),
+        (1, Ending::Unanswered, 'a'),
+        (1, Ending::Errored, 'a'),
+        (1, Ending::Broken, 'a'),
+        (1, Ending::CalledOff, 'a'),
+    ];
+    for (package, ending, follows) in cases {
+        let mut desk = Desk::new(None, vec![]);
+        let first = sent_to(&desk.ask(1, package, 0, 3)).unwrap();
+        let did = desk.end(1, 0, first, ending, false);
+        match follows {
+            's' => assert!(sent_to(&did).is_some_and(|s| s != first), "{package} {ending:?}: {did:?}"),
+            _ => assert_eq!(did, [Did::Abort(1)], "{package} {ending:?}"),
+        }
+        assert!(!blocked(&did));
+    }
+}
+
+#[test]
+fn every_viewing_is_answered_once() {
+    // package, endings of its tune-ins, whether patience then runs out, the answer.
+    let cases: [(usize, &[Ending], bool, Did); 4] = [
+        (0, &[Ending::Unanswered; 3], false, Did::Block(1, None)),
+        (1, &[Ending::TurnedAway; 3], false, Did::Block(1, None)),
+        (0, &[], true, Did::Block(1, None)),
+        (1, &[], true, Did::Abort(1)),
+    ];
+    for (package, endings, runs_out, answer) in cases {
+        let mut desk = Desk::new(None, vec![]);
+        let mut did = desk.ask(1, package, 0, 4);
+        for (n, ending) in endings.iter().enumerate() {
+            let server = sent_to(&did).unwrap();
+            did = desk.end(1, n as u16, server, *ending, false);
+        }
+        if runs_out {
+            did = desk.patience(1);
+        }
+        assert_eq!(did.last(), Some(&answer), "{package} {endings:?}");
+        assert_eq!(desk.patience(1), [], "answered again");
+        assert_eq!(desk.end(1, 2, 0, Ending::Unanswered, true), []);
+        assert_eq!(desk.end(9, 0, 0, Ending::Broken, true), [], "an id never heard of");
+    }
+}
+
+#[test]
+fn nothing_goes_where_it_must_not() {
+    // How server 0 is listed last, the start given with it, whether it may be sent to.
+    let cases =
+        [(Standing::Ready, None, true), (Standing::Draining, None, false), (Standing::Gone, None, false)];
+    for (standing, born, may) in cases {
+        let mut desk = Desk::new(None, vec![]);
+        desk.list(0, standing, born);
+        let did = desk.ask(1, 0, 0, 1);
+        assert_eq!(sent_to(&did).is_some(), may, "{standing:?}");
+        assert_eq!(blocked(&did), !may);
+        assert!(blocked(&desk.ask(2, 0, 5, 2)), "no holder is listed");
+    }
+}
+
+#[test]
+fn cold_servers_are_paced() {
+    // Milliseconds between asks, how many of ten set-ups a server that has just started may get.
+    for (gap, most) in [(0, 1), (100, 2), (500, 5), (1000, 10)] {
+        for lost in [false, true] {
+            let mut desk = Desk::new(None, vec![]);
+            if lost {
+                // Not listed anew: a viewing broke there, so it may have started since.
+                assert_eq!(sent_to(&desk.ask(99, 0, 0, 1)), Some(0));
+                desk.play(99, 0);
+                desk.end(99, 0, 0, Ending::Broken, true);
+                desk.now += ms(4000);
+            } else {
+                desk.list(0, Standing::Ready, Some(desk.now));
+            }
+            let mut sent = 0;
+            for vw in 0..10 {
+                if sent_to(&desk.ask(vw, 0, 0, 1)).is_some() {
+                    desk.play(vw, 0);
+                    sent += 1;
+                }
+                desk.now += ms(gap);
+            }
+            assert!(sent >= 1 && sent <= most, "{sent} at gaps of {gap}, lost: {lost}");
+        }
+    }
+}
+
+#[test]
+fn further_tune_ins_keep_to_the_ration() {
+    // Free ones, share of viewings taken, viewings, further tune-ins that may be made.
+    for (free, share, viewings, most) in
+        [(2.0, 0.0, 6, 2), (0.0, 0.5, 6, 3), (1.0, 0.25, 4, 2), (0.0, 0.0, 3, 0)]
+    {
+        let mut desk = Desk::new(Some(Ration::new(ms(5000), free, share)), vec![]);
+        let asked: Vec<_> = (0..viewings).map(|vw| (vw, sent_to(&desk.ask(vw, 0, 0, 4)).unwrap())).collect();
+        let mut further = 0;
+        for (vw, server) in asked {
+            let did = desk.end(vw, 0, server, Ending::TurnedAway, false);
+            further += usize::from(sent_to(&did).is_some());
+            assert!(sent_to(&did).is_some() != blocked(&did));
+        }
+        assert_eq!(further, most, "{free} {share}");
+    }
+}
+
+#[test]
+fn floors_tops_and_seats_are_kept() {
+    // Package, viewings of one title asked for, how many get a tune-in, the lowest rung allowed.
+    for (package, asked, held, floor) in [(0, 4, 4, 0), (2, 4, 2, 1)] {
+        let mut desk = Desk::new(None, vec![]);
+        let did: Vec<Did> = (0..asked).flat_map(|vw| desk.ask(vw, package, 0, 3)).collect();
+        assert_eq!(did.iter().filter(|d| matches!(d, Did::TuneIn(..))).count(), held);
+        // However short the link, no rung goes under the floor; however long, none over the top.
+        for (full, share) in [(9.0, 0.2), (0.01, 1.0)] {
+            for server in 0..4 {
+                desk.news(0, server, News::Share(share));
+                desk.news(0, server, News::Link(full));
+                desk.news(0, server, News::Uplink(f64::NAN));
+            }
+            for did in desk.pass(20) {
+                assert!(matches!(did, Did::Rung(_, rung) if rung >= floor && rung <= 3), "{did:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn rungs_follow_the_link() {
+    // What is asked of the link over what it gives, the rung at set-up, the rung after it is heard again.
+    for (full, at_set_up, after) in [(0.1, 3, 3), (0.9, 2, 2), (3.0, 0, 0)] {
+        let mut desk = Desk::new(None, vec![]);
+        assert_eq!(sent_to(&desk.ask(1, 0, 0, 1)), Some(0));
+        desk.play(1, 0);
+        for _ in 0..4 {
+            desk.pass(4);
+            desk.news(1, 0, News::Link(full));
+            desk.news(1, 0, News::Uplink(0.2));
+        }
+        let did = desk.ask(2, 0, 0, 1);
+        let Some(Did::Rung(2, rung)) = did.first() else { panic!("{did:?}") };
+        assert_eq!(*rung, at_set_up, "at {full}");
+        desk.play(2, 0);
+        let last = |did: &[Did], old| {
+            did.iter()
+                .rev()
+                .find_map(|d| if let Did::Rung(2, r) = d { Some(*r) } else { None })
+                .unwrap_or(old)
+        };
+        desk.news(2, 0, News::Link(full));
+        let did = desk.pass(1);
+        assert_eq!(last(&did, *rung), after, "at {full}");
+    }
+}
+
+#[test]
+fn the_alarm_needs_both_sides() {
+    // Share and asking by interval; whether a bucket stands after them, and its rate in set-ups an interval.
+    let calm = [(1.0, 4.0); 3];
+    let cases: [(&[(f64, f64)], Option<f64>); 7] = [
+        (&[(0.8, 4.0)], None),
+        (&[(1.0, 9.0)], None),
+        (&[(0.8, 9.0)], Some(9.0)),
+        (&[(1.0, 9.0), (0.8, 9.0)], Some(9.0)),
+        (&[(0.8, 5.0)], None),
+        (&[(0.8, 9.0), (0.8, 9.0)], Some(9.0 * 0.875)),
+        (&[(0.8, 9.0), (1.0, 4.0), (1.0, 4.0), (1.0, 4.0)], None),
+    ];
+    for (readings, stands) in cases {
+        let mut warning = Warning::default();
+        let mut now = START;
+        for (share, asked) in calm.iter().chain(readings) {
+            (warning.share, warning.asked, warning.admitted) = (Some(*share), *asked, *asked);
+            now += ms(2000);
+            warning.close(now, 100.0, false);
+        }
+        let rate = warning.bucket.map(|b| b.rate * 2.0);
+        assert_eq!(rate, stands, "{readings:?}");
+    }
+}
+
+#[test]
+fn buckets_keep_their_floor_cap_and_scores() {
+    // Set-ups that the link has room for, whether it is stuck, the rate in set-ups an interval after an alarm.
+    for (room, stuck, rate) in [(100.0, false, 9.0), (5.0, false, 5.0), (0.0, false, 1.0), (0.0, true, 1.0)] {
+        let mut warning = Warning::default();
+        for (share, asked) in [(1.0, 4.0), (1.0, 4.0), (if stuck { 1.0 } else { 0.8 }, 9.0)] {
+            (warning.share, warning.asked, warning.admitted) = (Some(share), asked, asked);
+            warning.close(START, room, stuck && asked > 4.0);
+        }
+        assert_eq!(warning.bucket.as_ref().map(|b| b.rate * 2.0), Some(rate), "{room} {stuck}");
+    }
+    // Steps taken and whether the alarm cleared at each; which way the next goes.
+    let cases: [(&[bool], bool); 3] =
+        [(&[false], false), (&[false, false], true), (&[false, true, false], false)];
+    for (cleared, up) in cases {
+        let (rate, tokens, at, alarmed) = (1.0, 1.0, START, true);
+        let mut bucket = Bucket { rate, tokens, at, alarmed, up: 0, down: 0, last: None, full_for: 0 };
+        cleared.iter().for_each(|c| bucket.steer(*c));
+        assert_eq!(bucket.last, Some(up), "{cleared:?}");
+    }
+}
+
+#[test]
+fn two_choices_and_tokens() {
+    // Fullness heard of servers 0 and 1; which of the two is taken.
+    for (full, taken) in [([0.2, 0.8], 0), ([0.8, 0.2], 1)] {
+        let mut desk = Desk::new(None, vec![]);
+        for (server, full) in full.into_iter().enumerate() {
+            desk.news(0, server as u8, News::Link(full));
+        }
+        assert_eq!(sent_to(&desk.ask(1, 0, 0, 2)), Some(taken));
+        // Short and stuck with one viewing at its floor: one set-up an interval, the rest go to the other.
+        desk.play(1, taken);
+        desk.news(1, taken, News::Rung(0));
+        for _ in 0..3 {
+            desk.news(1, taken, News::Link(5.0));
+            desk.news(1, taken, News::Share(0.3));
+            desk.pass(4);
+        }
+        let to: Vec<_> = (2..8).filter_map(|vw| sent_to(&desk.ask(vw, 0, 0, 2))).collect();
+        assert_eq!(to, [1 - taken; 6]);
+        // Alone, it takes what it has tokens for; viewers are told when to come back.
+        let did: Vec<_> = (10..14).flat_map(|vw| desk.ask(vw, 0, u32::from(taken), 1)).collect();
+        assert_eq!(did.iter().filter(|d| matches!(d, Did::TuneIn(..))).count(), 1);
+        assert!(did.iter().any(|d| matches!(d, Did::Block(_, Some(wait)) if *wait <= ms(2000))));
+    }
+}
+
+#[test]
+fn suspects_are_left_alone_then_tried() {
+    // How the tune-in at server 0 ended, whether the next goes there too while another holder is sound.
+    for (ending, again) in [(Ending::Served, true), (Ending::Errored, false), (Ending::Unanswered, false)] {
+        let mut desk = Desk::new(None, vec![]);
+        assert_eq!(sent_to(&desk.ask(1, 0, 0, 1)), Some(0));
+        desk.play(1, 0);
+        desk.end(1, 0, 0, ending, true);
+        let to: Vec<_> = (2..12).map(|vw| sent_to(&desk.ask(vw, 0, 0, 2)).unwrap()).collect();
+        assert_eq!(to.contains(&0), again, "{ending:?} {to:?}");
+        // With all holders suspect the best is still tried.
+        desk.now += ms(900);
+        assert!(sent_to(&desk.ask(20, 0, 0, 1)).is_some());
+    }
+}
+
+#[test]
+fn a_customer_over_its_share_stands_lower() {
+    // Set-ups a second allowed, the value of an over-share viewing, whether a customer's viewing outbids one of
+    // another customer, within its share, for the last step of a link.
+    for (quota, over, outbids) in [(1000.0, 0.1, true), (0.1, 0.1, false)] {
+        let customers = vec![Customer::new(quota, over), Customer::new(1000.0, over)];
+        let mut desk = Desk::new(None, customers);
+        desk.news(0, 0, News::Uplink(0.1));
+        for (vw, customer) in [(1, 0), (2, 1)] {
+            desk.manager.playing(
+                desk.now,
+                ViewingId(vw),
+                ServerId([0; 6]),
+                PackageId(0),
+                CustomerId(customer),
+                TitleId(0),
+                3,
+            );
+        }
+        desk.ask(3, 0, 4, 1);
+        desk.news(0, 0, News::Link(0.55));
+        let did = desk.pass(12);
+        let first = did.iter().find_map(|d| if let Did::Rung(vw, _) = d { Some(*vw) } else { None });
+        assert_eq!(first, Some(if outbids { 1 } else { 2 }), "{did:?}");
+    }
+}
