--- a/src/tests.rs
+++ b/src/tests.rs
@@ -315,7 +315,8 @@
 fn the_alarm_needs_both_sides() {
     // Share and asking by interval; whether a bucket stands after them, and its rate in set-ups an interval.
     let calm = [(1.0, 4.0); 3];
-    let cases: [(&[(f64, f64)], Option<f64>); 7] = [
+    type Interval = (f64, f64);
+    let cases: [(&[Interval], Option<f64>); 7] = [
         (&[(0.8, 4.0)], None),
         (&[(1.0, 9.0)], None),
         (&[(0.8, 9.0)], Some(9.0)),
