Full places are not a full link

A server that turned one away is now a suspect for half a join target instead. Also guards against a drain that the list hasn't told of. Harm: with one holder free places may be passed over for that long, but with all suspect the best is still tried.

--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -209,10 +209,7 @@
                 load(r, 21, report)?,
             ),
             10 => manager.left(act, vw("req")?),
-            11 => {
-                let took = Duration::from_micros(u64::from(r.u32(14, "latency-us")?));
-                manager.plays(now, vw("req")?, ServerId(r.server(6, "server")?), took);
-            }
+            11 => manager.plays(now, vw("req")?, ServerId(r.server(6, "server")?)),
             12 => manager.woken(act, now, r.u64(2, "cookie")?),
             14 => {
                 let x = r.f32(15, "x")?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,7 +14,7 @@
 
 use crate::front::*;
 use crate::state::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The design's interval, gains and tolerance.
@@ -39,9 +39,8 @@
 const OUTLOOK: f64 = 5.0;
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
-/// A tune-in's limit before a further one, in parts of the join target, and in usual set-up times.
+/// A tune-in's limit before a further one, in parts of the join target.
 const LIMIT: f64 = 0.4;
-const USUAL: u32 = 4;
 
 /// Timer tokens: a look at the rungs, and the end of a viewer's patience with the viewing's id.
 const LOOK: u64 = 0;
@@ -179,6 +178,9 @@
 
     /// A suspect gets nothing for a while that doubles with each bad ending, then one trial at a time.
     fn suspect(&self, now: Duration, pause: Duration, recall: Duration, trial: bool) -> bool {
+        if self.full.is_some_and(|full| now < full + pause) {
+            return true;
+        }
         let bad = self.bad(now, recall);
         let last = self.tries.iter().rev().find(|t| !t.1).map_or(Duration::ZERO, |t| t.0);
         bad > 0 && (trial || now < last + pause * (1 << (bad - 1).min(2)))
@@ -228,7 +230,6 @@
     packages: Vec<Package>,
     customers: Vec<Customer>,
     looks: u32,
-    set_ups: VecDeque<Duration>,
     viewings: BTreeMap<ViewingId, Viewing<Next>>,
     servers: BTreeMap<ServerId, Server>,
     uplinks: Vec<Link>,
@@ -243,7 +244,7 @@
         let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
         let uplink = |_| Link::new(network.uplink_kb, network.told / 2, siblings);
         let uplinks = (0..network.racks.max(1)).map(uplink).collect();
-        let (looks, set_ups, viewings, servers) = (0, VecDeque::new(), BTreeMap::new(), BTreeMap::new());
+        let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
         let (started, chance) = (now, Pcg(seed));
         Manager {
             now,
@@ -260,7 +261,6 @@
             packages,
             customers,
             looks,
-            set_ups,
             viewings,
             servers,
             uplinks,
@@ -331,9 +331,8 @@
         self.tune_in(act, vw, true);
     }
 
-    pub fn plays(&mut self, now: Duration, vw: ViewingId, server: ServerId, took: Duration) {
+    pub fn plays(&mut self, now: Duration, vw: ViewingId, server: ServerId) {
         self.now = now;
-        keep(&mut self.set_ups, KEPT, took);
         self.tried(server, true);
         if let Some(viewing) = self.viewings.get_mut(&vw) {
             (viewing.playing, viewing.answered, viewing.next) = (true, true, None);
@@ -352,7 +351,7 @@
             }
             Ending::Errored => self.tried(server, false),
             Ending::TurnedAway => {
-                self.servers.entry(server).and_modify(|s| s.link.hear(now, 1.0 / FULL));
+                self.servers.entry(server).and_modify(|s| s.health.full = Some(now));
             }
             Ending::Served | Ending::Unsent | Ending::CalledOff => {}
         }
@@ -456,10 +455,6 @@
         ((kb * p.scale).max(1e-6), worth * p.value * standing)
     }
 
-    fn rack(&self, server: ServerId) -> Option<usize> {
-        self.servers.get(&server).map(|s| self.network.rack(s.listed.cell))
-    }
-
     /// Books what we ask of a server's link and its rack's uplink.
     fn mark(&mut self, server: ServerId, by_rungs: bool) {
         let there = self.viewings.values().filter(|v| v.server == Some(server));
@@ -506,11 +501,6 @@
         }
     }
 
-    fn carry(&self, server: &Server) -> f64 {
-        let uplink = &self.uplinks[self.network.rack(server.listed.cell)];
-        server.link.full(self.now).max(uplink.full(self.now))
-    }
-
     /// The design's two choices among the holders that may take a set-up now; over its bucket, any with
     /// tokens. When none may: how long until one does.
     fn choose(&mut self, vw: ViewingId) -> Result<ServerId, Duration> {
@@ -531,7 +521,8 @@
             } else if shunned || s.health.suspect(now, pause, recall, trial) {
                 suspects.push((shunned, s.health.bad(now, recall), *id));
             } else {
-                fit.push((self.carry(s), *id));
+                let uplink = &self.uplinks[self.network.rack(s.listed.cell)];
+                fit.push((s.link.full(now).max(uplink.full(now)), *id));
             }
         }
         if fit.is_empty() {
@@ -573,12 +564,9 @@
         if !seats || left.is_zero() || tune_ins >= self.limits.tune_ins || rationed {
             return self.give_up(act, vw);
         }
-        let mut usual: Vec<Duration> = self.set_ups.iter().copied().collect();
-        usual.sort();
-        let usual = usual.get(usual.len() / 2).copied().unwrap_or_default();
         // A paid viewing can't be sent again after silence, and a last tune-in has nothing after it.
         let last = p.once || tune_ins + 1 == self.limits.tune_ins;
-        let limit = if last { left } else { p.target.mul_f64(LIMIT).max(usual * USUAL).min(left) };
+        let limit = if last { left } else { p.target.mul_f64(LIMIT).min(left) };
         let server = match self.choose(vw) {
             Ok(server) => server,
             Err(wait) => return self.turn_down(act, vw, wait),
@@ -594,7 +582,8 @@
             (v.tune_ins, v.server, v.changed) = (tune_ins + 1, Some(server), now);
             v.next = Some(Box::new(move |m, act, vw, ending| m.after(act, vw, server, ending)));
         });
-        let rung = self.rack(server).and_then(|rack| self.ideal(rack).get(&vw).copied()).unwrap_or_default();
+        let rack = self.network.rack(self.servers[&server].listed.cell);
+        let rung = self.ideal(rack).get(&vw).copied().unwrap_or_default();
         self.viewings.entry(vw).and_modify(|v| v.rung = rung);
         self.mark(server, false);
         act.set_rung(vw, rung);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -110,7 +110,7 @@
     }
 
     fn play(&mut self, vw: u32, server: u8) {
-        self.manager.plays(self.now, ViewingId(vw), ServerId([server; 6]), ms(100));
+        self.manager.plays(self.now, ViewingId(vw), ServerId([server; 6]));
     }
 
     fn news(&mut self, vw: u32, server: u8, news: News) {
