--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Guards against crowds that outrun the notes: others' viewings are taken to grow in number as all ours did.
+    fn crowd(&mut self, now: Duration, growth: f64) {
+        let (_, own, grown) = self.last();
+        keep(&mut self.trail, 8 * KEPT, (now, own, (grown * growth).clamp(1e-9, 1e9)));
+    }
+
     fn full(&self, now: Duration) -> f64 {
         let (_, own, grown) = self.last();
         let (mut sum, mut weights) = (0.0, 0.0);
@@ -230,6 +236,7 @@
     packages: Vec<Package>,
     customers: Vec<Customer>,
     looks: u32,
+    crowd: f64,
     viewings: BTreeMap<ViewingId, Viewing<Next>>,
     servers: BTreeMap<ServerId, Server>,
     uplinks: Vec<Link>,
@@ -244,7 +251,7 @@
         let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
         let uplink = |_| Link::new(network.uplink_kb, network.told / 2, siblings);
         let uplinks = (0..network.racks.max(1)).map(uplink).collect();
-        let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
+        let (looks, crowd, viewings, servers) = (0, KEPT as f64, BTreeMap::new(), BTreeMap::new());
         let (started, chance) = (now, Pcg(seed));
         Manager {
             now,
@@ -261,6 +268,7 @@
             packages,
             customers,
             looks,
+            crowd,
             viewings,
             servers,
             uplinks,
@@ -416,6 +424,10 @@
         }
         act.wake(INTERVAL / LOOKS, LOOK);
         self.looks += 1;
+        let crowd = self.viewings.values().filter(|v| v.server.is_some()).count().max(KEPT) as f64;
+        let growth = crowd / std::mem::replace(&mut self.crowd, crowd);
+        let links = self.servers.values_mut().map(|s| &mut s.link).chain(&mut self.uplinks);
+        links.for_each(|link| link.crowd(now, growth));
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
         }
