Others' viewings grow in number as ours did since a note

Told from a slower link: no server stood out, racks all went over together, and set-ups still played in 80 ms. Change: others' part of a link is scaled by how our own number of viewings changed since the note, beyond half its root. Should also guard against a sudden end of a crowd (rungs rise sooner); does harm where our own traffic shifts against the others'.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,8 @@
 const OUTLOOK: f64 = 5.0;
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
+/// What counts as chance in the number of our viewings, in square roots of it.
+const CHANCE: f64 = 0.5;
 /// A tune-in's limit before a further one, in parts of the join target.
 const LIMIT: f64 = 0.4;
 
@@ -51,27 +53,24 @@
 /// the same and do alike, so each moves its own part only and the fleet doesn't swing.
 impl Link {
     /// Our part is now `kb`; `by_rungs` where rungs made the change.
-    fn mark(&mut self, now: Duration, kb: f64, by_rungs: bool) {
-        let (_, was, grown) = self.last();
-        if kb != was {
-            let growth = if by_rungs && was > 0.0 && kb > 0.0 { kb / was } else { 1.0 };
-            keep(&mut self.trail, 8 * KEPT, (now, kb, (grown * growth).clamp(1e-9, 1e9)));
-        }
-    }
-
-    /// Guards against crowds that outrun the notes: others' viewings are taken to grow in number as all ours did.
-    fn crowd(&mut self, now: Duration, growth: f64) {
-        let (_, own, grown) = self.last();
-        keep(&mut self.trail, 8 * KEPT, (now, own, (grown * growth).clamp(1e-9, 1e9)));
+    fn mark(&mut self, now: Duration, kb: f64, crowd: f64, by_rungs: bool) {
+        let (_, was, grown, _) = self.last();
+        let growth = if by_rungs && was > 0.0 && kb > 0.0 { kb / was } else { 1.0 };
+        keep(&mut self.trail, 8 * KEPT, (now, kb, (grown * growth).clamp(1e-9, 1e9), crowd));
     }
 
     fn full(&self, now: Duration) -> f64 {
-        let (_, own, grown) = self.last();
+        let (_, own, grown, crowd) = self.last();
         let (mut sum, mut weights) = (0.0, 0.0);
         for &(at, full) in &self.heard {
             let then = self.trail.iter().rev().find(|t| t.0 <= at).or(self.trail.front());
-            let (_, own_then, grown_then) = then.copied().unwrap_or((at, 0.0, grown));
-            let others = (full * self.kb - own_then).max(0.0) * grown / grown_then;
+            let (_, own_then, grown_then, crowd_then) = then.copied().unwrap_or((at, 0.0, grown, crowd));
+            // Guards against crowds that outrun the notes: others' viewings are taken to grow in number as all
+            // ours did, as far as that is more than chance.
+            let grew = if crowd_then < 1.0 { 0.0 } else { crowd - crowd_then };
+            let grew =
+                (grew.abs() - CHANCE * crowd_then.sqrt()).max(0.0).copysign(grew) / crowd_then.max(1.0);
+            let others = (full * self.kb - own_then).max(0.0) * (1.0 + grew) * grown / grown_then;
             let kb = if full > 0.0 { self.kb.max(own_then / full) } else { self.kb };
             let age = now.saturating_sub(at).as_secs_f64() / self.half.as_secs_f64().max(0.1);
             sum += (-age).exp2() * (own + others) / kb;
@@ -159,9 +158,7 @@
             Some(bucket) if bucket.alarmed => bucket.steer(clears),
             Some(bucket) => bucket.alarmed = trips,
             None if trips => {
-                let (rate, up, down, last) = (admitted * per_s, 0, 0, None);
-                let (tokens, full_for) = (1.0, 0);
-                self.bucket = Some(Bucket { rate, tokens, at: now, alarmed: true, up, down, last, full_for });
+                self.bucket = Some(Bucket::new(admitted * per_s, now));
             }
             None => {}
         }
@@ -236,7 +233,6 @@
     packages: Vec<Package>,
     customers: Vec<Customer>,
     looks: u32,
-    crowd: f64,
     viewings: BTreeMap<ViewingId, Viewing<Next>>,
     servers: BTreeMap<ServerId, Server>,
     uplinks: Vec<Link>,
@@ -251,7 +247,7 @@
         let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
         let uplink = |_| Link::new(network.uplink_kb, network.told / 2, siblings);
         let uplinks = (0..network.racks.max(1)).map(uplink).collect();
-        let (looks, crowd, viewings, servers) = (0, KEPT as f64, BTreeMap::new(), BTreeMap::new());
+        let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
         let (started, chance) = (now, Pcg(seed));
         Manager {
             now,
@@ -268,7 +264,6 @@
             packages,
             customers,
             looks,
-            crowd,
             viewings,
             servers,
             uplinks,
@@ -292,10 +287,8 @@
             let cold_until = listed.born.unwrap_or_default().max(self.started) + self.pace.cold_for;
             let link =
                 Link::new(listed.weight * self.network.weight_kb, self.network.told / 2, self.siblings);
-            let server = self.servers.entry(listed.server).or_insert_with(|| {
-                let (warning, health, sent, short) = (Warning::default(), Health::default(), None, None);
-                Server { listed, link, warning, health, cold_until, sent, short }
-            });
+            let new = || Server::new(listed, link, cold_until);
+            let server = self.servers.entry(listed.server).or_insert_with(new);
             if listed.born > server.listed.born && listed.standing == Standing::Ready {
                 server.cold_until = cold_until;
                 server.link.heard.clear();
@@ -352,17 +345,14 @@
         ending: Ending, terminal: bool, load: Load,
     ) {
         self.reported(now, server, load);
-        match ending {
-            Ending::Unreachable | Ending::Broken | Ending::Unanswered => {
-                self.tried(server, false);
-                self.servers.entry(server).and_modify(|s| s.health.lost = true);
-            }
-            Ending::Errored => self.tried(server, false),
-            Ending::TurnedAway => {
-                self.servers.entry(server).and_modify(|s| s.health.full = Some(now));
-            }
-            Ending::Served | Ending::Unsent | Ending::CalledOff => {}
+        let lost = matches!(ending, Ending::Unreachable | Ending::Broken | Ending::Unanswered);
+        if lost || ending == Ending::Errored {
+            self.tried(server, false);
         }
+        self.servers.entry(server).and_modify(|s| {
+            s.health.lost |= lost;
+            s.health.full = if ending == Ending::TurnedAway { Some(now) } else { s.health.full };
+        });
         let Some(viewing) = self.viewings.get_mut(&vw).filter(|v| v.tune_ins == n + 1) else { return };
         let next = viewing.next.take().filter(|_| !terminal && !viewing.answered);
         viewing.server = None;
@@ -424,10 +414,9 @@
         }
         act.wake(INTERVAL / LOOKS, LOOK);
         self.looks += 1;
-        let crowd = self.viewings.values().filter(|v| v.server.is_some()).count().max(KEPT) as f64;
-        let growth = crowd / std::mem::replace(&mut self.crowd, crowd);
+        let crowd = self.crowd();
         let links = self.servers.values_mut().map(|s| &mut s.link).chain(&mut self.uplinks);
-        links.for_each(|link| link.crowd(now, growth));
+        links.for_each(|link| link.mark(now, link.own(), crowd, false));
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
         }
@@ -467,16 +456,21 @@
         ((kb * p.scale).max(1e-6), worth * p.value * standing)
     }
 
+    fn crowd(&self) -> f64 {
+        self.viewings.values().filter(|v| v.server.is_some()).count() as f64
+    }
+
     /// Books what we ask of a server's link and its rack's uplink.
     fn mark(&mut self, server: ServerId, by_rungs: bool) {
+        let crowd = self.crowd();
         let there = self.viewings.values().filter(|v| v.server == Some(server));
         let kb = there.map(|v| self.kb(v, v.rung)).sum();
         let Some(s) = self.servers.get_mut(&server) else { return };
-        s.link.mark(self.now, kb, by_rungs);
+        s.link.mark(self.now, kb, crowd, by_rungs);
         let rack = self.network.rack(s.listed.cell);
         let there = self.servers.values().filter(|s| self.network.rack(s.listed.cell) == rack);
         let kb = there.map(|s| s.link.own()).sum();
-        self.uplinks[rack].mark(self.now, kb, by_rungs);
+        self.uplinks[rack].mark(self.now, kb, crowd, by_rungs);
     }
 
     fn tried(&mut self, server: ServerId, good: bool) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -140,13 +140,13 @@
     pub half: Duration,
     pub siblings: f64,
     pub heard: VecDeque<(Duration, f64)>,
-    /// When, what we asked of it, and how far our rungs had grown it, in all.
-    pub trail: VecDeque<(Duration, f64, f64)>,
+    /// When, what we asked of it, how far our rungs had grown it in all, and how many viewings we had anywhere.
+    pub trail: VecDeque<(Duration, f64, f64, f64)>,
 }
 
 impl Link {
     pub fn new(kb: f64, half: Duration, siblings: f64) -> Self {
-        let trail = VecDeque::from([(Duration::ZERO, 0.0, 1.0)]);
+        let trail = VecDeque::from([(Duration::ZERO, 0.0, 1.0, 0.0)]);
         Link { kb: kb.max(1.0), half, siblings, heard: VecDeque::new(), trail }
     }
 
@@ -156,8 +156,8 @@
         }
     }
 
-    pub fn last(&self) -> (Duration, f64, f64) {
-        self.trail.back().copied().unwrap_or((Duration::ZERO, 0.0, 1.0))
+    pub fn last(&self) -> (Duration, f64, f64, f64) {
+        self.trail.back().copied().unwrap_or((Duration::ZERO, 0.0, 1.0, 0.0))
     }
 
     pub fn own(&self) -> f64 {
@@ -185,6 +185,12 @@
     pub full_for: usize,
 }
 
+impl Bucket {
+    pub fn new(rate: f64, at: Duration) -> Self {
+        Bucket { rate, tokens: 1.0, at, alarmed: true, up: 0, down: 0, last: None, full_for: 0 }
+    }
+}
+
 /// The design's detector and controller of one server.
 #[derive(Default)]
 pub(crate) struct Warning {
@@ -229,3 +235,10 @@
     pub sent: Option<Duration>,
     pub short: Option<Duration>,
 }
+
+impl Server {
+    pub fn new(listed: Listed, link: Link, cold_until: Duration) -> Self {
+        let (warning, health) = (Warning::default(), Health::default());
+        Server { listed, link, warning, health, cold_until, sent: None, short: None }
+    }
+}
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -353,8 +353,7 @@
     let cases: [(&[bool], bool); 3] =
         [(&[false], false), (&[false, false], true), (&[false, true, false], false)];
     for (cleared, up) in cases {
-        let (rate, tokens, at, alarmed) = (1.0, 1.0, START, true);
-        let mut bucket = Bucket { rate, tokens, at, alarmed, up: 0, down: 0, last: None, full_for: 0 };
+        let mut bucket = Bucket::new(1.0, START);
         cleared.iter().for_each(|c| bucket.steer(*c));
         assert_eq!(bucket.last, Some(up), "{cleared:?}");
     }
