--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,7 +33,7 @@
 const LOOKS: u32 = 4;
 /// What is asked of a link: rungs rise up to the first, and fall from the second down to the first.
 const AIM: f64 = 0.97;
-const HIGH: f64 = 1.06;
+const HIGH: f64 = 1.1;
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
 const OUTLOOK: f64 = 5.0;
