--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,6 +36,8 @@
 const HIGH: f64 = 1.1;
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
+/// The part of a link's room that a set-up may take, other managers' set-ups being chance.
+const AT_SET_UP: f64 = 0.35;
 const OUTLOOK: f64 = 5.0;
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
@@ -79,22 +81,18 @@
         if weights > 1e-6 { sum / weights } else { own * self.siblings / self.kb }
     }
 
-    /// What we may ask of it so that all together ask `AIM`.
-    fn budget(&self, now: Duration) -> f64 {
+    /// What we may ask of it so that all together ask `AIM`: our part of an excess, this part of room or ours.
+    fn budget(&self, now: Duration, part: f64) -> f64 {
         let (own, full) = (self.own(), self.full(now));
         if full > AIM {
             return own * AIM / full;
         }
-        let part = (own / (full * self.kb).max(1.0)).max(1.0 / self.siblings).min(1.0);
+        let part = (own / (full * self.kb).max(1.0)).max(part).min(1.0);
         own + (AIM - full) * self.kb * part
     }
 
     fn over(&self, now: Duration) -> f64 {
-        if self.full(now) > HIGH { self.own() - self.budget(now) } else { 0.0 }
-    }
-
-    fn room(&self, now: Duration) -> f64 {
-        self.budget(now) - self.own()
+        if self.full(now) > HIGH { self.own() - self.budget(now, 0.0) } else { 0.0 }
     }
 }
 
@@ -589,7 +587,7 @@
             v.next = Some(Box::new(move |m, act, vw, ending| m.after(act, vw, server, ending)));
         });
         let rack = self.network.rack(self.servers[&server].listed.cell);
-        let rung = self.ideal(rack).get(&vw).copied().unwrap_or_default();
+        let rung = self.ideal(rack, AT_SET_UP).get(&vw).copied().unwrap_or_default();
         self.viewings.entry(vw).and_modify(|v| v.rung = rung);
         self.mark(server, false);
         act.set_rung(vw, rung);
@@ -627,10 +625,10 @@
     }
 
     /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings.
-    fn ideal(&self, rack: usize) -> BTreeMap<ViewingId, usize> {
-        let mut uplink = self.uplinks[rack].budget(self.now);
+    fn ideal(&self, rack: usize, part: f64) -> BTreeMap<ViewingId, usize> {
+        let mut uplink = self.uplinks[rack].budget(self.now, part);
         let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
-        let mut links: BTreeMap<_, _> = there.map(|(id, s)| (*id, s.link.budget(self.now))).collect();
+        let mut links: BTreeMap<_, _> = there.map(|(id, s)| (*id, s.link.budget(self.now, part))).collect();
         let (mut rungs, mut steps) = (BTreeMap::new(), vec![]);
         for (vw, v) in &self.viewings {
             let Some((id, link)) = v.server.and_then(|id| Some((id, links.get_mut(&id)?))) else { continue };
@@ -657,13 +655,14 @@
     /// Mechanism 1: lowers rungs where a link or the uplink is asked too much, raises them where there is
     /// room. A change costs the same however far it goes, so it goes to the ideal rung at once.
     fn replan(&mut self, act: &mut dyn Actions, rack: usize) {
-        let now = self.now;
+        let (now, part) = (self.now, 1.0 / self.siblings);
         let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
+        let room = |link: &Link| (link.budget(now, part) - link.own()) * HASTE;
         let mut links: BTreeMap<_, _> =
-            there.map(|(id, s)| (*id, (s.link.over(now), s.link.room(now) * HASTE))).collect();
-        let (mut over_up, mut room_up) = (self.uplinks[rack].over(now), self.uplinks[rack].room(now) * HASTE);
+            there.map(|(id, s)| (*id, (s.link.over(now), room(&s.link)))).collect();
+        let (mut over_up, mut room_up) = (self.uplinks[rack].over(now), room(&self.uplinks[rack]));
         let (mut downs, mut ups) = (vec![], vec![]);
-        for (vw, ideal) in self.ideal(rack) {
+        for (vw, ideal) in self.ideal(rack, part) {
             let v = &self.viewings[&vw];
             let Some(server) = v.server.filter(|_| v.playing) else { continue };
             let p = &self.packages[v.package];
@@ -716,7 +715,8 @@
         }
         for (id, s) in &mut self.servers {
             let least = least.get(id).copied().unwrap_or_default();
-            let room = (s.link.budget(self.now) - least) / self.ladder.rates[0].max(1e-6);
+            let room =
+                (s.link.budget(self.now, 1.0 / self.siblings) - least) / self.ladder.rates[0].max(1e-6);
             let (own, full) = (s.link.own(), s.link.full(self.now));
             let stuck = own > 0.0 && own <= least && full > 1.0 / FULL;
             s.warning.close(self.now, room.max(0.0), stuck);
