--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,8 +32,8 @@
 /// Rungs are looked at so many times an interval.
 const LOOKS: u32 = 4;
 /// What is asked of a link: rungs rise up to the first, and fall from the second down to the first.
-const AIM: f64 = 0.97;
-const HIGH: f64 = 1.1;
+const LINK: (f64, f64) = (0.97, 1.1);
+const UPLINK: (f64, f64) = (0.97, 1.02);
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
 /// The part of a link's room that a set-up may take, other managers' set-ups being chance.
@@ -84,15 +84,16 @@
     /// What we may ask of it so that all together ask `AIM`: our part of an excess, this part of room or ours.
     fn budget(&self, now: Duration, part: f64) -> f64 {
         let (own, full) = (self.own(), self.full(now));
-        if full > AIM {
-            return own * AIM / full;
+        let aim = self.band.0;
+        if full > aim {
+            return own * aim / full;
         }
         let part = (own / (full * self.kb).max(1.0)).max(part).min(1.0);
-        own + (AIM - full) * self.kb * part
+        own + (aim - full) * self.kb * part
     }
 
     fn over(&self, now: Duration) -> f64 {
-        if self.full(now) > HIGH { self.own() - self.budget(now, 0.0) } else { 0.0 }
+        if self.full(now) > self.band.1 { self.own() - self.budget(now, 0.0) } else { 0.0 }
     }
 }
 
@@ -243,7 +244,7 @@
         limits: Limits, ration: Option<Ration>, packages: Vec<Package>, customers: Vec<Customer>,
     ) -> Self {
         let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
-        let uplink = |_| Link::new(network.uplink_kb, network.told / 2, siblings);
+        let uplink = |_| Link::new(network.uplink_kb, network.told / 2, siblings, UPLINK);
         let uplinks = (0..network.racks.max(1)).map(uplink).collect();
         let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
         let (started, chance) = (now, Pcg(seed));
@@ -284,7 +285,7 @@
             // Guards against a start before us that a remembered list doesn't show: all is cold at first.
             let cold_until = listed.born.unwrap_or_default().max(self.started) + self.pace.cold_for;
             let link =
-                Link::new(listed.weight * self.network.weight_kb, self.network.told / 2, self.siblings);
+                Link::new(listed.weight * self.network.weight_kb, self.network.told / 2, self.siblings, LINK);
             let new = || Server::new(listed, link, cold_until);
             let server = self.servers.entry(listed.server).or_insert_with(new);
             if listed.born > server.listed.born && listed.standing == Standing::Ready {
@@ -533,7 +534,7 @@
             // With all holders suspect, still the best of them.
             fit.extend(suspects.iter().min().map(|s| (0.0, s.2)));
         }
-        let near = |f: &(f64, ServerId)| f.0 < AIM && self.servers[&f.1].listed.zone == self.zone;
+        let near = |f: &(f64, ServerId)| f.0 < LINK.0 && self.servers[&f.1].listed.zone == self.zone;
         if self.cross > 0.0 && fit.iter().any(near) {
             fit.retain(near);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,15 +139,16 @@
     pub kb: f64,
     pub half: Duration,
     pub siblings: f64,
+    pub band: (f64, f64),
     pub heard: VecDeque<(Duration, f64)>,
     /// When, what we asked of it, how far our rungs had grown it in all, and how many viewings we had anywhere.
     pub trail: VecDeque<(Duration, f64, f64, f64)>,
 }
 
 impl Link {
-    pub fn new(kb: f64, half: Duration, siblings: f64) -> Self {
+    pub fn new(kb: f64, half: Duration, siblings: f64, band: (f64, f64)) -> Self {
         let trail = VecDeque::from([(Duration::ZERO, 0.0, 1.0, 0.0)]);
-        Link { kb: kb.max(1.0), half, siblings, heard: VecDeque::new(), trail }
+        Link { kb: kb.max(1.0), half, siblings, band, heard: VecDeque::new(), trail }
     }
 
     pub fn hear(&mut self, at: Duration, full: f64) {
