--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -1,8 +1,8 @@
 //! The settings text of an instance, turned into the calls that set a manager up.
 
 use ivyward::front::ZoneId;
-use ivyward::policy::{Manager, Pace};
-use ivyward::state::{Customer, Ladder, Limits, Network, Package, Ration};
+use ivyward::policy::Manager;
+use ivyward::state::{Customer, Ladder, Limits, Network, Pace, Package, Ration};
 use serde_json::Value;
 use std::time::Duration;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,9 +31,10 @@
 const FULL: f64 = 0.98;
 /// Rungs are looked at so many times an interval.
 const LOOKS: u32 = 4;
-/// What is asked of a link: rungs rise up to the first, and fall from the second down to the first.
+/// What is asked of a link or uplink: rungs rise up to the first, and fall from the second down to the first.
+/// Many servers' notes tell of an uplink, so its account is the better known.
 const LINK: (f64, f64) = (0.97, 1.1);
-const UPLINK: (f64, f64) = (0.97, 1.02);
+const UPLINK: (f64, f64) = (0.95, 1.03);
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
 /// The part of a link's room that a set-up may take, other managers' set-ups being chance.
@@ -55,20 +56,20 @@
 /// the same and do alike, so each moves its own part only and the fleet doesn't swing.
 impl Link {
     /// Our part is now `kb`; `by_rungs` where rungs made the change.
-    fn mark(&mut self, now: Duration, kb: f64, crowd: f64, by_rungs: bool) {
+    pub(crate) fn mark(&mut self, now: Duration, kb: f64, crowd: f64, by_rungs: bool) {
         let (_, was, grown, _) = self.last();
         let growth = if by_rungs && was > 0.0 && kb > 0.0 { kb / was } else { 1.0 };
         keep(&mut self.trail, 8 * KEPT, (now, kb, (grown * growth).clamp(1e-9, 1e9), crowd));
     }
 
-    fn full(&self, now: Duration) -> f64 {
+    pub(crate) fn full(&self, now: Duration) -> f64 {
         let (_, own, grown, crowd) = self.last();
         let (mut sum, mut weights) = (0.0, 0.0);
         for &(at, full) in &self.heard {
             let then = self.trail.iter().rev().find(|t| t.0 <= at).or(self.trail.front());
             let (_, own_then, grown_then, crowd_then) = then.copied().unwrap_or((at, 0.0, grown, crowd));
-            // Guards against crowds that outrun the notes: others' viewings are taken to grow in number as all
-            // ours did, as far as that is more than chance.
+            // Guards against crowds that outrun the notes: others' viewings grow in number as all ours did,
+            // as far as that is more than chance.
             let grew = if crowd_then < 1.0 { 0.0 } else { crowd - crowd_then };
             let grew =
                 (grew.abs() - CHANCE * crowd_then.sqrt()).max(0.0).copysign(grew) / crowd_then.max(1.0);
@@ -81,7 +82,7 @@
         if weights > 1e-6 { sum / weights } else { own * self.siblings / self.kb }
     }
 
-    /// What we may ask of it so that all together ask `AIM`: our part of an excess, this part of room or ours.
+    /// What we may ask of it so that all together ask its aim: less our part of an excess, more this of room.
     fn budget(&self, now: Duration, part: f64) -> f64 {
         let (own, full) = (self.own(), self.full(now));
         let aim = self.band.0;
@@ -98,10 +99,10 @@
 }
 
 /// V = αV + (1−α)O over the kept readings, each by the gain of its time.
-fn average<'a>(readings: impl Iterator<Item = &'a Reading>, figure: impl Fn(&Reading) -> f64) -> Option<f64> {
+fn average<'a>(readings: impl Iterator<Item = &'a Reading>, of: fn(&Reading) -> f64) -> Option<f64> {
     readings.fold(None, |v, r| {
         let gain = if r.alarmed { ALARMED } else { CALM };
-        Some(v.map_or(figure(r), |v: f64| gain * v + (1.0 - gain) * figure(r)))
+        Some(v.map_or(of(r), |v: f64| gain * v + (1.0 - gain) * of(r)))
     })
 }
 
@@ -120,10 +121,8 @@
     /// One interval while alarmed: scores the last step, and takes the next unless the alarm cleared.
     pub(crate) fn steer(&mut self, cleared: bool) {
         let score = if cleared { 1 } else { -1 };
-        match self.last {
-            Some(true) => self.up += score,
-            Some(false) => self.down += score,
-            None => {}
+        if let Some(up) = self.last {
+            *(if up { &mut self.up } else { &mut self.down }) += score;
         }
         self.alarmed = !cleared;
         self.last = self.alarmed.then_some(self.up > self.down);
@@ -189,13 +188,7 @@
     }
 }
 
-/// Mechanism 5: the gaps between our set-ups to a server that has just started, by kind: our part of the
-/// lowest pace that the settings promise.
-pub struct Pace {
-    gaps: Vec<Duration>,
-    cold_for: Duration,
-}
-
+/// Mechanism 5: our part of the lowest pace that the settings promise of a server that has just started.
 impl Pace {
     pub fn new(siblings: u32, streams: &[f64], cold_for: Duration, from: f64, multiple: f64) -> Self {
         let all = |streams: f64| PACED * multiple * from * streams / cold_for.as_secs_f64().max(0.1);
@@ -366,10 +359,10 @@
     pub fn left(&mut self, act: &mut dyn Actions, vw: ViewingId) {
         let Some(viewing) = self.viewings.get_mut(&vw) else { return };
         viewing.answered = true;
-        if viewing.server.is_none() {
-            self.viewings.remove(&vw);
-        } else if !viewing.playing && self.limits.call_off {
-            act.call_off(vw, viewing.tune_ins - 1);
+        match viewing.server {
+            Some(_) if !viewing.playing && self.limits.call_off => act.call_off(vw, viewing.tune_ins - 1),
+            Some(_) => {}
+            None => drop(self.viewings.remove(&vw)),
         }
     }
 
@@ -488,20 +481,16 @@
         let Some(s) = self.servers.get_mut(&server).filter(|_| share.is_finite()) else { return };
         s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share));
         s.short = (share < FULL).then_some(now);
-        if share >= FULL {
-            return;
-        }
         let rack = self.network.rack(s.listed.cell);
-        let peers = self.servers.values().filter(|s| self.network.rack(s.listed.cell) == rack);
-        let peers = peers.filter(|s| s.link.own() > 0.0);
-        let short = |s: &&Server| s.short.is_some_and(|t| now.saturating_sub(t) < INTERVAL);
-        let (short, peers) = (peers.clone().filter(short).count(), peers.count());
+        let peer = |s: &&Server| s.link.own() > 0.0 && self.network.rack(s.listed.cell) == rack;
+        let peers: Vec<_> = self.servers.values().filter(peer).map(|s| s.short).collect();
+        let short = peers.iter().flatten().filter(|t| now.saturating_sub(**t) < INTERVAL).count();
         let link = match self.servers.get_mut(&server) {
-            Some(s) if short < 2 || short * 2 <= peers => &mut s.link,
+            Some(s) if short < 2 || short * 2 <= peers.len() => &mut s.link,
             _ => &mut self.uplinks[rack],
         };
         let full = 1.0 / share.max(0.05);
-        if link.full(now) < full {
+        if share < FULL && link.full(now) < full {
             link.hear(then, full);
         }
     }
@@ -534,6 +523,11 @@
             // With all holders suspect, still the best of them.
             fit.extend(suspects.iter().min().map(|s| (0.0, s.2)));
         }
+        // Guards against set-ups that keep landing on short links, where asking doesn't rise and no alarm
+        // comes: a holder that is asked too much is drawn only when all are.
+        if fit.iter().any(|f| f.0 < 1.0) {
+            fit.retain(|f| f.0 < 1.0);
+        }
         let near = |f: &(f64, ServerId)| f.0 < LINK.0 && self.servers[&f.1].listed.zone == self.zone;
         if self.cross > 0.0 && fit.iter().any(near) {
             fit.retain(near);
@@ -608,15 +602,13 @@
     }
 
     fn give_up(&mut self, act: &mut dyn Actions, vw: ViewingId) {
-        let Some(viewing) = self.viewings.get_mut(&vw) else { return };
+        let Some(viewing) = self.viewings.get(&vw) else { return };
         if viewing.server.is_none() {
             return self.turn_down(act, vw, Duration::ZERO);
         }
-        viewing.answered = true;
-        if self.limits.call_off {
-            act.call_off(vw, viewing.tune_ins - 1);
-        }
-        if self.packages[viewing.package].once { act.abort(vw) } else { act.block(vw, None) }
+        let once = self.packages[viewing.package].once;
+        self.left(act, vw);
+        if once { act.abort(vw) } else { act.block(vw, None) }
     }
 
     /// Blocks a viewing of which nothing is out and nothing ran, or which may be set up again.
@@ -709,18 +701,24 @@
 
     /// The design's interval, for each server.
     fn close_interval(&mut self) {
+        let (now, part, lowest) = (self.now, 1.0 / self.siblings, self.ladder.rates[0].max(1e-6));
         let mut least = BTreeMap::<ServerId, f64>::new();
+        let mut least_up = vec![0.0; self.uplinks.len()];
         for v in self.viewings.values() {
-            let server = v.server.map(|server| least.entry(server).or_default());
-            server.into_iter().for_each(|kb| *kb += self.kb(v, self.packages[v.package].floor));
+            let Some(s) = v.server.and_then(|server| self.servers.get(&server)) else { continue };
+            let kb = self.kb(v, self.packages[v.package].floor);
+            *least.entry(s.listed.server).or_default() += kb;
+            least_up[self.network.rack(s.listed.cell)] += kb;
         }
+        let stuck = |link: &Link, least: f64| {
+            link.own() > 0.0 && link.own() <= least * (1.0 + DELTA) && link.full(now) > 1.0 / FULL
+        };
         for (id, s) in &mut self.servers {
-            let least = least.get(id).copied().unwrap_or_default();
-            let room =
-                (s.link.budget(self.now, 1.0 / self.siblings) - least) / self.ladder.rates[0].max(1e-6);
-            let (own, full) = (s.link.own(), s.link.full(self.now));
-            let stuck = own > 0.0 && own <= least && full > 1.0 / FULL;
-            s.warning.close(self.now, room.max(0.0), stuck);
+            let (rack, least) =
+                (self.network.rack(s.listed.cell), least.get(id).copied().unwrap_or_default());
+            let room = (s.link.budget(now, part) - least) / lowest;
+            let stuck = stuck(&s.link, least) || stuck(&self.uplinks[rack], least_up[rack]);
+            s.warning.close(now, room.max(0.0), stuck);
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -188,7 +188,7 @@
 
 impl Bucket {
     pub fn new(rate: f64, at: Duration) -> Self {
-        Bucket { rate, tokens: 1.0, at, alarmed: true, up: 0, down: 0, last: None, full_for: 0 }
+        Bucket { rate, tokens: 0.0, at, alarmed: true, up: 0, down: 0, last: None, full_for: 0 }
     }
 }
 
@@ -243,3 +243,9 @@
         Server { listed, link, warning, health, cold_until, sent: None, short: None }
     }
 }
+
+/// The gaps between our set-ups to a server that has just started, by kind, and how long it counts as cold.
+pub struct Pace {
+    pub(crate) gaps: Vec<Duration>,
+    pub(crate) cold_for: Duration,
+}
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -286,7 +286,7 @@
 #[test]
 fn rungs_follow_the_link() {
     // What is asked of the link over what it gives, the rung at set-up, the rung after it is heard again.
-    for (full, at_set_up, after) in [(0.1, 3, 3), (0.9, 2, 2), (3.0, 0, 0)] {
+    for (full, at_set_up, after) in [(0.1, 3, 3), (0.9, 1, 1), (3.0, 0, 0)] {
         let mut desk = Desk::new(None, vec![]);
         assert_eq!(sent_to(&desk.ask(1, 0, 0, 1)), Some(0));
         desk.play(1, 0);
@@ -427,3 +427,57 @@
         assert_eq!(first, Some(if outbids { 1 } else { 2 }), "{did:?}");
     }
 }
+
+#[test]
+fn short_holders_are_drawn_only_when_all_are() {
+    // Fullness heard of the links of servers 0 to 2 and of the uplink of 0 and 2; whom the next three may go to.
+    let cases: [([f64; 3], f64, &[u8]); 4] = [
+        ([1.5, 0.1, 1.4], 0.2, &[1]),
+        ([0.1, 0.1, 1.4], 0.2, &[0, 1]),
+        ([0.1, 0.1, 0.1], 1.3, &[1]),
+        ([1.5, 1.6, 1.4], 0.2, &[0, 1, 2]),
+    ];
+    for (links, uplink, may) in cases {
+        let mut desk = Desk::new(None, vec![]);
+        for (server, full) in links.into_iter().enumerate() {
+            desk.news(0, server as u8, News::Link(full));
+        }
+        desk.news(0, 0, News::Uplink(uplink));
+        for vw in 1..4 {
+            let to = sent_to(&desk.ask(vw, 0, 0, 3)).unwrap();
+            assert!(may.contains(&to), "{to} at {links:?}, {uplink}");
+        }
+    }
+}
+
+#[test]
+fn others_grow_as_our_crowd_does() {
+    // Our viewings when the note was taken and now; the least and the most of what the link is held to be asked.
+    for (then, now, least, most) in
+        [(20.0, 20.0, 0.5, 0.5), (20.0, 22.0, 0.5, 0.5), (20.0, 40.0, 0.8, 0.95), (40.0, 20.0, 0.2, 0.4)]
+    {
+        let mut link = Link::new(1000.0, ms(1500), 2.0, (0.9, 1.0));
+        link.mark(START, 0.0, then, false);
+        link.hear(START, 0.5);
+        link.mark(START + ms(1000), 0.0, now, false);
+        let full = link.full(START + ms(1000));
+        assert!(full >= least - 1e-9 && full <= most + 1e-9, "{full} for {then} to {now}");
+    }
+}
+
+#[test]
+fn a_stuck_uplink_limits_its_servers() {
+    // Fullness heard of the uplink; whether set-ups to a server under it end up limited.
+    for (uplink, limited) in [(0.5, false), (1.5, true)] {
+        let mut desk = Desk::new(None, vec![]);
+        desk.ask(1, 0, 0, 1);
+        desk.play(1, 0);
+        for _ in 0..6 {
+            desk.news(1, 0, News::Link(0.2));
+            desk.news(1, 0, News::Uplink(uplink));
+            desk.pass(4);
+        }
+        let did: Vec<_> = (2..10).flat_map(|vw| desk.ask(vw, 0, 0, 1)).collect();
+        assert_eq!(blocked(&did), limited, "at {uplink}");
+    }
+}
