--- a/src/policy.rs
+++ b/src/policy.rs
@@ -653,7 +653,7 @@
         let room = |link: &Link| (link.budget(now, part) - link.own()) * HASTE;
         let mut links: BTreeMap<_, _> =
             there.map(|(id, s)| (*id, (s.link.over(now), room(&s.link)))).collect();
-        let (mut over_up, mut room_up) = (self.uplinks[rack].over(now), room(&self.uplinks[rack]));
+        let (mut over_up, mut room_up) = (self.uplinks[rack].over(now), room(&self.uplinks[rack]) * 2.0);
         let (mut downs, mut ups) = (vec![], vec![]);
         for (vw, ideal) in self.ideal(rack, part) {
             let v = &self.viewings[&vw];
