A viewing keeps the standing that its customer had when it came, half trusted

The count moved with every viewing taken, and all rungs of the customer with it. Now the standing is that of the moment of coming, and its root is used, one manager's count being rough.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -424,7 +424,8 @@
     ) -> Option<&mut Viewing<Next>> {
         let p = self.packages.get(package.0)?;
         let top = top.min(p.top).min(self.ladder.rates.len() - 1).max(p.floor);
-        let viewing = Viewing::new(package.0, customer.0, title, cells, (p.floor, top));
+        let standing = self.customers.get(customer.0).map_or(1.0, |c| self.standing(c));
+        let viewing = Viewing::new(package.0, standing, title, cells, (p.floor, top));
         Some(self.viewings.entry(vw).insert_entry(viewing).into_mut())
     }
 
@@ -432,20 +433,20 @@
         self.ladder.rates[rung] * self.packages[viewing.package].scale
     }
 
-    /// Mechanism 6: traffic over a customer's share is worth less.
+    /// Mechanism 6: traffic over a customer's share is worth less; how much less is half trusted, one manager's
+    /// count being rough. A viewing keeps the standing it came with, or rungs would change with the count.
     fn standing(&self, customer: &Customer) -> f64 {
         let span = INTERVAL * 4;
         let recent = customer.taken.iter().filter(|t| self.now.saturating_sub(**t) < span).count();
         let used = recent as f64 * self.siblings / span.as_secs_f64() / customer.quota.max(1e-6);
-        if used > 1.0 { (1.0 + (used - 1.0) * customer.over) / used } else { 1.0 }
+        if used > 1.0 { ((1.0 + (used - 1.0) * customer.over) / used).sqrt() } else { 1.0 }
     }
 
     /// kB and value between two rungs of a viewing.
     fn between(&self, viewing: &Viewing<Next>, from: usize, to: usize) -> (f64, f64) {
         let p = &self.packages[viewing.package];
-        let standing = self.customers.get(viewing.customer).map_or(1.0, |c| self.standing(c));
         let (kb, worth) = self.ladder.between(from, to);
-        ((kb * p.scale).max(1e-6), worth * p.value * standing)
+        ((kb * p.scale).max(1e-6), worth * p.value * viewing.standing)
     }
 
     fn crowd(&self) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -95,7 +95,7 @@
 
 pub(crate) struct Viewing<Next> {
     pub package: usize,
-    pub customer: usize,
+    pub standing: f64,
     pub title: TitleId,
     pub cells: Cells,
     pub top: usize,
@@ -111,13 +111,13 @@
 }
 
 impl<Next> Viewing<Next> {
-    pub fn new(package: usize, customer: usize, title: TitleId, cells: Cells, rungs: (usize, usize)) -> Self {
+    pub fn new(package: usize, standing: f64, title: TitleId, cells: Cells, rungs: (usize, usize)) -> Self {
         let (rung, top) = rungs;
         let (ends, changed, shunned) = (Duration::ZERO, Duration::ZERO, vec![]);
         let (server, tune_ins, answered, playing, next) = (None, 0, false, false, None);
         Viewing {
             package,
-            customer,
+            standing,
             title,
             cells,
             top,
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -409,6 +409,7 @@
         let customers = vec![Customer::new(quota, over), Customer::new(1000.0, over)];
         let mut desk = Desk::new(None, customers);
         desk.news(0, 0, News::Uplink(0.1));
+        desk.ask(3, 0, 4, 1);
         for (vw, customer) in [(1, 0), (2, 1)] {
             desk.manager.playing(
                 desk.now,
@@ -420,7 +421,6 @@
                 3,
             );
         }
-        desk.ask(3, 0, 4, 1);
         desk.news(0, 0, News::Link(0.55));
         let did = desk.pass(12);
         let first = did.iter().find_map(|d| if let Did::Rung(vw, _) = d { Some(*vw) } else { None });
