--- a/src/policy.rs
+++ b/src/policy.rs
@@ -34,7 +34,7 @@
 /// What is asked of a link or uplink: rungs rise up to the first, and fall from the second down to the first.
 /// Many servers' notes tell of an uplink, so its account is the better known.
 const LINK: (f64, f64) = (0.97, 1.1);
-const UPLINK: (f64, f64) = (0.95, 1.03);
+const UPLINK: (f64, f64) = (0.95, 1.06);
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
 /// The part of a link's room that a set-up may take, other managers' set-ups being chance.
@@ -433,8 +433,8 @@
         self.ladder.rates[rung] * self.packages[viewing.package].scale
     }
 
-    /// Mechanism 6: traffic over a customer's share is worth less; how much less is half trusted, one manager's
-    /// count being rough. A viewing keeps the standing it came with, or rungs would change with the count.
+    /// Mechanism 6: traffic over a customer's share is worth less; half trusted, one manager's count being
+    /// rough. A viewing keeps the standing it came with, or rungs would change with the count.
     fn standing(&self, customer: &Customer) -> f64 {
         let span = INTERVAL * 4;
         let recent = customer.taken.iter().filter(|t| self.now.saturating_sub(**t) < span).count();
