--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -47,6 +47,10 @@
     let scales = numbers(all, "/specifics/class-scale")?;
     let floors = numbers(all, "/specifics/floor-by-class")?;
     let tops = numbers(all, "/specifics/top-by-class")?;
+    let rungs = numbers(all, "/specifics/rates-kb")?.len();
+    if floors.iter().any(|floor| *floor as usize >= rungs) {
+        return Err("options: /specifics/floor-by-class lies over the ladder".into());
+    }
     let seats = numbers(all, "/specifics/class-seats")?;
     let package = |(i, package): (usize, &Value)| {
         let of = |figures: &[f64], name: &str| {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,6 +42,8 @@
 const OUTLOOK: f64 = 5.0;
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
+/// The weight of no news at all, where news of this moment weighs 1.
+const FADED: f64 = 0.1;
 /// What counts as chance in the number of our viewings, in square roots of it.
 const CHANCE: f64 = 0.5;
 /// A tune-in's limit before a further one, in parts of the join target.
@@ -64,7 +66,8 @@
 
     pub(crate) fn full(&self, now: Duration) -> f64 {
         let (_, own, grown, crowd) = self.last();
-        let (mut sum, mut weights) = (0.0, 0.0);
+        // Guards against news that stops or was of another link: it fades into all asking as we do.
+        let (mut sum, mut weights) = (FADED * own * self.siblings / self.kb, FADED);
         for &(at, full) in &self.heard {
             let then = self.trail.iter().rev().find(|t| t.0 <= at).or(self.trail.front());
             let (_, own_then, grown_then, crowd_then) = then.copied().unwrap_or((at, 0.0, grown, crowd));
@@ -79,13 +82,12 @@
             sum += (-age).exp2() * (own + others) / kb;
             weights += (-age).exp2();
         }
-        if weights > 1e-6 { sum / weights } else { own * self.siblings / self.kb }
+        sum / weights
     }
 
     /// What we may ask of it so that all together ask its aim: less our part of an excess, more this of room.
     fn budget(&self, now: Duration, part: f64) -> f64 {
-        let (own, full) = (self.own(), self.full(now));
-        let aim = self.band.0;
+        let (own, full, aim) = (self.own(), self.full(now), self.band.0);
         if full > aim {
             return own * aim / full;
         }
@@ -345,7 +347,9 @@
             s.health.lost |= lost;
             s.health.full = if ending == Ending::TurnedAway { Some(now) } else { s.health.full };
         });
-        let Some(viewing) = self.viewings.get_mut(&vw).filter(|v| v.tune_ins == n + 1) else { return };
+        let Some(viewing) = self.viewings.get_mut(&vw).filter(|v| v.tune_ins == n.wrapping_add(1)) else {
+            return;
+        };
         let next = viewing.next.take().filter(|_| !terminal && !viewing.answered);
         viewing.server = None;
         self.mark(server, false);
@@ -646,8 +650,7 @@
         rungs
     }
 
-    /// Mechanism 1: lowers rungs where a link or the uplink is asked too much, raises them where there is
-    /// room. A change costs the same however far it goes, so it goes to the ideal rung at once.
+    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room.
     fn replan(&mut self, act: &mut dyn Actions, rack: usize) {
         let (now, part) = (self.now, 1.0 / self.siblings);
         let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -481,3 +481,15 @@
         assert_eq!(blocked(&did), limited, "at {uplink}");
     }
 }
+
+#[test]
+fn old_news_fades() {
+    // Seconds since the last news of a link, which said 1.0; the least and the most that it is still held to be.
+    for (age, least, most) in [(0, 0.9, 1.0), (3, 0.5, 0.95), (30, 0.1, 0.11)] {
+        let mut link = Link::new(1000.0, ms(1500), 2.0, (0.9, 1.0));
+        link.mark(START, 50.0, 20.0, false);
+        link.hear(START, 1.0);
+        let full = link.full(START + ms(age * 1000));
+        assert!(full >= least && full <= most, "{full} after {age} s");
+    }
+}
