--- a/src/policy.rs
+++ b/src/policy.rs
@@ -309,9 +309,7 @@
         customer: CustomerId, title: TitleId, cells: Cells, top: usize, ends: Duration,
     ) {
         self.now = now;
-        if let Some(ration) = &mut self.ration {
-            ration.taken.push_back(now);
-        }
+        self.ration.iter_mut().for_each(|r| r.taken.push_back(now));
         if let Some(customer) = self.customers.get_mut(customer.0) {
             keep(&mut customer.taken, 32 * KEPT, now);
         }
@@ -575,9 +573,7 @@
             Ok(server) => server,
             Err(wait) => return self.turn_down(act, vw, wait),
         };
-        if let Some(ration) = self.ration.as_mut().filter(|_| !first) {
-            ration.further.push_back(now);
-        }
+        self.ration.iter_mut().filter(|_| !first).for_each(|r| r.further.push_back(now));
         if let Some(s) = self.servers.get_mut(&server) {
             s.sent = Some(now);
             s.warning.admitted += 1.0;
