--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -48,9 +48,6 @@
     fn set_rung(&mut self, vw: ViewingId, rung: usize) {
         self.reply.push(self.who, 13, &[&vw.0.to_le_bytes(), &[rung as u8]]);
     }
-    fn move_off(&mut self, vw: ViewingId) {
-        self.reply.push(self.who, 14, &[&vw.0.to_le_bytes()]);
-    }
     fn wake(&mut self, after: Duration, token: u64) {
         self.reply.push(self.who, 5, &[&micros(after), &token.to_le_bytes()]);
     }
--- a/src/front.rs
+++ b/src/front.rs
@@ -115,7 +115,5 @@
     fn abort(&mut self, vw: ViewingId);
     fn call_off(&mut self, vw: ViewingId, tune_in: u16);
     fn set_rung(&mut self, vw: ViewingId, rung: usize);
-    /// Takes a playing viewing off its server; the viewer comes back as a new one.
-    fn move_off(&mut self, vw: ViewingId);
     fn wake(&mut self, after: Duration, token: u64);
 }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -16,7 +16,6 @@
     Abort(u32),
     CallOff(u32, u16),
     Rung(u32, usize),
-    MoveOff(u32),
     Wake(Duration, u64),
 }
 
@@ -39,9 +38,6 @@
     fn set_rung(&mut self, vw: ViewingId, rung: usize) {
         self.0.push(Did::Rung(vw.0, rung));
     }
-    fn move_off(&mut self, vw: ViewingId) {
-        self.0.push(Did::MoveOff(vw.0));
-    }
     fn wake(&mut self, after: Duration, token: u64) {
         self.0.push(Did::Wake(after, token));
     }
