--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,7 +43,7 @@
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
 /// The weight of no news at all, where news of this moment weighs 1.
-const FADED: f64 = 0.1;
+const FADED: f64 = 0.2;
 /// What counts as chance in the number of our viewings, in square roots of it.
 const CHANCE: f64 = 0.5;
 /// A tune-in's limit before a further one, in parts of the join target.
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -109,8 +109,9 @@
         self.manager.plays(self.now, ViewingId(vw), ServerId([server; 6]));
     }
 
+    /// News that several viewings bring.
     fn news(&mut self, vw: u32, server: u8, news: News) {
-        self.manager.news(self.now, ViewingId(vw), ServerId([server; 6]), news);
+        (0..9).for_each(|_| self.manager.news(self.now, ViewingId(vw), ServerId([server; 6]), news));
     }
 
     /// Lets time pass by looks; tells what was done.
@@ -484,7 +485,7 @@
 #[test]
 fn old_news_fades() {
     // Seconds since the last news of a link, which said 1.0; the least and the most that it is still held to be.
-    for (age, least, most) in [(0, 0.9, 1.0), (3, 0.5, 0.95), (30, 0.1, 0.11)] {
+    for (age, least, most) in [(0, 0.8, 1.0), (3, 0.4, 0.8), (30, 0.1, 0.11)] {
         let mut link = Link::new(1000.0, ms(1500), 2.0, (0.9, 1.0));
         link.mark(START, 50.0, 20.0, false);
         link.hear(START, 1.0);
