--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -7,9 +7,10 @@
   "tip-multiple": 2.0},
  "limits": {"cancelling": true, "max-attempts": 3, "max-retry-after-us": 2000000, "retry-after": true},
  "prices": {"cross-zone": 0.0},
- "profiles": [{"slo-us": 1000000, "worth": 1.0, "semantics": "read_like"}],
+ "profiles": [{"slo-us": 1000000, "worth": 1.0, "semantics": "read_like"},
+  {"slo-us": 1000000, "worth": 3.0, "semantics": "non_idempotent"}],
  "report": {"fields": ["rif", "x0", "what"], "how": "inline"},
- "specifics": {"class-scale": [1.0], "class-seats": [0], "floor-by-class": [0], "top-by-class": [3],
+ "specifics": {"class-scale": [1, 1], "class-seats": [0, 0], "floor-by-class": [0, 0], "top-by-class": [3, 3],
   "kind-streams": [34], "places": 12, "rack-link-kb": 66788.0, "rates-kb": [220, 453, 931, 1913],
   "rung-worth": [0.24, 0.52, 0.77, 1.0], "seen-after-us": 900000, "shelves": 2, "switch-s": 0.6,
   "told-every-us": 3750000, "weight-kb": 4246.0}}"#;
@@ -124,17 +125,25 @@
 #[test]
 fn endings_are_told_apart() {
     let tail = [OPTIONS.as_bytes(), &row(1, 1, 0), &row(2, 1, 1)].concat();
-    // Completion code, whether the request has concluded; the code of the last action that follows, if any.
+    // Completion code, whether the request has concluded; the code of the action that follows for a free package, and
+    // for one paid at set-up.
+    let (sent, failed) = (Some(1), Some(3));
+    let cases = [
+        (0, 1, [None, None]),
+        (8, 0, [sent, sent]),
+        (14, 0, [sent, sent]),
+        (4, 0, [sent, failed]),
+        (13, 0, [sent, failed]),
+        (10, 0, [sent, failed]),
+        (1, 0, [sent, failed]),
+        (9, 1, [None, None]),
+    ];
     let cases =
-        [(0, 1, None), (8, 0, Some(1)), (14, 0, Some(1)), (4, 0, Some(1)), (13, 0, Some(1)), (9, 1, None)];
-    for (code, concluded, follows) in cases {
-        let setup = [
-            catalog(0, OPTIONS.len(), 2),
-            named(3),
-            attach(OPTIONS.len()),
-            discovery(2, 0),
-            accept(1, 9_000_000),
-        ];
+        cases.iter().flat_map(|(code, done, by)| [(*code, *done, 0, by[0]), (*code, *done, 1, by[1])]);
+    for (code, concluded, package, follows) in cases {
+        let mut asked = accept(1, 9_000_000);
+        asked[6] = package;
+        let setup = [catalog(0, OPTIONS.len(), 2), named(3), attach(OPTIONS.len()), discovery(2, 0), asked];
         let first = frame(5_000_000, 1, &setup, &tail);
         let server = sent_to(&replies(&serve(&first).1)[0])[0];
         let address = [server, server, server, server, 0x93, 0x1f];
@@ -142,7 +151,7 @@
         let second = frame(5_200_000, 2, &[named(3), event(7, &fields)], &[]);
         let (done, output) = serve(&[first, second].concat());
         assert_eq!(done, Ok(()));
-        assert_eq!(replies(&output)[1].last().map(|a| a.0), follows, "code {code}");
+        assert_eq!(replies(&output)[1].last().map(|a| a.0), follows, "code {code}, package {package}");
     }
 }
 
@@ -161,6 +170,7 @@
         ([&[20, 0, 0, 0][..], &[0; 8], &[9, 0, 0, 0], &[0; 4]].concat(), "record count"),
         (frame(1, 1, &[event(99, &[])], &[]), "code 99"),
         (frame(1, 1, &[named(3), event(12, &[])], &[]), "who"),
+        (frame(1, 1, &[named(3), attach(options), event(9, &[]), event(12, &[])], OPTIONS.as_bytes()), "who"),
         (frame(1, 1, &[named(3), attach(options + 1)], OPTIONS.as_bytes()), "options: offset"),
         (frame(1, 1, &[catalog(0, 0, 1)], &[]), "rows-in"),
         (frame(1, 1, &[catalog(16, 0, 0)], &[]), "ref"),
@@ -168,7 +178,7 @@
         (frame(1, 1, &[named(3), attach(options), event(7, &[(14, &[77])])], OPTIONS.as_bytes()), "reason"),
         (frame(1, 1, &[named(3), attach(options), event(77, &[])], OPTIONS.as_bytes()), "code"),
         (broken("{\"azs\"", "\"azs\""), "options"),
-        (broken("slo-us", "other"), "slo-us"),
+        (broken("{\"slo-us\"", "{\"other\""), "slo-us"),
         (broken("rates-kb", "other"), "rates-kb"),
         (broken("cold-us", "other"), "cold-us"),
     ];
