--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -76,7 +76,6 @@
     for (i, gauge) in report.iter().enumerate().take(values) {
         let value = Some(record.f32(at + 1 + 4 * i, "gauge")?);
         match gauge {
-            settings::Gauge::Streams => load.streams = value,
             settings::Gauge::Link => load.link = value,
             settings::Gauge::Uplink => load.uplink = value,
             settings::Gauge::Other => {}
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -8,7 +8,6 @@
 
 /// What the values of a load report mean, by their order.
 pub enum Gauge {
-    Streams,
     Link,
     Uplink,
     Other,
@@ -111,7 +110,6 @@
     let manager = Manager::new(here, ladder, network, pace, limits, ration, packages(&all)?, customers);
     let fields = all.pointer("/report/fields").and_then(Value::as_array);
     let report = fields.into_iter().flatten().map(|field| match field.as_str() {
-        Some("rif") => Gauge::Streams,
         Some("x0") => Gauge::Link,
         Some("x1") => Gauge::Uplink,
         _ => Gauge::Other,
--- a/src/front.rs
+++ b/src/front.rs
@@ -14,12 +14,10 @@
     ViewingId(u32),
     ServerId([u8; 6]),
     TitleId(u64),
-    ViewerId(u64),
     PackageId(usize),
     CustomerId(usize),
     ZoneId(u8),
     KindId(usize),
-    RackId(u32),
 }
 
 /// How a tune-in, or the viewing that came of it, ended.
@@ -65,7 +63,6 @@
 /// A server's load report, as far as it came.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
-    pub streams: Option<f64>,
     pub link: Option<f64>,
     pub uplink: Option<f64>,
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,9 +37,9 @@
 const UPLINK: (f64, f64) = (0.95, 1.06);
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
+const OUTLOOK: f64 = 2.5;
 /// The part of a link's room that a set-up may take, other managers' set-ups being chance.
 const AT_SET_UP: f64 = 0.35;
-const OUTLOOK: f64 = 2.5;
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
 /// The weight of no news at all, where news of this moment weighs 1.
