--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -80,6 +80,7 @@
     let network = Network {
         places: number(&all, "/specifics/places")? as u32,
         racks: number(&all, "/specifics/shelves")? as u32,
+        links_kb: or_zero(&all, "/specifics/links-kb"),
         weight_kb: number(&all, "/specifics/weight-kb")?,
         uplink_kb: number(&all, "/specifics/rack-link-kb")?,
         told: micros(or_zero(&all, "/specifics/told-every-us")),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,8 +13,9 @@
 //!  6. customers' shares (`standing`).
 
 use crate::front::*;
+pub use crate::state::Manager;
 use crate::state::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// The design's interval, gains and tolerance.
@@ -32,9 +33,8 @@
 /// Rungs are looked at so many times an interval.
 const LOOKS: u32 = 4;
 /// What is asked of a link or uplink: rungs rise up to the first, and fall from the second down to the first.
-/// Many servers' notes tell of an uplink, so its account is the better known.
-const LINK: (f64, f64) = (0.97, 1.1);
-const UPLINK: (f64, f64) = (0.95, 1.06);
+/// Many servers' notes tell of an uplink, the second, so its account is the better known.
+const BANDS: [(f64, f64); 2] = [(0.97, 1.1), (0.95, 1.06)];
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
 const OUTLOOK: f64 = 2.5;
@@ -57,37 +57,32 @@
 /// from the part that is ours. What others ask is taken to have followed our own rungs since: they hear
 /// the same and do alike, so each moves its own part only and the fleet doesn't swing.
 impl Link {
-    /// Our part is now `kb`; `by_rungs` where rungs made the change.
-    pub(crate) fn mark(&mut self, now: Duration, kb: f64, crowd: f64, by_rungs: bool) {
-        let (_, was, grown, _) = self.last();
-        let growth = if by_rungs && was > 0.0 && kb > 0.0 { kb / was } else { 1.0 };
-        keep(&mut self.trail, 8 * KEPT, (now, kb, (grown * growth).clamp(1e-9, 1e9), crowd));
+    /// Our part is now `kb`; `growth`: how far our rungs are meant to have changed it. What chance made of that
+    /// tells nothing of what others did.
+    pub(crate) fn mark(&mut self, now: Duration, kb: f64, growth: f64) {
+        let grown = (self.last().2 * growth).clamp(1e-9, 1e9);
+        keep(&mut self.trail, 8 * KEPT, (now, kb, grown));
     }
 
-    pub(crate) fn full(&self, now: Duration) -> f64 {
-        let (_, own, grown, crowd) = self.last();
-        // Guards against news that stops or was of another link: it fades into all asking as we do.
-        let (mut sum, mut weights) = (FADED * own * self.siblings / self.kb, FADED);
+    pub(crate) fn full(&self, view: &View) -> f64 {
+        let (_, own, grown) = self.last();
+        // Guards against news that stops or was of another link: it fades into what is usual.
+        let (mut sum, mut weights) = (FADED * view.usual[self.tier].max(own / self.kb), FADED);
         for &(at, full) in &self.heard {
             let then = self.trail.iter().rev().find(|t| t.0 <= at).or(self.trail.front());
-            let (_, own_then, grown_then, crowd_then) = then.copied().unwrap_or((at, 0.0, grown, crowd));
-            // Guards against crowds that outrun the notes: others' viewings grow in number as all ours did,
-            // as far as that is more than chance.
-            let grew = if crowd_then < 1.0 { 0.0 } else { crowd - crowd_then };
-            let grew =
-                (grew.abs() - CHANCE * crowd_then.sqrt()).max(0.0).copysign(grew) / crowd_then.max(1.0);
-            let others = (full * self.kb - own_then).max(0.0) * (1.0 + grew) * grown / grown_then;
+            let (_, own_then, grown_then) = then.copied().unwrap_or((at, 0.0, grown));
+            let others = (full * self.kb - own_then).max(0.0) * view.grew(at) * grown / grown_then;
             let kb = if full > 0.0 { self.kb.max(own_then / full) } else { self.kb };
-            let age = now.saturating_sub(at).as_secs_f64() / self.half.as_secs_f64().max(0.1);
-            sum += (-age).exp2() * (own + others) / kb;
-            weights += (-age).exp2();
+            let weight = view.weight(at);
+            sum += weight * (own + others) / kb;
+            weights += weight;
         }
         sum / weights
     }
 
     /// What we may ask of it so that all together ask its aim: less our part of an excess, more this of room.
-    fn budget(&self, now: Duration, part: f64) -> f64 {
-        let (own, full, aim) = (self.own(), self.full(now), self.band.0);
+    fn budget(&self, view: &View, part: f64) -> f64 {
+        let (own, full, aim) = (self.own(), self.full(view), BANDS[self.tier].0);
         if full > aim {
             return own * aim / full;
         }
@@ -95,8 +90,34 @@
         own + (aim - full) * self.kb * part
     }
 
-    fn over(&self, now: Duration) -> f64 {
-        if self.full(now) > self.band.1 { self.own() - self.budget(now, 0.0) } else { 0.0 }
+    fn over(&self, view: &View) -> f64 {
+        if self.full(view) > BANDS[self.tier].1 { self.own() - self.budget(view, 0.0) } else { 0.0 }
+    }
+}
+
+impl View {
+    fn weight(&self, at: Duration) -> f64 {
+        (-(self.now.saturating_sub(at).as_secs_f64() / self.half.as_secs_f64().max(0.1))).exp2()
+    }
+
+    /// Guards against crowds that outrun the notes: others' viewings grow in number as all ours did, as far
+    /// as that is more than chance.
+    fn grew(&self, since: Duration) -> f64 {
+        let crowd = self.crowd.back().map_or(0.0, |c| c.1);
+        let then = self.crowd.iter().rev().find(|c| c.0 <= since).or(self.crowd.front());
+        let then = then.map_or(crowd, |c| c.1);
+        let grew = if then < 1.0 { 0.0 } else { crowd - then };
+        1.0 + (grew.abs() - CHANCE * then.sqrt()).max(0.0).copysign(grew) / then.max(1.0)
+    }
+
+    /// What is usually asked of a link or uplink: the news of any, fading into all asking as we do.
+    pub(crate) fn settle(&mut self, alike: [f64; 2]) {
+        for (tier, alike) in alike.into_iter().enumerate() {
+            let news = self.news[tier].iter().map(|(at, full)| (self.weight(*at), *full));
+            let start = (FADED * alike, FADED);
+            let (sum, weights) = news.fold(start, |(s, w), (weight, full)| (s + weight * full, w + weight));
+            self.usual[tier] = sum / weights;
+        }
     }
 }
 
@@ -210,67 +231,18 @@
 }
 
 /// What a step of a viewing leaves behind: it is handed how the step ended.
-type Next = Box<dyn FnOnce(&mut Manager, &mut dyn Actions, ViewingId, Ending)>;
-
-pub struct Manager {
-    now: Duration,
-    started: Duration,
-    chance: Pcg,
-    siblings: f64,
-    zone: ZoneId,
-    cross: f64,
-    ladder: Ladder,
-    network: Network,
-    pace: Pace,
-    limits: Limits,
-    ration: Option<Ration>,
-    packages: Vec<Package>,
-    customers: Vec<Customer>,
-    looks: u32,
-    viewings: BTreeMap<ViewingId, Viewing<Next>>,
-    servers: BTreeMap<ServerId, Server>,
-    uplinks: Vec<Link>,
-}
+pub(crate) type Next = Box<dyn FnOnce(&mut Manager, &mut dyn Actions, ViewingId, Ending)>;
 
 /// Inputs.
 impl Manager {
-    pub fn new(
-        (seed, siblings, zone, cross): (u64, u32, ZoneId, f64), ladder: Ladder, network: Network, pace: Pace,
-        limits: Limits, ration: Option<Ration>, packages: Vec<Package>, customers: Vec<Customer>,
-    ) -> Self {
-        let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
-        let uplink = |_| Link::new(network.uplink_kb, network.told / 2, siblings, UPLINK);
-        let uplinks = (0..network.racks.max(1)).map(uplink).collect();
-        let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
-        let (started, chance) = (now, Pcg(seed));
-        Manager {
-            now,
-            started,
-            chance,
-            siblings,
-            zone,
-            cross,
-            ladder,
-            network,
-            pace,
-            limits,
-            ration,
-            packages,
-            customers,
-            looks,
-            viewings,
-            servers,
-            uplinks,
-        }
-    }
-
     pub fn start(&mut self, act: &mut dyn Actions, now: Duration) {
-        (self.now, self.started) = (now, now);
+        self.started = now;
+        self.tick(now);
         act.wake(INTERVAL / LOOKS, LOOK);
     }
 
     pub fn listed(&mut self, now: Duration, list: &[Listed], extent: Extent) {
-        self.now = now;
+        self.tick(now);
         for server in self.servers.values_mut().filter(|_| extent != Extent::Changes) {
             if !list.iter().any(|l| l.server == server.listed.server) {
                 server.listed.standing = Standing::Gone;
@@ -279,10 +251,12 @@
         for &listed in list {
             // Guards against a start before us that a remembered list doesn't show: all is cold at first.
             let cold_until = listed.born.unwrap_or_default().max(self.started) + self.pace.cold_for;
-            let link =
-                Link::new(listed.weight * self.network.weight_kb, self.network.told / 2, self.siblings, LINK);
-            let new = || Server::new(listed, link, cold_until);
-            let server = self.servers.entry(listed.server).or_insert_with(new);
+            let link = Link::new(listed.weight * self.network.weight_kb, 0);
+            let places = self.places.len();
+            let server = self.servers.entry(listed.server).or_insert_with(|| {
+                self.places[listed.cell as usize % places].push(listed.server);
+                Server::new(listed, link, cold_until)
+            });
             if listed.born > server.listed.born && listed.standing == Standing::Ready {
                 server.cold_until = cold_until;
                 server.link.heard.clear();
@@ -296,11 +270,11 @@
         &mut self, now: Duration, vw: ViewingId, server: ServerId, package: PackageId, customer: CustomerId,
         title: TitleId, top: usize,
     ) {
-        self.now = now;
+        self.tick(now);
         let cells = Cells { first: 0, spread: 0 };
         if let Some(v) = self.take(vw, package, customer, title, cells, top) {
             (v.server, v.tune_ins, v.answered, v.playing) = (Some(server), 1, true, true);
-            self.mark(server, false);
+            self.mark(server);
         }
     }
 
@@ -308,13 +282,14 @@
         &mut self, act: &mut dyn Actions, now: Duration, vw: ViewingId, package: PackageId,
         customer: CustomerId, title: TitleId, cells: Cells, top: usize, ends: Duration,
     ) {
-        self.now = now;
+        self.tick(now);
         self.ration.iter_mut().for_each(|r| r.taken.push_back(now));
         if let Some(customer) = self.customers.get_mut(customer.0) {
             keep(&mut customer.taken, 32 * KEPT, now);
         }
-        for server in self.servers.values_mut().filter(|s| self.network.holds(s.listed.cell, cells)) {
-            server.warning.asked += 1.0;
+        let holders: Vec<_> = self.holders(cells).collect();
+        for server in holders {
+            self.servers.entry(server).and_modify(|s| s.warning.asked += 1.0);
         }
         match self.take(vw, package, customer, title, cells, top) {
             Some(viewing) => viewing.ends = ends,
@@ -325,7 +300,7 @@
     }
 
     pub fn plays(&mut self, now: Duration, vw: ViewingId, server: ServerId) {
-        self.now = now;
+        self.tick(now);
         self.tried(server, true);
         if let Some(viewing) = self.viewings.get_mut(&vw) {
             (viewing.playing, viewing.answered, viewing.next) = (true, true, None);
@@ -350,7 +325,7 @@
         };
         let next = viewing.next.take().filter(|_| !terminal && !viewing.answered);
         viewing.server = None;
-        self.mark(server, false);
+        self.mark(server);
         match next {
             Some(next) => next(self, act, vw, ending),
             None => drop(self.viewings.remove(&vw)),
@@ -369,7 +344,7 @@
     }
 
     pub fn news(&mut self, now: Duration, vw: ViewingId, server: ServerId, news: News) {
-        self.now = now;
+        self.tick(now);
         // A note at set-up is fresh, later ones are late.
         let fresh = self.viewings.get(&vw).is_some_and(|v| !v.playing);
         let then = if fresh { now } else { now.saturating_sub(self.network.seen) };
@@ -378,26 +353,28 @@
             News::Rung(rung) => {
                 if let Some(viewing) = self.viewings.get_mut(&vw) {
                     viewing.rung = rung.min(viewing.top);
-                    self.mark(server, false);
+                    self.mark(server);
                 }
             }
-            News::Link(full) => s.link.hear(then, full),
-            News::Uplink(full) => self.uplinks[self.network.rack(s.listed.cell)].hear(then, full),
+            News::Link(full) => self.view.hear(&mut s.link, then, full),
+            News::Uplink(full) => {
+                self.view.hear(&mut self.uplinks[self.network.rack(s.listed.cell)], then, full);
+            }
             News::Share(share) => self.short(then, server, share),
         }
     }
 
     /// A load report, with an ending or of a probe.
     pub fn reported(&mut self, now: Duration, server: ServerId, load: Load) {
-        self.now = now;
+        self.tick(now);
         let Some(s) = self.servers.get_mut(&server) else { return };
-        load.link.into_iter().for_each(|full| s.link.hear(now, full));
+        load.link.into_iter().for_each(|full| self.view.hear(&mut s.link, now, full));
         let uplink = &mut self.uplinks[self.network.rack(s.listed.cell)];
-        load.uplink.into_iter().for_each(|full| uplink.hear(now, full));
+        load.uplink.into_iter().for_each(|full| self.view.hear(uplink, now, full));
     }
 
     pub fn woken(&mut self, act: &mut dyn Actions, now: Duration, token: u64) {
-        self.now = now;
+        self.tick(now);
         if token & PATIENCE != 0 {
             // Guards against any viewing left without an answer, whatever has not come back.
             let vw = ViewingId(token as u32);
@@ -408,18 +385,31 @@
         }
         act.wake(INTERVAL / LOOKS, LOOK);
         self.looks += 1;
-        let crowd = self.crowd();
-        let links = self.servers.values_mut().map(|s| &mut s.link).chain(&mut self.uplinks);
-        links.for_each(|link| link.mark(now, link.own(), crowd, false));
+        let placed: Vec<_> = self.viewings.values().filter(|v| v.server.is_some()).collect();
+        let own: f64 = placed.iter().map(|v| self.kb(v, v.rung)).sum();
+        let kbs = [self.network.links_kb, self.network.uplink_kb * self.uplinks.len() as f64];
+        let crowd = placed.len() as f64;
+        keep(&mut self.view.crowd, 2 * KEPT, (now, crowd));
+        self.view.settle(kbs.map(|kb| own * self.siblings / kb.max(1.0)));
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
         }
-        (0..self.uplinks.len()).for_each(|rack| self.replan(act, rack));
+        let racks: BTreeSet<_> = self.viewings.values().filter_map(|v| self.rack(v)).collect();
+        racks.into_iter().for_each(|rack| self.replan(act, rack));
     }
 }
 
 /// Decisions.
 impl Manager {
+    fn tick(&mut self, now: Duration) {
+        (self.now, self.view.now) = (now, now);
+    }
+
+    /// The rack that a viewing is at.
+    fn rack(&self, viewing: &Viewing<Next>) -> Option<usize> {
+        Some(self.network.rack(self.servers.get(&viewing.server?)?.listed.cell))
+    }
+
     fn take(
         &mut self, vw: ViewingId, package: PackageId, customer: CustomerId, title: TitleId, cells: Cells,
         top: usize,
@@ -451,21 +441,15 @@
         ((kb * p.scale).max(1e-6), worth * p.value * viewing.standing)
     }
 
-    fn crowd(&self) -> f64 {
-        self.viewings.values().filter(|v| v.server.is_some()).count() as f64
-    }
-
     /// Books what we ask of a server's link and its rack's uplink.
-    fn mark(&mut self, server: ServerId, by_rungs: bool) {
-        let crowd = self.crowd();
+    fn mark(&mut self, server: ServerId) {
+        let Some(rack) = self.servers.get(&server).map(|s| self.network.rack(s.listed.cell)) else { return };
         let there = self.viewings.values().filter(|v| v.server == Some(server));
         let kb = there.map(|v| self.kb(v, v.rung)).sum();
-        let Some(s) = self.servers.get_mut(&server) else { return };
-        s.link.mark(self.now, kb, crowd, by_rungs);
-        let rack = self.network.rack(s.listed.cell);
-        let there = self.servers.values().filter(|s| self.network.rack(s.listed.cell) == rack);
-        let kb = there.map(|s| s.link.own()).sum();
-        self.uplinks[rack].mark(self.now, kb, crowd, by_rungs);
+        self.servers.entry(server).and_modify(|s| s.link.mark(self.now, kb, 1.0));
+        let there = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
+        let kb = there.map(|v| self.kb(v, v.rung)).sum();
+        self.uplinks[rack].mark(self.now, kb, 1.0);
     }
 
     fn tried(&mut self, server: ServerId, good: bool) {
@@ -485,15 +469,16 @@
         s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share));
         s.short = (share < FULL).then_some(now);
         let rack = self.network.rack(s.listed.cell);
-        let peer = |s: &&Server| s.link.own() > 0.0 && self.network.rack(s.listed.cell) == rack;
-        let peers: Vec<_> = self.servers.values().filter(peer).map(|s| s.short).collect();
+        let peers = self.viewings.values().filter(|v| self.rack(v) == Some(rack)).filter_map(|v| v.server);
+        let peers: BTreeSet<_> = peers.collect();
+        let peers: Vec<_> = peers.iter().map(|server| self.servers[server].short).collect();
         let short = peers.iter().flatten().filter(|t| now.saturating_sub(**t) < INTERVAL).count();
         let link = match self.servers.get_mut(&server) {
             Some(s) if short < 2 || short * 2 <= peers.len() => &mut s.link,
             _ => &mut self.uplinks[rack],
         };
         let full = 1.0 / share.max(0.05);
-        if share < FULL && link.full(now) < full {
+        if share < FULL && link.full(&self.view) < full {
             link.hear(then, full);
         }
     }
@@ -505,21 +490,22 @@
         let pause = self.packages.iter().map(|p| p.target).min().unwrap_or(INTERVAL) / 2;
         let mut wait = Duration::MAX;
         let (mut fit, mut suspects) = (vec![], vec![]);
-        for (id, s) in &self.servers {
-            if s.listed.standing != Standing::Ready || !self.network.holds(s.listed.cell, viewing.cells) {
+        for id in self.holders(viewing.cells) {
+            let s = &self.servers[&id];
+            if s.listed.standing != Standing::Ready {
                 continue;
             }
             let gap = self.pace.gaps.get(s.listed.kind.0).copied().unwrap_or(recall);
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
-            let shunned = viewing.shunned.contains(id);
-            let trial = self.viewings.values().any(|v| v.server == Some(*id) && !v.playing);
+            let shunned = viewing.shunned.contains(&id);
+            let trial = self.viewings.values().any(|v| v.server == Some(id) && !v.playing);
             if (now < s.cold_until || s.health.lost) && now < next {
                 wait = wait.min(next - now);
             } else if shunned || s.health.suspect(now, pause, recall, trial) {
-                suspects.push((shunned, s.health.bad(now, recall), *id));
+                suspects.push((shunned, s.health.bad(now, recall), id));
             } else {
                 let uplink = &self.uplinks[self.network.rack(s.listed.cell)];
-                fit.push((s.link.full(now).max(uplink.full(now)), *id));
+                fit.push((s.link.full(&self.view).max(uplink.full(&self.view)), id));
             }
         }
         if fit.is_empty() {
@@ -531,7 +517,7 @@
         if fit.iter().any(|f| f.0 < 1.0) {
             fit.retain(|f| f.0 < 1.0);
         }
-        let near = |f: &(f64, ServerId)| f.0 < LINK.0 && self.servers[&f.1].listed.zone == self.zone;
+        let near = |f: &(f64, ServerId)| f.0 < BANDS[0].0 && self.servers[&f.1].listed.zone == self.zone;
         if self.cross > 0.0 && fit.iter().any(near) {
             fit.retain(near);
         }
@@ -583,9 +569,10 @@
             v.next = Some(Box::new(move |m, act, vw, ending| m.after(act, vw, server, ending)));
         });
         let rack = self.network.rack(self.servers[&server].listed.cell);
-        let rung = self.ideal(rack, AT_SET_UP).get(&vw).copied().unwrap_or_default();
+        let luck = self.chance.part();
+        let rung = self.ideal(rack, AT_SET_UP, luck).get(&vw).copied().unwrap_or_default();
         self.viewings.entry(vw).and_modify(|v| v.rung = rung);
-        self.mark(server, false);
+        self.mark(server);
         act.set_rung(vw, rung);
         act.tune_in(vw, server, limit);
     }
@@ -618,14 +605,14 @@
         act.block(vw, self.limits.come_back.map(|most| wait.min(most)).filter(|w| !w.is_zero()));
     }
 
-    /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings.
-    fn ideal(&self, rack: usize, part: f64) -> BTreeMap<ViewingId, usize> {
-        let mut uplink = self.uplinks[rack].budget(self.now, part);
-        let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
-        let mut links: BTreeMap<_, _> = there.map(|(id, s)| (*id, s.link.budget(self.now, part))).collect();
-        let (mut rungs, mut steps) = (BTreeMap::new(), vec![]);
-        for (vw, v) in &self.viewings {
-            let Some((id, link)) = v.server.and_then(|id| Some((id, links.get_mut(&id)?))) else { continue };
+    /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings. A step that
+    /// fits in part is taken where `luck` of it fits: 0 takes it always.
+    fn ideal(&self, rack: usize, part: f64, luck: f64) -> BTreeMap<ViewingId, usize> {
+        let mut uplink = self.uplinks[rack].budget(&self.view, part);
+        let (mut links, mut rungs, mut steps) = (BTreeMap::new(), BTreeMap::new(), vec![]);
+        for (vw, v) in self.viewings.iter().filter(|(_, v)| self.rack(v) == Some(rack)) {
+            let Some(id) = v.server else { continue };
+            let link = links.entry(id).or_insert_with(|| self.servers[&id].link.budget(&self.view, part));
             let floor = self.packages[v.package].floor;
             uplink -= self.kb(v, floor);
             *link -= self.kb(v, floor);
@@ -637,8 +624,8 @@
         }
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, kb, vw, id, rung) in steps {
-            let Some(link) = links.get_mut(&id).filter(|link| kb <= **link && kb <= uplink) else { continue };
-            if rungs.get(&vw) == Some(&(rung - 1)) {
+            let link = links.entry(id).or_default();
+            if luck * kb <= link.min(uplink) && rungs.get(&vw) == Some(&(rung - 1)) {
                 (*link, uplink) = (*link - kb, uplink - kb);
                 rungs.insert(vw, rung);
             }
@@ -646,48 +633,67 @@
         rungs
     }
 
-    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room.
+    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Of a step that is
+    /// more than our part chance decides, so that the managers together move by as much as is meant.
     fn replan(&mut self, act: &mut dyn Actions, rack: usize) {
         let (now, part) = (self.now, 1.0 / self.siblings);
-        let there = self.servers.iter().filter(|(_, s)| self.network.rack(s.listed.cell) == rack);
-        let room = |link: &Link| (link.budget(now, part) - link.own()) * HASTE;
-        let mut links: BTreeMap<_, _> =
-            there.map(|(id, s)| (*id, (s.link.over(now), room(&s.link)))).collect();
-        let (mut over_up, mut room_up) = (self.uplinks[rack].over(now), room(&self.uplinks[rack]) * 2.0);
-        let (mut downs, mut ups) = (vec![], vec![]);
-        for (vw, ideal) in self.ideal(rack, part) {
+        let room = |link: &Link| (link.budget(&self.view, part) - link.own()) * HASTE;
+        let uplink = &self.uplinks[rack];
+        let (mut over_up, mut room_up) = (uplink.over(&self.view), room(uplink) * 2.0);
+        let (mut links, mut downs, mut ups) = (BTreeMap::new(), vec![], vec![]);
+        for (vw, ideal) in self.ideal(rack, part, 0.0) {
             let v = &self.viewings[&vw];
-            let Some(server) = v.server.filter(|_| v.playing) else { continue };
+            let Some(server) = v.server else { continue };
+            let link = &self.servers[&server].link;
+            links.entry(server).or_insert_with(|| (link.over(&self.view), room(link), link.own(), 0.0));
             let p = &self.packages[v.package];
             let cost = self.ladder.switch * p.value / (OUTLOOK * INTERVAL.as_secs_f64());
             let down = ideal.min(v.rung.saturating_sub(1).max(p.floor));
-            if down < v.rung {
+            if v.playing && down < v.rung {
                 let (kb, value) = self.between(v, down, v.rung);
                 downs.push(((value + cost) / kb, kb, vw, server, down));
             }
             let (kb, value) = self.between(v, v.rung, ideal.max(v.rung));
-            if value > cost && now.saturating_sub(v.changed) > self.network.told + self.network.seen {
+            let held = now.saturating_sub(v.changed) <= self.network.told + self.network.seen;
+            if v.playing && value > cost && !held {
                 ups.push(((value - cost) / kb, vw, server, ideal));
             }
         }
         downs.sort_by(|a, b| a.0.total_cmp(&b.0));
         ups.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, kb, vw, server, to) in downs {
-            let Some((over, room)) = links.get_mut(&server) else { continue };
-            if *over > 0.0 || over_up > 0.0 {
-                (*over, *room, over_up, room_up) = (*over - kb, 0.0, over_up - kb, 0.0);
-                self.set_rung(act, vw, to);
+            let Some((over, room, _, meant)) = links.get_mut(&server) else { continue };
+            let need = over.max(over_up).min(kb);
+            if need > 0.0 {
+                (*over, *room, over_up, room_up) = (*over - need, 0.0, over_up - need, 0.0);
+                *meant -= need;
+                if self.chance.falls(need / kb) {
+                    self.set_rung(act, vw, to);
+                }
             }
         }
         for (_, vw, server, ideal) in ups {
-            let Some((_, room)) = links.get_mut(&server) else { continue };
-            let v = &self.viewings[&vw];
+            let Some((_, room, _, meant)) = links.get_mut(&server) else { continue };
+            let (v, least) = (&self.viewings[&vw], room.min(room_up));
             let to = (v.rung + 1..=ideal).rev().map(|to| (self.between(v, v.rung, to).0, to));
-            if let Some((kb, to)) = { to }.find(|(kb, _)| *kb <= *room && *kb <= room_up) {
-                (*room, room_up) = (*room - kb, room_up - kb);
-                self.set_rung(act, vw, to);
+            let next = (self.between(v, v.rung, v.rung + 1).0, v.rung + 1);
+            let (kb, to) = { to }.find(|(kb, _)| *kb <= least).unwrap_or(next);
+            if least > 0.0 {
+                let part = kb.min(least);
+                (*room, room_up, *meant) = (*room - part, room_up - part, *meant + part);
+                if self.chance.falls(part / kb) {
+                    self.set_rung(act, vw, to);
+                }
             }
         }
+        let (mut own_up, mut meant_up) = (0.0, 0.0);
+        for (server, (_, _, own, meant)) in links {
+            (own_up, meant_up) = (own_up + own, meant_up + meant);
+            let growth = 1.0 + meant / own.max(1.0);
+            self.servers.entry(server).and_modify(|s| s.link.mark(now, s.link.own(), growth));
+        }
+        let uplink = &mut self.uplinks[rack];
+        uplink.mark(now, uplink.own(), 1.0 + meant_up / own_up.max(1.0));
     }
 
     fn set_rung(&mut self, act: &mut dyn Actions, vw: ViewingId, rung: usize) {
@@ -695,7 +701,7 @@
         (viewing.rung, viewing.changed) = (rung, self.now);
         act.set_rung(vw, rung);
         if let Some(server) = viewing.server {
-            self.mark(server, true);
+            self.mark(server);
         }
     }
 
@@ -711,12 +717,12 @@
             least_up[self.network.rack(s.listed.cell)] += kb;
         }
         let stuck = |link: &Link, least: f64| {
-            link.own() > 0.0 && link.own() <= least * (1.0 + DELTA) && link.full(now) > 1.0 / FULL
+            link.own() > 0.0 && link.own() <= least * (1.0 + DELTA) && link.full(&self.view) > 1.0 / FULL
         };
         for (id, s) in &mut self.servers {
             let (rack, least) =
                 (self.network.rack(s.listed.cell), least.get(id).copied().unwrap_or_default());
-            let room = (s.link.budget(now, part) - least) / lowest;
+            let room = (s.link.budget(&self.view, part) - least) / lowest;
             let stuck = stuck(&s.link, least) || stuck(&self.uplinks[rack], least_up[rack]);
             s.warning.close(now, room.max(0.0), stuck);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,8 @@
 //! What a manager holds: settings as they were given, viewings, samples. No decision is made here.
 
 use crate::front::*;
-use crate::policy::KEPT;
-use std::collections::VecDeque;
+use crate::policy::{KEPT, Next};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// A permuted congruential generator.
@@ -15,6 +15,15 @@
         let word = ((((s >> 18) ^ s) >> 27) as u32).rotate_right((s >> 59) as u32);
         ((u64::from(word) * n as u64) >> 32) as usize
     }
+
+    /// Evenly from 0 up to 1.
+    pub fn part(&mut self) -> f64 {
+        self.below(1 << 24) as f64 / f64::from(1 << 24)
+    }
+
+    pub fn falls(&mut self, part: f64) -> bool {
+        self.part() < part
+    }
 }
 
 /// The last few samples of something.
@@ -55,6 +64,8 @@
 pub struct Network {
     pub places: u32,
     pub racks: u32,
+    /// All links together at the start.
+    pub links_kb: f64,
     pub weight_kb: f64,
     pub uplink_kb: f64,
     pub told: Duration,
@@ -65,11 +76,6 @@
     pub(crate) fn rack(&self, cell: u32) -> usize {
         (cell % self.racks.max(1)) as usize
     }
-
-    pub(crate) fn holds(&self, cell: u32, cells: Cells) -> bool {
-        let places = self.places.max(1);
-        (cell % places + places - cells.first % places) % places < cells.spread
-    }
 }
 
 /// A customer's share: set-ups a second over all managers, and what more than that is worth.
@@ -134,21 +140,19 @@
     }
 }
 
-/// A link or an uplink: what was heard of its fullness, and the part that is ours.
+/// A link (tier 0) or an uplink (1): what was heard of its fullness, and the part that is ours.
 pub(crate) struct Link {
     pub kb: f64,
-    pub half: Duration,
-    pub siblings: f64,
-    pub band: (f64, f64),
+    pub tier: usize,
     pub heard: VecDeque<(Duration, f64)>,
-    /// When, what we asked of it, how far our rungs had grown it in all, and how many viewings we had anywhere.
-    pub trail: VecDeque<(Duration, f64, f64, f64)>,
+    /// When, what we asked of it, and how far our rungs were meant to have grown it in all.
+    pub trail: VecDeque<(Duration, f64, f64)>,
 }
 
 impl Link {
-    pub fn new(kb: f64, half: Duration, siblings: f64, band: (f64, f64)) -> Self {
-        let trail = VecDeque::from([(Duration::ZERO, 0.0, 1.0, 0.0)]);
-        Link { kb: kb.max(1.0), half, siblings, band, heard: VecDeque::new(), trail }
+    pub fn new(kb: f64, tier: usize) -> Self {
+        let trail = VecDeque::from([(Duration::ZERO, 0.0, 1.0)]);
+        Link { kb: kb.max(1.0), tier, heard: VecDeque::new(), trail }
     }
 
     pub fn hear(&mut self, at: Duration, full: f64) {
@@ -157,8 +161,8 @@
         }
     }
 
-    pub fn last(&self) -> (Duration, f64, f64, f64) {
-        self.trail.back().copied().unwrap_or((Duration::ZERO, 0.0, 1.0, 0.0))
+    pub fn last(&self) -> (Duration, f64, f64) {
+        self.trail.back().copied().unwrap_or((Duration::ZERO, 0.0, 1.0))
     }
 
     pub fn own(&self) -> f64 {
@@ -166,6 +170,32 @@
     }
 }
 
+/// What all links are looked at with: the time, how fast news ages, our viewings' number over time, and by
+/// tier the last news of any link and what is usual.
+pub(crate) struct View {
+    pub now: Duration,
+    pub half: Duration,
+    pub crowd: VecDeque<(Duration, f64)>,
+    pub news: [VecDeque<(Duration, f64)>; 2],
+    pub usual: [f64; 2],
+    pub siblings: f64,
+}
+
+impl View {
+    pub fn new(half: Duration) -> Self {
+        let (now, crowd, news, usual) = (Duration::ZERO, VecDeque::new(), Default::default(), [0.0; 2]);
+        View { now, half, crowd, news, usual, siblings: 3.0 }
+    }
+
+    /// News of a link, kept with it and among the last of any.
+    pub fn hear(&mut self, link: &mut Link, at: Duration, full: f64) {
+        link.hear(at, full);
+        if full.is_finite() && full >= 0.0 {
+            keep(&mut self.news[link.tier], 4 * KEPT, (at, full));
+        }
+    }
+}
+
 /// One interval's reading of a server.
 #[derive(Clone, Copy)]
 pub(crate) struct Reading {
@@ -249,3 +279,68 @@
     pub(crate) gaps: Vec<Duration>,
     pub(crate) cold_for: Duration,
 }
+
+/// A session manager; what it does is in `policy`.
+pub struct Manager {
+    pub(crate) now: Duration,
+    pub(crate) started: Duration,
+    pub(crate) chance: Pcg,
+    pub(crate) siblings: f64,
+    pub(crate) zone: ZoneId,
+    pub(crate) cross: f64,
+    pub(crate) ladder: Ladder,
+    pub(crate) network: Network,
+    pub(crate) pace: Pace,
+    pub(crate) limits: Limits,
+    pub(crate) ration: Option<Ration>,
+    pub(crate) packages: Vec<Package>,
+    pub(crate) customers: Vec<Customer>,
+    pub(crate) looks: u32,
+    pub(crate) viewings: BTreeMap<ViewingId, Viewing<Next>>,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    /// Servers by cell.
+    pub(crate) places: Vec<Vec<ServerId>>,
+    pub(crate) uplinks: Vec<Link>,
+    pub(crate) view: View,
+}
+
+impl Manager {
+    pub fn new(
+        (seed, siblings, zone, cross): (u64, u32, ZoneId, f64), ladder: Ladder, network: Network, pace: Pace,
+        limits: Limits, ration: Option<Ration>, packages: Vec<Package>, customers: Vec<Customer>,
+    ) -> Self {
+        let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
+        let uplinks = (0..network.racks.max(1)).map(|_| Link::new(network.uplink_kb, 1)).collect();
+        let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
+        let places = vec![vec![]; network.places.max(1) as usize];
+        let (started, chance, view) = (now, Pcg(seed), View::new(network.told / 2));
+        Manager {
+            now,
+            started,
+            chance,
+            siblings,
+            zone,
+            cross,
+            ladder,
+            network,
+            pace,
+            limits,
+            ration,
+            packages,
+            customers,
+            looks,
+            viewings,
+            servers,
+            places,
+            uplinks,
+            view,
+        }
+    }
+
+    /// The servers of the cells that hold a title.
+    pub(crate) fn holders(&self, cells: Cells) -> impl Iterator<Item = ServerId> + use<'_> {
+        let places = self.places.len();
+        let cell = move |i| (cells.first as usize + i) % places;
+        (0..places.min(cells.spread as usize)).flat_map(move |i| self.places[cell(i)].iter().copied())
+    }
+}
