--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,8 @@
 const PACED: f64 = 0.8;
 /// The weight of no news at all, where news of this moment weighs 1.
 const FADED: f64 = 0.2;
+/// So many of our viewings at a link tell as much of it as the news of others.
+const ENOUGH: f64 = 8.0;
 /// What counts as chance in the number of our viewings, in square roots of it.
 const CHANCE: f64 = 0.5;
 /// A tune-in's limit before a further one, in parts of the join target.
@@ -66,8 +68,10 @@
 
     pub(crate) fn full(&self, view: &View) -> f64 {
         let (_, own, grown) = self.last();
-        // Guards against news that stops or was of another link: it fades into what is usual.
-        let (mut sum, mut weights) = (FADED * view.usual[self.tier].max(own / self.kb), FADED);
+        // Guards against news that stops or was of another link: it fades into all asking as we do, as far as
+        // our viewings there are enough to tell, and into what is usual.
+        let (alike, held) = (own * view.siblings / self.kb, view.held[self.tier] / ENOUGH);
+        let (mut sum, mut weights) = (FADED * (held * alike + view.usual[self.tier]) / (held + 1.0), FADED);
         for &(at, full) in &self.heard {
             let then = self.trail.iter().rev().find(|t| t.0 <= at).or(self.trail.front());
             let (_, own_then, grown_then) = then.copied().unwrap_or((at, 0.0, grown));
@@ -387,9 +391,10 @@
         self.looks += 1;
         let placed: Vec<_> = self.viewings.values().filter(|v| v.server.is_some()).collect();
         let own: f64 = placed.iter().map(|v| self.kb(v, v.rung)).sum();
-        let kbs = [self.network.links_kb, self.network.uplink_kb * self.uplinks.len() as f64];
-        let crowd = placed.len() as f64;
+        let (crowd, uplinks) = (placed.len() as f64, self.uplinks.len() as f64);
+        let kbs = [self.network.links_kb, self.network.uplink_kb * uplinks];
         keep(&mut self.view.crowd, 2 * KEPT, (now, crowd));
+        self.view.held = [crowd / self.servers.len().max(1) as f64, crowd / uplinks];
         self.view.settle(kbs.map(|kb| own * self.siblings / kb.max(1.0)));
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
@@ -441,15 +446,22 @@
         ((kb * p.scale).max(1e-6), worth * p.value * viewing.standing)
     }
 
+    fn held(&self, there: impl Fn(&&Viewing<Next>) -> bool) -> (usize, f64) {
+        let kbs = self.viewings.values().filter(there).map(|v| self.kb(v, v.rung));
+        kbs.fold((0, 0.0), |(held, sum), kb| (held + 1, sum + kb))
+    }
+
     /// Books what we ask of a server's link and its rack's uplink.
     fn mark(&mut self, server: ServerId) {
         let Some(rack) = self.servers.get(&server).map(|s| self.network.rack(s.listed.cell)) else { return };
-        let there = self.viewings.values().filter(|v| v.server == Some(server));
-        let kb = there.map(|v| self.kb(v, v.rung)).sum();
-        self.servers.entry(server).and_modify(|s| s.link.mark(self.now, kb, 1.0));
-        let there = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
-        let kb = there.map(|v| self.kb(v, v.rung)).sum();
-        self.uplinks[rack].mark(self.now, kb, 1.0);
+        let (held, kb) = self.held(|v| v.server == Some(server));
+        let (held_up, kb_up) = self.held(|v| self.rack(v) == Some(rack));
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.link.held = held;
+            s.link.mark(self.now, kb, 1.0);
+        }
+        self.uplinks[rack].held = held_up;
+        self.uplinks[rack].mark(self.now, kb_up, 1.0);
     }
 
     fn tried(&mut self, server: ServerId, good: bool) {
@@ -625,7 +637,9 @@
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, kb, vw, id, rung) in steps {
             let link = links.entry(id).or_default();
-            if luck * kb <= link.min(uplink) && rungs.get(&vw) == Some(&(rung - 1)) {
+            // Who holds several viewings at a link rounds among them; one alone goes by its luck.
+            let least = if self.servers[&id].link.held > 1 { kb } else { luck * kb };
+            if least <= link.min(uplink) && rungs.get(&vw) == Some(&(rung - 1)) {
                 (*link, uplink) = (*link - kb, uplink - kb);
                 rungs.insert(vw, rung);
             }
@@ -663,8 +677,9 @@
         ups.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, kb, vw, server, to) in downs {
             let Some((over, room, _, meant)) = links.get_mut(&server) else { continue };
-            let need = over.max(over_up).min(kb);
+            let need = over.max(over_up);
             if need > 0.0 {
+                let need = if self.servers[&server].link.held > 1 { kb } else { need.min(kb) };
                 (*over, *room, over_up, room_up) = (*over - need, 0.0, over_up - need, 0.0);
                 *meant -= need;
                 if self.chance.falls(need / kb) {
@@ -678,7 +693,7 @@
             let to = (v.rung + 1..=ideal).rev().map(|to| (self.between(v, v.rung, to).0, to));
             let next = (self.between(v, v.rung, v.rung + 1).0, v.rung + 1);
             let (kb, to) = { to }.find(|(kb, _)| *kb <= least).unwrap_or(next);
-            if least > 0.0 {
+            if least >= kb || least > 0.0 && self.servers[&server].link.held < 2 {
                 let part = kb.min(least);
                 (*room, room_up, *meant) = (*room - part, room_up - part, *meant + part);
                 if self.chance.falls(part / kb) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,6 +144,8 @@
 pub(crate) struct Link {
     pub kb: f64,
     pub tier: usize,
+    /// Our viewings there.
+    pub held: usize,
     pub heard: VecDeque<(Duration, f64)>,
     /// When, what we asked of it, and how far our rungs were meant to have grown it in all.
     pub trail: VecDeque<(Duration, f64, f64)>,
@@ -152,7 +154,7 @@
 impl Link {
     pub fn new(kb: f64, tier: usize) -> Self {
         let trail = VecDeque::from([(Duration::ZERO, 0.0, 1.0)]);
-        Link { kb: kb.max(1.0), tier, heard: VecDeque::new(), trail }
+        Link { kb: kb.max(1.0), tier, held: 0, heard: VecDeque::new(), trail }
     }
 
     pub fn hear(&mut self, at: Duration, full: f64) {
@@ -178,13 +180,15 @@
     pub crowd: VecDeque<(Duration, f64)>,
     pub news: [VecDeque<(Duration, f64)>; 2],
     pub usual: [f64; 2],
+    /// Our viewings at a link or uplink on average.
+    pub held: [f64; 2],
     pub siblings: f64,
 }
 
 impl View {
-    pub fn new(half: Duration) -> Self {
+    pub fn new(half: Duration, siblings: f64) -> Self {
         let (now, crowd, news, usual) = (Duration::ZERO, VecDeque::new(), Default::default(), [0.0; 2]);
-        View { now, half, crowd, news, usual, siblings: 3.0 }
+        View { now, half, crowd, news, usual, held: [0.0; 2], siblings }
     }
 
     /// News of a link, kept with it and among the last of any.
@@ -313,7 +317,7 @@
         let uplinks = (0..network.racks.max(1)).map(|_| Link::new(network.uplink_kb, 1)).collect();
         let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
         let places = vec![vec![]; network.places.max(1) as usize];
-        let (started, chance, view) = (now, Pcg(seed), View::new(network.told / 2));
+        let (started, chance, view) = (now, Pcg(seed), View::new(network.told / 2, siblings));
         Manager {
             now,
             started,
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -57,7 +57,15 @@
         let (rates, worths) = (vec![100.0, 200.0, 400.0, 800.0], vec![0.25, 0.5, 0.75, 1.0]);
         let ladder = Ladder { rates, worths, switch: 0.5 };
         let (told, seen) = (ms(3000), ms(1000));
-        let network = Network { places: 8, racks: 2, weight_kb: 1000.0, uplink_kb: 8000.0, told, seen };
+        let network = Network {
+            places: 8,
+            racks: 2,
+            links_kb: 8000.0,
+            weight_kb: 1000.0,
+            uplink_kb: 8000.0,
+            told,
+            seen,
+        };
         let pace = Pace::new(2, &[40.0], ms(10_000), 0.4, 2.0);
         let limits = Limits { tune_ins: 3, call_off: true, come_back: Some(ms(2000)) };
         let package = |once, floor, seats| Package {
@@ -447,6 +455,14 @@
     }
 }
 
+/// How we look at links one second after the start, with so many viewings then and now.
+fn view(then: f64, now: f64) -> View {
+    let mut view = View::new(ms(1500), 2.0);
+    view.crowd = [(START, then), (START + ms(1000), now)].into();
+    view.now = START + ms(1000);
+    view
+}
+
 #[test]
 fn others_grow_as_our_crowd_does() {
     // Our viewings when the note was taken and now; how what the link is held to be asked changes.
@@ -454,17 +470,47 @@
         [(20.0, 20.0, 1.0, 1.0), (20.0, 22.0, 1.0, 1.0), (20.0, 40.0, 1.6, 1.95), (40.0, 20.0, 0.5, 0.7)]
     {
         let full = |now| {
-            let mut link = Link::new(1000.0, ms(1500), 2.0, (0.9, 1.0));
-            link.mark(START, 0.0, then, false);
+            let mut link = Link::new(1000.0, 0);
             link.hear(START, 0.5);
-            link.mark(START + ms(1000), 0.0, now, false);
-            link.full(START + ms(1000))
+            link.full(&view(then, now))
         };
         let change = full(now) / full(then);
         assert!(change >= least && change <= most, "{change} for {then} to {now}");
     }
 }
 
+#[test]
+fn others_are_reckoned_to_do_what_we_meant() {
+    // Our part after a look, how far it was meant to grow; what a link heard at 0.5 is then held to be asked.
+    for (own, meant, full) in [(100.0, 1.0, 0.5), (100.0, 1.5, 0.7), (200.0, 1.5, 0.8), (100.0, 0.5, 0.3)] {
+        let mut link = Link::new(1000.0, 0);
+        link.mark(START, 100.0, 1.0);
+        link.hear(START, 0.5);
+        link.mark(START + ms(500), own, meant);
+        let mut view = view(20.0, 20.0);
+        view.usual = [full, full];
+        assert!((link.full(&view) - full).abs() < 0.01, "{own} {meant}: {}", link.full(&view));
+    }
+}
+
+#[test]
+fn links_never_heard_of_are_as_full_as_usual() {
+    // What was heard of other links, the managers, the mean of our viewings at a link, what an unheard one with
+    // one viewing of a tenth of it is held to be asked.
+    for (news, siblings, held, least, most) in
+        [(0.4, 200.0, 0.0, 0.35, 0.45), (0.8, 200.0, 0.05, 0.7, 1.0), (0.8, 3.0, 8.0, 0.45, 0.65)]
+    {
+        let mut view = view(6.0, 6.0);
+        (view.siblings, view.held) = (siblings, [held, held]);
+        let (mut other, mut link) = (Link::new(1000.0, 0), Link::new(1000.0, 0));
+        (0..9).for_each(|_| view.hear(&mut other, view.now, news));
+        view.settle([0.5, 0.5]);
+        link.mark(START, 100.0, 1.0);
+        let full = link.full(&view);
+        assert!(full >= least && full <= most, "{full} at {news}, {siblings} managers");
+    }
+}
+
 #[test]
 fn a_stuck_uplink_limits_its_servers() {
     // Fullness heard of the uplink; whether set-ups to a server under it end up limited.
@@ -486,10 +532,12 @@
 fn old_news_fades() {
     // Seconds since the last news of a link, which said 1.0; the least and the most that it is still held to be.
     for (age, least, most) in [(0, 0.8, 1.0), (3, 0.4, 0.8), (30, 0.1, 0.11)] {
-        let mut link = Link::new(1000.0, ms(1500), 2.0, (0.9, 1.0));
-        link.mark(START, 50.0, 20.0, false);
+        let mut link = Link::new(1000.0, 0);
+        link.mark(START, 50.0, 1.0);
         link.hear(START, 1.0);
-        let full = link.full(START + ms(age * 1000));
+        let mut view = view(20.0, 20.0);
+        (view.now, view.usual) = (START + ms(age * 1000), [0.1, 0.1]);
+        let full = link.full(&view);
         assert!(full >= least && full <= most, "{full} after {age} s");
     }
 }
