First set-ups to a cold server thinned by chance where all managers' tune-ins are many

Now chance thins first set-ups by what the managers' tune-ins, spread evenly, would come to against the pace.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,6 +42,8 @@
 const AT_SET_UP: f64 = 0.35;
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
+/// The part of that pace which set-ups spread evenly may reach: some servers are asked for several times the mean.
+const EVEN: f64 = 0.15;
 /// The weight of no news at all, where news of this moment weighs 1.
 const FADED: f64 = 0.2;
 /// So many of our viewings at a link tell as much of it as the news of others.
@@ -500,7 +502,9 @@
     fn choose(&mut self, vw: ViewingId) -> Result<ServerId, Duration> {
         let (viewing, now, recall) = (&self.viewings[&vw], self.now, self.pace.cold_for);
         let pause = self.packages.iter().map(|p| p.target).min().unwrap_or(INTERVAL) / 2;
-        let mut wait = Duration::MAX;
+        let tune_ins = self.tune_ins.iter().filter(|t| now.saturating_sub(**t) < recall).count();
+        let rate = tune_ins as f64 / recall.as_secs_f64().max(0.1);
+        let (mut wait, mut chance) = (Duration::MAX, Pcg(self.chance.0));
         let (mut fit, mut suspects) = (vec![], vec![]);
         for id in self.holders(viewing.cells) {
             let s = &self.servers[&id];
@@ -511,8 +515,11 @@
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
             let shunned = viewing.shunned.contains(&id);
             let trial = self.viewings.values().any(|v| v.server == Some(id) && !v.playing);
-            if (now < s.cold_until || s.health.lost) && now < next {
-                wait = wait.min(next - now);
+            // Guards against all managers' first set-ups coming together: chance thins them where tune-ins are many.
+            let even = EVEN * self.servers.len() as f64 / (gap.as_secs_f64() * rate).max(1e-9);
+            let first = s.sent.is_none_or(|sent| sent + recall < s.cold_until);
+            if (now < s.cold_until || s.health.lost) && (now < next || first && !chance.falls(even)) {
+                wait = wait.min(next.saturating_sub(now).max(gap / 8));
             } else if shunned || s.health.suspect(now, pause, recall, trial) {
                 suspects.push((shunned, s.health.bad(now, recall), id));
             } else {
@@ -533,6 +540,7 @@
         if self.cross > 0.0 && fit.iter().any(near) {
             fit.retain(near);
         }
+        self.chance = chance;
         let mut order = vec![];
         while order.len() < 2 && !fit.is_empty() {
             order.push(fit.swap_remove(self.chance.below(fit.len())));
@@ -574,6 +582,7 @@
         self.ration.iter_mut().filter(|_| !first).for_each(|r| r.further.push_back(now));
         if let Some(s) = self.servers.get_mut(&server) {
             s.sent = Some(now);
+            keep(&mut self.tune_ins, 32 * KEPT, now);
             s.warning.admitted += 1.0;
         }
         self.viewings.entry(vw).and_modify(|v| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -300,6 +300,7 @@
     pub(crate) packages: Vec<Package>,
     pub(crate) customers: Vec<Customer>,
     pub(crate) looks: u32,
+    pub(crate) tune_ins: VecDeque<Duration>,
     pub(crate) viewings: BTreeMap<ViewingId, Viewing<Next>>,
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// Servers by cell.
@@ -333,6 +334,7 @@
             packages,
             customers,
             looks,
+            tune_ins: VecDeque::new(),
             viewings,
             servers,
             places,
