A viewing alone at its link rises only if all like it may; less of an uplink's room at set-up

Cause: with 200 managers a viewing is alone with its manager at its link, and rises by chance moved links to both sides of their aim; a link over 1.02 costs a viewing far more than one at half. Change: no chance upwards (all like it rise, or none), chance only downwards and at set-up; a new viewing may rise when the news of its set-up is in; a set-up takes a tenth of an uplink's room (0.35 of a link's).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,8 +38,8 @@
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
 const OUTLOOK: f64 = 2.5;
-/// The part of a link's room that a set-up may take, other managers' set-ups being chance.
-const AT_SET_UP: f64 = 0.35;
+/// The part of the room of a link and of an uplink that a set-up may take, others' set-ups being chance.
+const AT_SET_UP: [f64; 2] = [0.35, 0.1];
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
 /// The part of that pace which set-ups spread evenly may reach: some servers are asked for several times the mean.
@@ -586,7 +586,7 @@
             s.warning.admitted += 1.0;
         }
         self.viewings.entry(vw).and_modify(|v| {
-            (v.tune_ins, v.server, v.changed) = (tune_ins + 1, Some(server), now);
+            (v.tune_ins, v.server) = (tune_ins + 1, Some(server));
             v.next = Some(Box::new(move |m, act, vw, ending| m.after(act, vw, server, ending)));
         });
         let rack = self.network.rack(self.servers[&server].listed.cell);
@@ -628,12 +628,12 @@
 
     /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings. A step that
     /// fits in part is taken where `luck` of it fits: 0 takes it always.
-    fn ideal(&self, rack: usize, part: f64, luck: f64) -> BTreeMap<ViewingId, usize> {
-        let mut uplink = self.uplinks[rack].budget(&self.view, part);
+    fn ideal(&self, rack: usize, part: [f64; 2], luck: f64) -> BTreeMap<ViewingId, usize> {
+        let mut uplink = self.uplinks[rack].budget(&self.view, part[1]);
         let (mut links, mut rungs, mut steps) = (BTreeMap::new(), BTreeMap::new(), vec![]);
         for (vw, v) in self.viewings.iter().filter(|(_, v)| self.rack(v) == Some(rack)) {
             let Some(id) = v.server else { continue };
-            let link = links.entry(id).or_insert_with(|| self.servers[&id].link.budget(&self.view, part));
+            let link = links.entry(id).or_insert_with(|| self.servers[&id].link.budget(&self.view, part[0]));
             let floor = self.packages[v.package].floor;
             uplink -= self.kb(v, floor);
             *link -= self.kb(v, floor);
@@ -656,15 +656,17 @@
         rungs
     }
 
-    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Of a step that is
-    /// more than our part chance decides, so that the managers together move by as much as is meant.
+    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Of a step
+    /// down that is more than our part chance decides, so that the managers together move by as much as is meant.
     fn replan(&mut self, act: &mut dyn Actions, rack: usize) {
         let (now, part) = (self.now, 1.0 / self.siblings);
-        let room = |link: &Link| (link.budget(&self.view, part) - link.own()) * HASTE;
+        // One viewing alone at a link rises only if all like it may; more of them go by half of their room.
+        let haste = |link: &Link| if link.tier == 0 && link.held > 1 { HASTE } else { 1.0 };
+        let room = |link: &Link| (link.budget(&self.view, part) - link.own()) * haste(link);
         let uplink = &self.uplinks[rack];
-        let (mut over_up, mut room_up) = (uplink.over(&self.view), room(uplink) * 2.0);
+        let (mut over_up, mut room_up) = (uplink.over(&self.view), room(uplink));
         let (mut links, mut downs, mut ups) = (BTreeMap::new(), vec![], vec![]);
-        for (vw, ideal) in self.ideal(rack, part, 0.0) {
+        for (vw, ideal) in self.ideal(rack, [part; 2], 0.0) {
             let v = &self.viewings[&vw];
             let Some(server) = v.server else { continue };
             let link = &self.servers[&server].link;
@@ -698,16 +700,11 @@
         }
         for (_, vw, server, ideal) in ups {
             let Some((_, room, _, meant)) = links.get_mut(&server) else { continue };
-            let (v, least) = (&self.viewings[&vw], room.min(room_up));
+            let v = &self.viewings[&vw];
             let to = (v.rung + 1..=ideal).rev().map(|to| (self.between(v, v.rung, to).0, to));
-            let next = (self.between(v, v.rung, v.rung + 1).0, v.rung + 1);
-            let (kb, to) = { to }.find(|(kb, _)| *kb <= least).unwrap_or(next);
-            if least >= kb || least > 0.0 && self.servers[&server].link.held < 2 {
-                let part = kb.min(least);
-                (*room, room_up, *meant) = (*room - part, room_up - part, *meant + part);
-                if self.chance.falls(part / kb) {
-                    self.set_rung(act, vw, to);
-                }
+            if let Some((kb, to)) = { to }.find(|(kb, _)| *kb <= *room && *kb <= room_up) {
+                (*room, room_up, *meant) = (*room - kb, room_up - kb, *meant + kb);
+                self.set_rung(act, vw, to);
             }
         }
         let (mut own_up, mut meant_up) = (0.0, 0.0);
