Before any news nobody moves: what is usual fades into the aim; uplinks without news go by links

Cause: at the start no news is in, and own part times 198 managers stood for what is usual; half of all viewings were lowered to the floor within two seconds (857 changes) and took half a minute to rise. Told from a crowd or short links: the notes that came then said 0.77 on average, one link in ten over 1.1. Change: without news what is usual is the aim, so nobody moves, unless own viewings are many enough to tell; uplinks that are never told of go by what is usual of links. Should guard as well against a restarted manager and reports that stop; does harm where the fleet is short and news stops, as nobody lowers.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -116,11 +116,14 @@
         1.0 + (grew.abs() - CHANCE * then.sqrt()).max(0.0).copysign(grew) / then.max(1.0)
     }
 
-    /// What is usually asked of a link or uplink: the news of any, fading into all asking as we do.
-    pub(crate) fn settle(&mut self, alike: [f64; 2]) {
-        for (tier, alike) in alike.into_iter().enumerate() {
+    /// What is usually asked of a link or uplink: the news of any. Guards against none: it fades into all asking as
+    /// we do, as far as ours are enough to tell, else into an aim, so that nobody moves; uplinks go by links.
+    pub(crate) fn settle(&mut self, own: f64, kbs: [f64; 2]) {
+        for tier in 0..2 {
+            let base = [1.0, self.usual[0] * kbs[0] / kbs[1]][tier].min(BANDS[tier].0);
+            let (held, alike) = (self.held[tier] / ENOUGH, own * self.siblings / kbs[tier]);
+            let start = (FADED * (held * alike + base) / (held + 1.0), FADED);
             let news = self.news[tier].iter().map(|(at, full)| (self.weight(*at), *full));
-            let start = (FADED * alike, FADED);
             let (sum, weights) = news.fold(start, |(s, w), (weight, full)| (s + weight * full, w + weight));
             self.usual[tier] = sum / weights;
         }
@@ -394,10 +397,10 @@
         let placed: Vec<_> = self.viewings.values().filter(|v| v.server.is_some()).collect();
         let own: f64 = placed.iter().map(|v| self.kb(v, v.rung)).sum();
         let (crowd, uplinks) = (placed.len() as f64, self.uplinks.len() as f64);
-        let kbs = [self.network.links_kb, self.network.uplink_kb * uplinks];
+        let kbs = [self.network.links_kb.max(1.0), (self.network.uplink_kb * uplinks).max(1.0)];
         keep(&mut self.view.crowd, 2 * KEPT, (now, crowd));
         self.view.held = [crowd / self.servers.len().max(1) as f64, crowd / uplinks];
-        self.view.settle(kbs.map(|kb| own * self.siblings / kb.max(1.0)));
+        self.view.settle(own, kbs);
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
         }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -504,7 +504,7 @@
         (view.siblings, view.held) = (siblings, [held, held]);
         let (mut other, mut link) = (Link::new(1000.0, 0), Link::new(1000.0, 0));
         (0..9).for_each(|_| view.hear(&mut other, view.now, news));
-        view.settle([0.5, 0.5]);
+        view.settle(500.0 / siblings, [1000.0, 1000.0]);
         link.mark(START, 100.0, 1.0);
         let full = link.full(&view);
         assert!(full >= least && full <= most, "{full} at {news}, {siblings} managers");
