--- a/src/policy.rs
+++ b/src/policy.rs
@@ -210,9 +210,6 @@
 
     /// A suspect gets nothing for a while that doubles with each bad ending, then one trial at a time.
     fn suspect(&self, now: Duration, pause: Duration, recall: Duration, trial: bool) -> bool {
-        if self.full.is_some_and(|full| now < full + pause) {
-            return true;
-        }
         let bad = self.bad(now, recall);
         let last = self.tries.iter().rev().find(|t| !t.1).map_or(Duration::ZERO, |t| t.0);
         bad > 0 && (trial || now < last + pause * (1 << (bad - 1).min(2)))
@@ -321,10 +318,7 @@
         if lost || ending == Ending::Errored {
             self.tried(server, false);
         }
-        self.servers.entry(server).and_modify(|s| {
-            s.health.lost |= lost;
-            s.health.full = if ending == Ending::TurnedAway { Some(now) } else { s.health.full };
-        });
+        self.servers.entry(server).and_modify(|s| s.health.lost |= lost);
         let Some(viewing) = self.viewings.get_mut(&vw).filter(|v| v.tune_ins == n.wrapping_add(1)) else {
             return;
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -226,8 +226,6 @@
 pub(crate) struct Health {
     pub tries: VecDeque<(Duration, bool)>,
     pub lost: bool,
-    /// When it last turned a tune-in away.
-    pub full: Option<Duration>,
 }
 
 /// How many tune-ins beyond each viewing's first are allowed in a span, and when viewings were taken and
