Two drawn holders without news are probed before a set-up, where that is allowed

With many managers few holders have viewings of ours, so two choices were made blindly. Where probes are allowed the two drawn are probed when nothing was heard of them for the time between notes, and the set-up waits for what they say; a failed probe counts against its server. Guards as well against servers that died or hang unlisted; harm: the price of probes, and a set-up that waits for a dead server's probe.

--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -48,6 +48,9 @@
     fn set_rung(&mut self, vw: ViewingId, rung: usize) {
         self.reply.push(self.who, 13, &[&vw.0.to_le_bytes(), &[rung as u8]]);
     }
+    fn probe(&mut self, server: ServerId) {
+        self.reply.push(self.who, 6, &[&server.0]);
+    }
     fn wake(&mut self, after: Duration, token: u64) {
         self.reply.push(self.who, 5, &[&micros(after), &token.to_le_bytes()]);
     }
@@ -166,7 +169,11 @@
                 TitleId(r.u64(48, "title")?),
                 count(44, "ceiling-rung")? as usize,
             ),
-            2 => manager.reported(now, ServerId(r.server(2, "server")?), load(r, 14, report)?),
+            2 => {
+                let load = load(r, 14, report)?;
+                let answered = r.u16(8, "reason")? == 0;
+                manager.probed(act, now, ServerId(r.server(2, "server")?), answered.then_some(load));
+            }
             4 => {
                 r.tail(6, 1, "payload")?;
             }
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -101,6 +101,7 @@
     let longest = micros(or_zero(&all, "/limits/max-retry-after-us"));
     let limits = Limits {
         tune_ins: number(&all, "/limits/max-attempts")? as u16,
+        probe: truth(&all, "/limits/may-probe"),
         call_off: truth(&all, "/limits/cancelling"),
         come_back: truth(&all, "/limits/retry-after").then_some(longest),
     };
--- a/src/front.rs
+++ b/src/front.rs
@@ -111,5 +111,7 @@
     fn abort(&mut self, vw: ViewingId);
     fn call_off(&mut self, vw: ViewingId, tune_in: u16);
     fn set_rung(&mut self, vw: ViewingId, rung: usize);
+    /// Asks a server for its load; `probed` tells what came of it.
+    fn probe(&mut self, server: ServerId);
     fn wake(&mut self, after: Duration, token: u64);
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,7 +41,7 @@
 const AT_SET_UP: [f64; 2] = [0.35, 0.1];
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
-/// The part of that pace which set-ups spread evenly may reach: some servers are asked for several times the mean.
+/// The part of that pace which evenly spread set-ups may reach: some servers are asked several times the mean.
 const EVEN: f64 = 0.15;
 /// The weight of no news at all, where news of this moment weighs 1.
 const FADED: f64 = 0.2;
@@ -60,8 +60,7 @@
 /// from the part that is ours. What others ask is taken to have followed our own rungs since: they hear
 /// the same and do alike, so each moves its own part only and the fleet doesn't swing.
 impl Link {
-    /// Our part is now `kb`; `growth`: how far our rungs are meant to have changed it. What chance made of that
-    /// tells nothing of what others did.
+    /// Our part is now `kb`; `growth`: how far our rungs were meant to change it, whatever chance made of it.
     pub(crate) fn mark(&mut self, now: Duration, kb: f64, growth: f64) {
         let grown = (self.last().2 * growth).clamp(1e-9, 1e9);
         keep(&mut self.trail, 8 * KEPT, (now, kb, grown));
@@ -115,8 +114,8 @@
         1.0 + (grew.abs() - CHANCE * then.sqrt()).max(0.0).copysign(grew) / then.max(1.0)
     }
 
-    /// What is usually asked of a link or uplink: the news of any. Guards against none: it fades into all asking as
-    /// we do, as far as ours are enough to tell, else into an aim, so that nobody moves; uplinks go by links.
+    /// What is usually asked of a link or uplink: the news of any. Guards against none: it fades into all asking
+    /// as we do, as far as ours are enough to tell, else into an aim, so that nobody moves; uplinks go by links.
     pub(crate) fn settle(&mut self, own: f64, kbs: [f64; 2]) {
         for tier in 0..2 {
             let base = [1.0, self.usual[0] * kbs[0] / kbs[1]][tier].min(BANDS[tier].0);
@@ -248,8 +247,9 @@
 
     pub fn listed(&mut self, now: Duration, list: &[Listed], extent: Extent) {
         self.tick(now);
+        let named: BTreeSet<_> = list.iter().map(|l| l.server).collect();
         for server in self.servers.values_mut().filter(|_| extent != Extent::Changes) {
-            if !list.iter().any(|l| l.server == server.listed.server) {
+            if !named.contains(&server.listed.server) {
                 server.listed.standing = Standing::Gone;
             }
         }
@@ -372,6 +372,22 @@
         load.uplink.into_iter().for_each(|full| self.view.hear(uplink, now, full));
     }
 
+    /// What a probe brought, none for no answer; a viewing waits for all of its own.
+    pub fn probed(&mut self, act: &mut dyn Actions, now: Duration, server: ServerId, load: Option<Load>) {
+        self.reported(now, server, load.unwrap_or_default());
+        if load.is_none() {
+            self.tried(server, false);
+        }
+        let mut ready = vec![];
+        for (vw, v) in self.viewings.iter_mut().filter(|(_, v)| v.probed.contains(&server)) {
+            v.probed.retain(|s| *s != server);
+            ready.extend(v.probed.is_empty().then_some(*vw));
+        }
+        for vw in ready {
+            self.tune_in(act, vw, true);
+        }
+    }
+
     pub fn woken(&mut self, act: &mut dyn Actions, now: Duration, token: u64) {
         self.tick(now);
         if token & PATIENCE != 0 {
@@ -480,8 +496,8 @@
     }
 
     /// The design's two choices among the holders that may take a set-up now; over its bucket, any with
-    /// tokens. When none may: how long until one does.
-    fn choose(&mut self, vw: ViewingId) -> Result<ServerId, Duration> {
+    /// tokens. When none may: how long until one does; nothing while probes are out.
+    fn choose(&mut self, act: &mut dyn Actions, vw: ViewingId) -> Result<ServerId, Option<Duration>> {
         let (viewing, now, recall) = (&self.viewings[&vw], self.now, self.pace.cold_for);
         let pause = self.packages.iter().map(|p| p.target).min().unwrap_or(INTERVAL) / 2;
         let tune_ins = self.tune_ins.iter().filter(|t| now.saturating_sub(**t) < recall).count();
@@ -497,7 +513,7 @@
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
             let shunned = viewing.shunned.contains(&id);
             let trial = self.viewings.values().any(|v| v.server == Some(id) && !v.playing);
-            // Guards against all managers' first set-ups coming together: chance thins them where tune-ins are many.
+            // Guards against all managers' first set-ups coming together: chance thins them.
             let even = EVEN * self.servers.len() as f64 / (gap.as_secs_f64() * rate).max(1e-9);
             let first = s.sent.is_none_or(|sent| sent + recall < s.cold_until);
             if (now < s.cold_until || s.health.lost) && (now < next || first && !chance.falls(even)) {
@@ -506,7 +522,8 @@
                 suspects.push((shunned, s.health.bad(now, recall), id));
             } else {
                 let uplink = &self.uplinks[self.network.rack(s.listed.cell)];
-                fit.push((s.link.full(&self.view).max(uplink.full(&self.view)), id));
+                let far = if s.listed.zone == self.zone { 0.0 } else { 2.0 * self.cross };
+                fit.push((s.link.full(&self.view).max(uplink.full(&self.view)) + far, id));
             }
         }
         if fit.is_empty() {
@@ -518,18 +535,31 @@
         if fit.iter().any(|f| f.0 < 1.0) {
             fit.retain(|f| f.0 < 1.0);
         }
-        let near = |f: &(f64, ServerId)| f.0 < BANDS[0].0 && self.servers[&f.1].listed.zone == self.zone;
-        if self.cross > 0.0 && fit.iter().any(near) {
-            fit.retain(near);
-        }
         self.chance = chance;
-        let mut order = vec![];
-        while order.len() < 2 && !fit.is_empty() {
-            order.push(fit.swap_remove(self.chance.below(fit.len())));
+        let drawn = self.viewings.get_mut(&vw).map(|v| std::mem::take(&mut v.drawn)).unwrap_or_default();
+        fit.sort_by_key(|f| !drawn.contains(&f.1));
+        for i in fit.iter().filter(|f| drawn.contains(&f.1)).count()..fit.len().min(2) {
+            let j = i + self.chance.below(fit.len() - i);
+            fit.swap(i, j);
+        }
+        let drawn_to = fit.len().min(2);
+        let (two, others) = fit.split_at_mut(drawn_to);
+        let viewing = &self.viewings[&vw];
+        if self.limits.probe && viewing.tune_ins == 0 && drawn.is_empty() && two.len() == 2 {
+            // With many managers few holders have viewings of ours: there is no news but a probe's.
+            let told =
+                |f: &&(f64, ServerId)| self.servers[&f.1].link.heard.back().map_or(Duration::ZERO, |h| h.0);
+            let stale = two.iter().filter(|f| told(f) + self.network.told < now);
+            let (drawn, probed) = (two.iter().map(|f| f.1).collect(), stale.map(|f| f.1).collect::<Vec<_>>());
+            if !probed.is_empty() {
+                probed.iter().for_each(|server| act.probe(*server));
+                self.viewings.entry(vw).and_modify(|v| (v.drawn, v.probed) = (drawn, probed));
+                return Err(None);
+            }
         }
-        order.sort_by(|a, b| a.0.total_cmp(&b.0));
-        fit.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, id) in order.into_iter().chain(fit) {
+        two.sort_by(|a, b| a.0.total_cmp(&b.0));
+        others.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, id) in fit {
             let bucket = self.servers.get_mut(&id).and_then(|s| s.warning.bucket.as_mut());
             let Some(bucket) = bucket else { return Ok(id) };
             bucket.fill(now);
@@ -539,7 +569,7 @@
             }
             wait = wait.min(bucket.wait());
         }
-        Err(wait)
+        Err(Some(wait))
     }
 
     /// Sets a viewing up, or ends it at once where nothing can be done for it.
@@ -557,9 +587,10 @@
         // A paid viewing can't be sent again after silence, and a last tune-in has nothing after it.
         let last = p.once || tune_ins + 1 == self.limits.tune_ins;
         let limit = if last { left } else { p.target.mul_f64(LIMIT).min(left) };
-        let server = match self.choose(vw) {
+        let server = match self.choose(act, vw) {
             Ok(server) => server,
-            Err(wait) => return self.turn_down(act, vw, wait),
+            Err(None) => return,
+            Err(Some(wait)) => return self.turn_down(act, vw, wait),
         };
         self.ration.iter_mut().filter(|_| !first).for_each(|r| r.further.push_back(now));
         if let Some(s) = self.servers.get_mut(&server) {
@@ -608,8 +639,8 @@
         act.block(vw, self.limits.come_back.map(|most| wait.min(most)).filter(|w| !w.is_zero()));
     }
 
-    /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings. A step that
-    /// fits in part is taken where `luck` of it fits: 0 takes it always.
+    /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings. A step
+    /// that fits in part is taken where `luck` of it fits: 0 takes it always.
     fn ideal(&self, rack: usize, part: [f64; 2], luck: f64) -> BTreeMap<ViewingId, usize> {
         let mut uplink = self.uplinks[rack].budget(&self.view, part[1]);
         let (mut links, mut rungs, mut steps) = (BTreeMap::new(), BTreeMap::new(), vec![]);
@@ -638,8 +669,8 @@
         rungs
     }
 
-    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Of a step
-    /// down that is more than our part chance decides, so that the managers together move by as much as is meant.
+    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Of a step down that
+    /// is more than our part chance decides, so that the managers together move by as much as is meant.
     fn replan(&mut self, act: &mut dyn Actions, rack: usize) {
         let (now, part) = (self.now, 1.0 / self.siblings);
         // One viewing alone at a link rises only if all like it may; more of them go by half of their room.
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,7 @@
 pub struct Limits {
     pub tune_ins: u16,
     pub call_off: bool,
+    pub probe: bool,
     pub come_back: Option<Duration>,
 }
 
@@ -99,6 +100,9 @@
     pub playing: bool,
     pub changed: Duration,
     pub shunned: Vec<ServerId>,
+    /// The holders drawn for it, and those of them whose probes are out.
+    pub drawn: Vec<ServerId>,
+    pub probed: Vec<ServerId>,
     pub next: Option<Next>,
 }
 
@@ -120,6 +124,8 @@
             playing,
             changed,
             shunned,
+            drawn: vec![],
+            probed: vec![],
             next,
         }
     }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -15,6 +15,7 @@
     Block(u32, Option<Duration>),
     Abort(u32),
     CallOff(u32, u16),
+    Probe(u8),
     Rung(u32, usize),
     Wake(Duration, u64),
 }
@@ -38,6 +39,9 @@
     fn set_rung(&mut self, vw: ViewingId, rung: usize) {
         self.0.push(Did::Rung(vw.0, rung));
     }
+    fn probe(&mut self, server: ServerId) {
+        self.0.push(Did::Probe(server.0[0]));
+    }
     fn wake(&mut self, after: Duration, token: u64) {
         self.0.push(Did::Wake(after, token));
     }
@@ -67,7 +71,7 @@
             seen,
         };
         let pace = Pace::new(2, &[40.0], ms(10_000), 0.4, 2.0);
-        let limits = Limits { tune_ins: 3, call_off: true, come_back: Some(ms(2000)) };
+        let limits = Limits { tune_ins: 3, probe: false, call_off: true, come_back: Some(ms(2000)) };
         let package = |once, floor, seats| Package {
             value: 1.0,
             target: ms(1000),
