--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,7 +42,7 @@
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
 /// The part of that pace which evenly spread set-ups may reach: some servers are asked several times the mean.
-const EVEN: f64 = 0.15;
+const EVEN: f64 = 0.05;
 /// The weight of no news at all, where news of this moment weighs 1.
 const FADED: f64 = 0.2;
 /// So many of our viewings at a link tell as much of it as the news of others.
@@ -473,25 +473,13 @@
         }
     }
 
-    /// A short share speaks of all viewings at the server. Where most of our servers of a rack are short,
-    /// the uplink is; else the link.
+    /// A short share speaks of all viewings at the server, and of its link.
     fn short(&mut self, then: Duration, server: ServerId, share: f64) {
-        let now = self.now;
         let Some(s) = self.servers.get_mut(&server).filter(|_| share.is_finite()) else { return };
         s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share));
-        s.short = (share < FULL).then_some(now);
-        let rack = self.network.rack(s.listed.cell);
-        let peers = self.viewings.values().filter(|v| self.rack(v) == Some(rack)).filter_map(|v| v.server);
-        let peers: BTreeSet<_> = peers.collect();
-        let peers: Vec<_> = peers.iter().map(|server| self.servers[server].short).collect();
-        let short = peers.iter().flatten().filter(|t| now.saturating_sub(**t) < INTERVAL).count();
-        let link = match self.servers.get_mut(&server) {
-            Some(s) if short < 2 || short * 2 <= peers.len() => &mut s.link,
-            _ => &mut self.uplinks[rack],
-        };
         let full = 1.0 / share.max(0.05);
-        if share < FULL && link.full(&self.view) < full {
-            link.hear(then, full);
+        if share < FULL && s.link.full(&self.view) < full {
+            s.link.hear(then, full);
         }
     }
 
@@ -513,10 +501,12 @@
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
             let shunned = viewing.shunned.contains(&id);
             let trial = self.viewings.values().any(|v| v.server == Some(id) && !v.playing);
-            // Guards against all managers' first set-ups coming together: chance thins them.
-            let even = EVEN * self.servers.len() as f64 / (gap.as_secs_f64() * rate).max(1e-9);
-            let first = s.sent.is_none_or(|sent| sent + recall < s.cold_until);
-            if (now < s.cold_until || s.health.lost) && (now < next || first && !chance.falls(even)) {
+            // Guards against all managers' first set-ups coming together where a start is known: chance thins them.
+            let even = (EVEN * self.servers.len() as f64 / rate.max(1e-9)).max(INTERVAL.as_secs_f64());
+            let known = s.health.lost || s.listed.born.is_some_and(|born| now < born + recall);
+            let first = known && s.sent.is_none_or(|sent| sent + recall < s.cold_until);
+            let cold = now < s.cold_until || s.health.lost;
+            if cold && (now < next || first && !chance.falls(even / gap.as_secs_f64())) {
                 wait = wait.min(next.saturating_sub(now).max(gap / 8));
             } else if shunned || s.health.suspect(now, pause, recall, trial) {
                 suspects.push((shunned, s.health.bad(now, recall), id));
@@ -659,9 +649,7 @@
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, kb, vw, id, rung) in steps {
             let link = links.entry(id).or_default();
-            // Who holds several viewings at a link rounds among them; one alone goes by its luck.
-            let least = if self.servers[&id].link.held > 1 { kb } else { luck * kb };
-            if least <= link.min(uplink) && rungs.get(&vw) == Some(&(rung - 1)) {
+            if luck * kb <= link.min(uplink) && rungs.get(&vw) == Some(&(rung - 1)) {
                 (*link, uplink) = (*link - kb, uplink - kb);
                 rungs.insert(vw, rung);
             }
@@ -703,7 +691,7 @@
             let Some((over, room, _, meant)) = links.get_mut(&server) else { continue };
             let need = over.max(over_up);
             if need > 0.0 {
-                let need = if self.servers[&server].link.held > 1 { kb } else { need.min(kb) };
+                let need = need.min(kb);
                 (*over, *room, over_up, room_up) = (*over - need, 0.0, over_up - need, 0.0);
                 *meant -= need;
                 if self.chance.falls(need / kb) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -257,13 +257,12 @@
     pub health: Health,
     pub cold_until: Duration,
     pub sent: Option<Duration>,
-    pub short: Option<Duration>,
 }
 
 impl Server {
     pub fn new(listed: Listed, link: Link, cold_until: Duration) -> Self {
         let (warning, health) = (Warning::default(), Health::default());
-        Server { listed, link, warning, health, cold_until, sent: None, short: None }
+        Server { listed, link, warning, health, cold_until, sent: None }
     }
 }
 
