--- a/src/policy.rs
+++ b/src/policy.rs
@@ -671,7 +671,7 @@
             let v = &self.viewings[&vw];
             let Some(server) = v.server else { continue };
             let link = &self.servers[&server].link;
-            links.entry(server).or_insert_with(|| (link.over(&self.view), room(link), link.own(), 0.0));
+            links.entry(server).or_insert_with(|| (link.over(&self.view), room(link)));
             let p = &self.packages[v.package];
             let cost = self.ladder.switch * p.value / (OUTLOOK * INTERVAL.as_secs_f64());
             let down = ideal.min(v.rung.saturating_sub(1).max(p.floor));
@@ -688,34 +688,35 @@
         downs.sort_by(|a, b| a.0.total_cmp(&b.0));
         ups.sort_by(|a, b| b.0.total_cmp(&a.0));
         for (_, kb, vw, server, to) in downs {
-            let Some((over, room, _, meant)) = links.get_mut(&server) else { continue };
+            let Some((over, room)) = links.get_mut(&server) else { continue };
             let need = over.max(over_up);
             if need > 0.0 {
-                let need = need.min(kb);
+                let need = if self.servers[&server].link.held > 1 { kb } else { need.min(kb) };
                 (*over, *room, over_up, room_up) = (*over - need, 0.0, over_up - need, 0.0);
-                *meant -= need;
+                self.meant(server, -need);
                 if self.chance.falls(need / kb) {
                     self.set_rung(act, vw, to);
                 }
             }
         }
         for (_, vw, server, ideal) in ups {
-            let Some((_, room, _, meant)) = links.get_mut(&server) else { continue };
+            let Some((_, room)) = links.get_mut(&server) else { continue };
             let v = &self.viewings[&vw];
             let to = (v.rung + 1..=ideal).rev().map(|to| (self.between(v, v.rung, to).0, to));
             if let Some((kb, to)) = { to }.find(|(kb, _)| *kb <= *room && *kb <= room_up) {
-                (*room, room_up, *meant) = (*room - kb, room_up - kb, *meant + kb);
+                (*room, room_up) = (*room - kb, room_up - kb);
+                self.meant(server, kb);
                 self.set_rung(act, vw, to);
             }
         }
-        let (mut own_up, mut meant_up) = (0.0, 0.0);
-        for (server, (_, _, own, meant)) in links {
-            (own_up, meant_up) = (own_up + own, meant_up + meant);
-            let growth = 1.0 + meant / own.max(1.0);
-            self.servers.entry(server).and_modify(|s| s.link.mark(now, s.link.own(), growth));
+    }
+
+    /// Books by how much rungs at a server are meant to change what is asked of its link and uplink.
+    fn meant(&mut self, server: ServerId, kb: f64) {
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        for link in [&mut s.link, &mut self.uplinks[self.network.rack(s.listed.cell)]] {
+            link.mark(self.now, link.own(), 1.0 + kb / link.own().max(1.0));
         }
-        let uplink = &mut self.uplinks[rack];
-        uplink.mark(now, uplink.own(), 1.0 + meant_up / own_up.max(1.0));
     }
 
     fn set_rung(&mut self, act: &mut dyn Actions, vw: ViewingId, rung: usize) {
