--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,12 +4,13 @@
 //!
 //! The ordinary path is the design page's: interval readings of delivered share and asking per server,
 //! the two-sided alarm, a bucket per server steered by a scoreboard, two-choice placement.
-//! Beside it stand five mechanisms:
+//! Beside it stand six mechanisms:
 //!  1. rungs by one price over a rack (`ideal`, `replan`);
-//!  2. the account of links and uplinks (`Link`, `short`);
+//!  2. the account of links and uplinks (`Link`, `View`);
 //!  3. server health by symptom (`Health`);
 //!  4. tune-ins: their limits, the ration, what may follow an ending (`tune_in`, `after`, `Ration`);
-//!  5. the pace to cold servers (`Pace`).
+//!  5. the pace to cold servers (`Pace`);
+//!  6. probes of holders that nothing is known of (`choose`, `probed`).
 
 use crate::front::*;
 pub use crate::state::Manager;
@@ -17,10 +18,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// The design's interval, gains and tolerance.
+/// The design's interval, gains (calm, alarmed) and tolerance.
 const INTERVAL: Duration = Duration::from_secs(2);
-const CALM: f64 = 0.125;
-const ALARMED: f64 = 0.875;
+const GAINS: [f64; 2] = [0.125, 0.875];
 const DELTA: f64 = 0.1;
 /// A scoreboard step, as a part of the bucket's rate; intervals of full share until a calm bucket is lifted.
 const STEP: f64 = 0.125;
@@ -41,7 +41,7 @@
 const AT_SET_UP: [f64; 2] = [0.35, 0.1];
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
-/// The part of that pace which evenly spread set-ups may reach: some servers are asked several times the mean.
+/// The part of that pace which evenly spread set-ups may reach: some servers are asked for far more.
 const EVEN: f64 = 0.05;
 /// The weight of no news at all, where news of this moment weighs 1.
 const FADED: f64 = 0.2;
@@ -114,8 +114,8 @@
         1.0 + (grew.abs() - CHANCE * then.sqrt()).max(0.0).copysign(grew) / then.max(1.0)
     }
 
-    /// What is usually asked of a link or uplink: the news of any. Guards against none: it fades into all asking
-    /// as we do, as far as ours are enough to tell, else into an aim, so that nobody moves; uplinks go by links.
+    /// What is usually asked of a link or uplink: the news of any. Guards against none: it fades into all
+    /// asking as we do as far as ours are enough to tell, else into the aim: nobody moves; uplinks by links.
     pub(crate) fn settle(&mut self, own: f64, kbs: [f64; 2]) {
         for tier in 0..2 {
             let base = [1.0, self.usual[0] * kbs[0] / kbs[1]][tier].min(BANDS[tier].0);
@@ -131,12 +131,11 @@
 /// V = αV + (1−α)O over the kept readings, each by the gain of its time.
 fn average<'a>(readings: impl Iterator<Item = &'a Reading>, of: fn(&Reading) -> f64) -> Option<f64> {
     readings.fold(None, |v, r| {
-        let gain = if r.alarmed { ALARMED } else { CALM };
+        let gain = GAINS[usize::from(r.alarmed)];
         Some(v.map_or(of(r), |v: f64| gain * v + (1.0 - gain) * of(r)))
     })
 }
 
-/// The design's limit on one server's set-ups, with its scoreboard.
 impl Bucket {
     fn fill(&mut self, now: Duration) {
         let size = (self.rate * INTERVAL.as_secs_f64()).max(1.0);
@@ -160,7 +159,6 @@
     }
 }
 
-/// The design's detector and controller of one server.
 impl Warning {
     /// Closes an interval. `room`: set-ups that the link has room for by our account. `stuck`: it is short
     /// with all our viewings there at their lowest rungs, which counts as an alarm without more asking.
@@ -241,18 +239,14 @@
 impl Manager {
     pub fn start(&mut self, act: &mut dyn Actions, now: Duration) {
         self.started = now;
-        self.tick(now);
+        self.view.now = now;
         act.wake(INTERVAL / LOOKS, LOOK);
     }
 
     pub fn listed(&mut self, now: Duration, list: &[Listed], extent: Extent) {
-        self.tick(now);
-        let named: BTreeSet<_> = list.iter().map(|l| l.server).collect();
-        for server in self.servers.values_mut().filter(|_| extent != Extent::Changes) {
-            if !named.contains(&server.listed.server) {
-                server.listed.standing = Standing::Gone;
-            }
-        }
+        self.view.now = now;
+        let unnamed = self.servers.values_mut().filter(|_| extent != Extent::Changes);
+        unnamed.for_each(|server| server.listed.standing = Standing::Gone);
         for &listed in list {
             // Guards against a start before us that a remembered list doesn't show: all is cold at first.
             let cold_until = listed.born.unwrap_or_default().max(self.started) + self.pace.cold_for;
@@ -275,9 +269,8 @@
         &mut self, now: Duration, vw: ViewingId, server: ServerId, package: PackageId, title: TitleId,
         top: usize,
     ) {
-        self.tick(now);
-        let cells = Cells { first: 0, spread: 0 };
-        if let Some(v) = self.take(vw, package, title, cells, top) {
+        self.view.now = now;
+        if let Some(v) = self.take(vw, package, title, Cells { first: 0, spread: 0 }, top) {
             (v.server, v.tune_ins, v.answered, v.playing) = (Some(server), 1, true, true);
             self.mark(server);
         }
@@ -287,7 +280,7 @@
         &mut self, act: &mut dyn Actions, now: Duration, vw: ViewingId, package: PackageId, title: TitleId,
         cells: Cells, top: usize, ends: Duration,
     ) {
-        self.tick(now);
+        self.view.now = now;
         self.ration.iter_mut().for_each(|r| r.taken.push_back(now));
         let holders: Vec<_> = self.holders(cells).collect();
         for server in holders {
@@ -302,8 +295,8 @@
     }
 
     pub fn plays(&mut self, now: Duration, vw: ViewingId, server: ServerId) {
-        self.tick(now);
-        self.tried(server, true);
+        self.view.now = now;
+        self.tried(server, true, false);
         if let Some(viewing) = self.viewings.get_mut(&vw) {
             (viewing.playing, viewing.answered, viewing.next) = (true, true, None);
         }
@@ -316,9 +309,8 @@
         self.reported(now, server, load);
         let lost = matches!(ending, Ending::Unreachable | Ending::Broken | Ending::Unanswered);
         if lost || ending == Ending::Errored {
-            self.tried(server, false);
+            self.tried(server, false, lost);
         }
-        self.servers.entry(server).and_modify(|s| s.health.lost |= lost);
         let Some(viewing) = self.viewings.get_mut(&vw).filter(|v| v.tune_ins == n.wrapping_add(1)) else {
             return;
         };
@@ -343,7 +335,7 @@
     }
 
     pub fn news(&mut self, now: Duration, vw: ViewingId, server: ServerId, news: News) {
-        self.tick(now);
+        self.view.now = now;
         // A note at set-up is fresh, later ones are late.
         let fresh = self.viewings.get(&vw).is_some_and(|v| !v.playing);
         let then = if fresh { now } else { now.saturating_sub(self.network.seen) };
@@ -359,13 +351,21 @@
             News::Uplink(full) => {
                 self.view.hear(&mut self.uplinks[self.network.rack(s.listed.cell)], then, full);
             }
-            News::Share(share) => self.short(then, server, share),
+            News::Share(share) if share.is_finite() => {
+                // It speaks of all viewings at the server, and of its link.
+                s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share));
+                let full = 1.0 / share.max(0.05);
+                if share < FULL && s.link.full(&self.view) < full {
+                    s.link.hear(then, full);
+                }
+            }
+            News::Share(_) => {}
         }
     }
 
     /// A load report, with an ending or of a probe.
     pub fn reported(&mut self, now: Duration, server: ServerId, load: Load) {
-        self.tick(now);
+        self.view.now = now;
         let Some(s) = self.servers.get_mut(&server) else { return };
         load.link.into_iter().for_each(|full| self.view.hear(&mut s.link, now, full));
         let uplink = &mut self.uplinks[self.network.rack(s.listed.cell)];
@@ -376,7 +376,7 @@
     pub fn probed(&mut self, act: &mut dyn Actions, now: Duration, server: ServerId, load: Option<Load>) {
         self.reported(now, server, load.unwrap_or_default());
         if load.is_none() {
-            self.tried(server, false);
+            self.tried(server, false, true);
         }
         let mut ready = vec![];
         for (vw, v) in self.viewings.iter_mut().filter(|(_, v)| v.probed.contains(&server)) {
@@ -389,7 +389,7 @@
     }
 
     pub fn woken(&mut self, act: &mut dyn Actions, now: Duration, token: u64) {
-        self.tick(now);
+        self.view.now = now;
         if token & PATIENCE != 0 {
             // Guards against any viewing left without an answer, whatever has not come back.
             let vw = ViewingId(token as u32);
@@ -399,7 +399,6 @@
             return;
         }
         act.wake(INTERVAL / LOOKS, LOOK);
-        self.looks += 1;
         let placed: Vec<_> = self.viewings.values().filter(|v| v.server.is_some()).collect();
         let own: f64 = placed.iter().map(|v| self.kb(v, v.rung)).sum();
         let (crowd, uplinks) = (placed.len() as f64, self.uplinks.len() as f64);
@@ -407,6 +406,7 @@
         keep(&mut self.view.crowd, 2 * KEPT, (now, crowd));
         self.view.held = [crowd / self.servers.len().max(1) as f64, crowd / uplinks];
         self.view.settle(own, kbs);
+        self.looks += 1;
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
         }
@@ -417,10 +417,6 @@
 
 /// Decisions.
 impl Manager {
-    fn tick(&mut self, now: Duration) {
-        (self.now, self.view.now) = (now, now);
-    }
-
     /// The rack that a viewing is at.
     fn rack(&self, viewing: &Viewing<Next>) -> Option<usize> {
         Some(self.network.rack(self.servers.get(&viewing.server?)?.listed.cell))
@@ -446,47 +442,35 @@
         ((kb * p.scale).max(1e-6), worth * p.value)
     }
 
-    fn held(&self, there: impl Fn(&&Viewing<Next>) -> bool) -> (usize, f64) {
-        let kbs = self.viewings.values().filter(there).map(|v| self.kb(v, v.rung));
-        kbs.fold((0, 0.0), |(held, sum), kb| (held + 1, sum + kb))
-    }
-
     /// Books what we ask of a server's link and its rack's uplink.
     fn mark(&mut self, server: ServerId) {
         let Some(rack) = self.servers.get(&server).map(|s| self.network.rack(s.listed.cell)) else { return };
-        let (held, kb) = self.held(|v| v.server == Some(server));
-        let (held_up, kb_up) = self.held(|v| self.rack(v) == Some(rack));
+        let at = |v: &Viewing<Next>| (v.server == Some(server)).then(|| self.kb(v, v.rung));
+        let there: Vec<_> = self.viewings.values().filter_map(at).collect();
+        let near = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
+        let kb_up = near.map(|v| self.kb(v, v.rung)).sum();
         if let Some(s) = self.servers.get_mut(&server) {
-            s.link.held = held;
-            s.link.mark(self.now, kb, 1.0);
+            s.link.held = there.len();
+            s.link.mark(self.view.now, there.iter().sum(), 1.0);
         }
-        self.uplinks[rack].held = held_up;
-        self.uplinks[rack].mark(self.now, kb_up, 1.0);
+        self.uplinks[rack].mark(self.view.now, kb_up, 1.0);
     }
 
-    fn tried(&mut self, server: ServerId, good: bool) {
+    fn tried(&mut self, server: ServerId, good: bool, lost: bool) {
         let Some(s) = self.servers.get_mut(&server) else { return };
-        keep(&mut s.health.tries, KEPT, (self.now, good));
-        if good && std::mem::take(&mut s.health.lost) {
+        keep(&mut s.health.tries, KEPT, (self.view.now, good));
+        let was = std::mem::replace(&mut s.health.lost, lost);
+        s.health.lost |= was && !good;
+        if was && good {
             // Guards against a restart that the list hasn't told of: what was lost may have come back cold.
-            s.cold_until = s.cold_until.max(self.now + self.pace.cold_for);
-        }
-    }
-
-    /// A short share speaks of all viewings at the server, and of its link.
-    fn short(&mut self, then: Duration, server: ServerId, share: f64) {
-        let Some(s) = self.servers.get_mut(&server).filter(|_| share.is_finite()) else { return };
-        s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share));
-        let full = 1.0 / share.max(0.05);
-        if share < FULL && s.link.full(&self.view) < full {
-            s.link.hear(then, full);
+            s.cold_until = s.cold_until.max(self.view.now + self.pace.cold_for);
         }
     }
 
     /// The design's two choices among the holders that may take a set-up now; over its bucket, any with
     /// tokens. When none may: how long until one does; nothing while probes are out.
     fn choose(&mut self, act: &mut dyn Actions, vw: ViewingId) -> Result<ServerId, Option<Duration>> {
-        let (viewing, now, recall) = (&self.viewings[&vw], self.now, self.pace.cold_for);
+        let (viewing, now, recall) = (&self.viewings[&vw], self.view.now, self.pace.cold_for);
         let pause = self.packages.iter().map(|p| p.target).min().unwrap_or(INTERVAL) / 2;
         let tune_ins = self.tune_ins.iter().filter(|t| now.saturating_sub(**t) < recall).count();
         let rate = tune_ins as f64 / recall.as_secs_f64().max(0.1);
@@ -501,7 +485,7 @@
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
             let shunned = viewing.shunned.contains(&id);
             let trial = self.viewings.values().any(|v| v.server == Some(id) && !v.playing);
-            // Guards against all managers' first set-ups coming together where a start is known: chance thins them.
+            // Guards against all managers' first set-ups after a start coming together: chance thins them.
             let even = (EVEN * self.servers.len() as f64 / rate.max(1e-9)).max(INTERVAL.as_secs_f64());
             let known = s.health.lost || s.listed.born.is_some_and(|born| now < born + recall);
             let first = known && s.sent.is_none_or(|sent| sent + recall < s.cold_until);
@@ -516,10 +500,8 @@
                 fit.push((s.link.full(&self.view).max(uplink.full(&self.view)) + far, id));
             }
         }
-        if fit.is_empty() {
-            // With all holders suspect, still the best of them.
-            fit.extend(suspects.iter().min().map(|s| (0.0, s.2)));
-        }
+        // With all holders suspect, still the best of them.
+        fit.extend(suspects.iter().min().filter(|_| fit.is_empty()).map(|s| (0.0, s.2)));
         // Guards against set-ups that keep landing on short links, where asking doesn't rise and no alarm
         // comes: a holder that is asked too much is drawn only when all are.
         if fit.iter().any(|f| f.0 < 1.0) {
@@ -564,7 +546,7 @@
 
     /// Sets a viewing up, or ends it at once where nothing can be done for it.
     fn tune_in(&mut self, act: &mut dyn Actions, vw: ViewingId, first: bool) {
-        let (now, viewing) = (self.now, &self.viewings[&vw]);
+        let (now, viewing) = (self.view.now, &self.viewings[&vw]);
         let (package, title, tune_ins) = (viewing.package, viewing.title, viewing.tune_ins);
         let p = &self.packages[package];
         let alike = |v: &&Viewing<Next>| v.server.is_some() && v.package == package && v.title == title;
@@ -592,8 +574,7 @@
             (v.tune_ins, v.server) = (tune_ins + 1, Some(server));
             v.next = Some(Box::new(move |m, act, vw, ending| m.after(act, vw, server, ending)));
         });
-        let rack = self.network.rack(self.servers[&server].listed.cell);
-        let luck = self.chance.part();
+        let (luck, rack) = (self.chance.part(), self.network.rack(self.servers[&server].listed.cell));
         let rung = self.ideal(rack, AT_SET_UP, luck).get(&vw).copied().unwrap_or_default();
         self.viewings.entry(vw).and_modify(|v| v.rung = rung);
         self.mark(server);
@@ -657,10 +638,10 @@
         rungs
     }
 
-    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Of a step down that
-    /// is more than our part chance decides, so that the managers together move by as much as is meant.
+    /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Chance decides of
+    /// a step down that is more than our part, so that all managers together move by as much as is meant.
     fn replan(&mut self, act: &mut dyn Actions, rack: usize) {
-        let (now, part) = (self.now, 1.0 / self.siblings);
+        let (now, part) = (self.view.now, 1.0 / self.siblings);
         // One viewing alone at a link rises only if all like it may; more of them go by half of their room.
         let haste = |link: &Link| if link.tier == 0 && link.held > 1 { HASTE } else { 1.0 };
         let room = |link: &Link| (link.budget(&self.view, part) - link.own()) * haste(link);
@@ -715,39 +696,31 @@
     fn meant(&mut self, server: ServerId, kb: f64) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         for link in [&mut s.link, &mut self.uplinks[self.network.rack(s.listed.cell)]] {
-            link.mark(self.now, link.own(), 1.0 + kb / link.own().max(1.0));
+            link.mark(self.view.now, link.own(), 1.0 + kb / link.own().max(1.0));
         }
     }
 
     fn set_rung(&mut self, act: &mut dyn Actions, vw: ViewingId, rung: usize) {
         let Some(viewing) = self.viewings.get_mut(&vw) else { return };
-        (viewing.rung, viewing.changed) = (rung, self.now);
+        (viewing.rung, viewing.changed) = (rung, self.view.now);
         act.set_rung(vw, rung);
         if let Some(server) = viewing.server {
             self.mark(server);
         }
     }
 
-    /// The design's interval, for each server.
+    /// The design's interval, for each server. Stuck: its link or uplink is short though our viewings there
+    /// have their lowest rungs.
     fn close_interval(&mut self) {
-        let (now, part, lowest) = (self.now, 1.0 / self.siblings, self.ladder.rates[0].max(1e-6));
-        let mut least = BTreeMap::<ServerId, f64>::new();
-        let mut least_up = vec![0.0; self.uplinks.len()];
-        for v in self.viewings.values() {
-            let Some(s) = v.server.and_then(|server| self.servers.get(&server)) else { continue };
-            let kb = self.kb(v, self.packages[v.package].floor);
-            *least.entry(s.listed.server).or_default() += kb;
-            least_up[self.network.rack(s.listed.cell)] += kb;
-        }
-        let stuck = |link: &Link, least: f64| {
-            link.own() > 0.0 && link.own() <= least * (1.0 + DELTA) && link.full(&self.view) > 1.0 / FULL
-        };
+        let (part, lowest) = (1.0 / self.siblings, self.ladder.rates[0].max(1e-6));
+        let raised = self.viewings.values().filter(|v| v.rung > self.packages[v.package].floor);
+        let raised: BTreeSet<_> = raised.filter_map(|v| v.server).collect();
         for (id, s) in &mut self.servers {
-            let (rack, least) =
-                (self.network.rack(s.listed.cell), least.get(id).copied().unwrap_or_default());
-            let room = (s.link.budget(&self.view, part) - least) / lowest;
-            let stuck = stuck(&s.link, least) || stuck(&self.uplinks[rack], least_up[rack]);
-            s.warning.close(now, room.max(0.0), stuck);
+            let uplink = self.uplinks[self.network.rack(s.listed.cell)].full(&self.view);
+            let low = s.link.own() > 0.0 && !raised.contains(id);
+            let stuck = low && s.link.full(&self.view).max(uplink) > 1.0 / FULL;
+            let room = (s.link.budget(&self.view, part) - s.link.own()) / lowest;
+            s.warning.close(self.view.now, room.max(0.0), stuck);
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -274,7 +274,6 @@
 
 /// A session manager; what it does is in `policy`.
 pub struct Manager {
-    pub(crate) now: Duration,
     pub(crate) started: Duration,
     pub(crate) chance: Pcg,
     pub(crate) siblings: f64,
@@ -307,7 +306,6 @@
         let places = vec![vec![]; network.places.max(1) as usize];
         let (started, chance, view) = (now, Pcg(seed), View::new(network.told / 2, siblings));
         Manager {
-            now,
             started,
             chance,
             siblings,
