Who is alone at a link goes by the price of a step against our own mean; kept sums move to state.rs

Cause: links told of at 0.4 and at 1.1 held the same mix of rungs: viewings that started at the floor on a fuller link stayed there while others at the same link held the top, since every manager weighs its one viewing against itself only. Change: a step of a viewing alone at its link, up, down or at set-up, is weighed by its value per kB over the mean of our viewings' next steps, so cheap steps go first over all managers.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -417,11 +417,6 @@
 
 /// Decisions.
 impl Manager {
-    /// The rack that a viewing is at.
-    fn rack(&self, viewing: &Viewing<Next>) -> Option<usize> {
-        Some(self.network.rack(self.servers.get(&viewing.server?)?.listed.cell))
-    }
-
     fn take(
         &mut self, vw: ViewingId, package: PackageId, title: TitleId, cells: Cells, top: usize,
     ) -> Option<&mut Viewing<Next>> {
@@ -431,31 +426,6 @@
         Some(self.viewings.entry(vw).insert_entry(viewing).into_mut())
     }
 
-    fn kb(&self, viewing: &Viewing<Next>, rung: usize) -> f64 {
-        self.ladder.rates[rung] * self.packages[viewing.package].scale
-    }
-
-    /// kB and value between two rungs of a viewing.
-    fn between(&self, viewing: &Viewing<Next>, from: usize, to: usize) -> (f64, f64) {
-        let p = &self.packages[viewing.package];
-        let (kb, worth) = self.ladder.between(from, to);
-        ((kb * p.scale).max(1e-6), worth * p.value)
-    }
-
-    /// Books what we ask of a server's link and its rack's uplink.
-    fn mark(&mut self, server: ServerId) {
-        let Some(rack) = self.servers.get(&server).map(|s| self.network.rack(s.listed.cell)) else { return };
-        let at = |v: &Viewing<Next>| (v.server == Some(server)).then(|| self.kb(v, v.rung));
-        let there: Vec<_> = self.viewings.values().filter_map(at).collect();
-        let near = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
-        let kb_up = near.map(|v| self.kb(v, v.rung)).sum();
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.link.held = there.len();
-            s.link.mark(self.view.now, there.iter().sum(), 1.0);
-        }
-        self.uplinks[rack].mark(self.view.now, kb_up, 1.0);
-    }
-
     fn tried(&mut self, server: ServerId, good: bool, lost: bool) {
         let Some(s) = self.servers.get_mut(&server) else { return };
         keep(&mut s.health.tries, KEPT, (self.view.now, good));
@@ -628,9 +598,12 @@
             }
         }
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, kb, vw, id, rung) in steps {
+        let price = self.price();
+        for (dear, kb, vw, id, rung) in steps {
             let link = links.entry(id).or_default();
-            if luck * kb <= link.min(uplink) && rungs.get(&vw) == Some(&(rung - 1)) {
+            let alone = luck > 0.0 && self.servers[&id].link.held < 2;
+            let dear = if alone { dear / price } else { 1.0 };
+            if luck * kb <= link.min(uplink) * dear && rungs.get(&vw) == Some(&(rung - 1)) {
                 (*link, uplink) = (*link - kb, uplink - kb);
                 rungs.insert(vw, rung);
             }
@@ -648,6 +621,7 @@
         let uplink = &self.uplinks[rack];
         let (mut over_up, mut room_up) = (uplink.over(&self.view), room(uplink));
         let (mut links, mut downs, mut ups) = (BTreeMap::new(), vec![], vec![]);
+        let price = self.price();
         for (vw, ideal) in self.ideal(rack, [part; 2], 0.0) {
             let v = &self.viewings[&vw];
             let Some(server) = v.server else { continue };
@@ -658,7 +632,8 @@
             let down = ideal.min(v.rung.saturating_sub(1).max(p.floor));
             if v.playing && down < v.rung {
                 let (kb, value) = self.between(v, down, v.rung);
-                downs.push(((value + cost) / kb, kb, vw, server, down));
+                let dear = if link.held > 1 { 1.0 } else { value / kb / price };
+                downs.push(((value + cost) / kb, kb, vw, server, down, dear));
             }
             let (kb, value) = self.between(v, v.rung, ideal.max(v.rung));
             let held = now.saturating_sub(v.changed) <= self.network.told + self.network.seen;
@@ -668,14 +643,14 @@
         }
         downs.sort_by(|a, b| a.0.total_cmp(&b.0));
         ups.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, kb, vw, server, to) in downs {
+        for (_, kb, vw, server, to, dear) in downs {
             let Some((over, room)) = links.get_mut(&server) else { continue };
             let need = over.max(over_up);
             if need > 0.0 {
                 let need = if self.servers[&server].link.held > 1 { kb } else { need.min(kb) };
                 (*over, *room, over_up, room_up) = (*over - need, 0.0, over_up - need, 0.0);
                 self.meant(server, -need);
-                if self.chance.falls(need / kb) {
+                if self.chance.falls(need / kb / dear) {
                     self.set_rung(act, vw, to);
                 }
             }
@@ -683,8 +658,13 @@
         for (_, vw, server, ideal) in ups {
             let Some((_, room)) = links.get_mut(&server) else { continue };
             let v = &self.viewings[&vw];
-            let to = (v.rung + 1..=ideal).rev().map(|to| (self.between(v, v.rung, to).0, to));
-            if let Some((kb, to)) = { to }.find(|(kb, _)| *kb <= *room && *kb <= room_up) {
+            let alone = self.servers[&server].link.held < 2;
+            let to = (v.rung + 1..=ideal).rev().map(|to| {
+                let (kb, value) = self.between(v, v.rung, to);
+                (kb, if alone { value / kb / price } else { 1.0 }, to)
+            });
+            let fits = |(kb, dear, _): &(f64, f64, usize)| *kb <= room.min(room_up) * dear;
+            if let Some((kb, _, to)) = { to }.find(fits) {
                 (*room, room_up) = (*room - kb, room_up - kb);
                 self.meant(server, kb);
                 self.set_rung(act, vw, to);
@@ -692,6 +672,15 @@
         }
     }
 
+    /// What the next step of our viewings, or their last, is worth per kB on average. Who is alone at a link
+    /// goes by it: others there have viewings that would go first, or give way.
+    fn price(&self) -> f64 {
+        let step = |v: &Viewing<Next>| self.between(v, v.rung.min(v.top.max(1) - 1), (v.rung + 1).min(v.top));
+        let steps = self.viewings.values().filter(|v| v.top > 0).map(|v| step(v).1 / step(v).0);
+        let (sum, steps) = steps.fold((0.0, 0), |(sum, n), step| (sum + step, n + 1));
+        sum / f64::from(steps.max(1))
+    }
+
     /// Books by how much rungs at a server are meant to change what is asked of its link and uplink.
     fn meant(&mut self, server: ServerId, kb: f64) {
         let Some(s) = self.servers.get_mut(&server) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -333,4 +333,34 @@
         let cell = move |i| (cells.first as usize + i) % places;
         (0..places.min(cells.spread as usize)).flat_map(move |i| self.places[cell(i)].iter().copied())
     }
+
+    /// The rack that a viewing is at.
+    pub(crate) fn rack(&self, viewing: &Viewing<Next>) -> Option<usize> {
+        Some(self.network.rack(self.servers.get(&viewing.server?)?.listed.cell))
+    }
+
+    pub(crate) fn kb(&self, viewing: &Viewing<Next>, rung: usize) -> f64 {
+        self.ladder.rates[rung] * self.packages[viewing.package].scale
+    }
+
+    /// kB and value between two rungs of a viewing.
+    pub(crate) fn between(&self, viewing: &Viewing<Next>, from: usize, to: usize) -> (f64, f64) {
+        let p = &self.packages[viewing.package];
+        let (kb, worth) = self.ladder.between(from, to);
+        ((kb * p.scale).max(1e-6), worth * p.value)
+    }
+
+    /// Books what we ask of a server's link and its rack's uplink.
+    pub(crate) fn mark(&mut self, server: ServerId) {
+        let Some(rack) = self.servers.get(&server).map(|s| self.network.rack(s.listed.cell)) else { return };
+        let at = |v: &Viewing<Next>| (v.server == Some(server)).then(|| self.kb(v, v.rung));
+        let there: Vec<_> = self.viewings.values().filter_map(at).collect();
+        let near = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
+        let kb_up = near.map(|v| self.kb(v, v.rung)).sum();
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.link.held = there.len();
+            s.link.mark(self.view.now, there.iter().sum(), 1.0);
+        }
+        self.uplinks[rack].mark(self.view.now, kb_up, 1.0);
+    }
 }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -518,3 +518,70 @@
         assert!(full >= least && full <= most, "{full} after {age} s");
     }
 }
+
+#[test]
+fn alone_at_a_link_a_viewing_goes_by_the_price() {
+    // Fullness of the link, the rungs of the viewing there and of ten of ours elsewhere, whether it rises.
+    for (full, own, others, rises) in [(0.7, 0, 2, true), (0.7, 2, 0, false), (1.3, 0, 2, false)] {
+        let mut desk = Desk::new(None);
+        for vw in 1..12 {
+            let server = if vw == 1 { 0 } else { 1 };
+            assert_eq!(sent_to(&desk.ask(vw, 0, server, 1)), Some(server as u8));
+            desk.play(vw, server as u8);
+            desk.news(vw, server as u8, News::Rung(if vw == 1 { own } else { others }));
+        }
+        desk.news(1, 0, News::Link(full));
+        desk.news(1, 0, News::Uplink(0.1));
+        desk.news(2, 1, News::Link(1.0));
+        let did = desk.pass(1);
+        assert_eq!(did.iter().any(|d| matches!(d, Did::Rung(1, _))), rises, "{full} {own} {others}: {did:?}");
+    }
+}
+
+#[test]
+fn holders_without_news_are_probed() {
+    // Whether probes are allowed, whether news of both holders is fresh; the probes, what they bring, who is taken.
+    let cases: [(bool, bool, usize, [Option<f64>; 2], u8); 5] = [
+        (true, false, 2, [Some(0.9), Some(0.2)], 1),
+        (true, false, 2, [Some(0.2), Some(0.9)], 0),
+        (true, false, 2, [None, Some(0.9)], 1),
+        (true, true, 0, [None; 2], 0),
+        (false, false, 0, [None; 2], 0),
+    ];
+    for (allowed, fresh, probes, found, taken) in cases {
+        let mut desk = Desk::new(None);
+        desk.manager.limits.probe = allowed;
+        for (server, full) in [(0, 0.1), (1, 0.5)] {
+            desk.news(0, server, News::Link(full));
+        }
+        desk.now += if fresh { ms(500) } else { ms(5000) };
+        let mut did = desk.ask(1, 0, 0, 2);
+        assert_eq!(did.iter().filter(|d| matches!(d, Did::Probe(_))).count(), probes);
+        for (server, full) in found.into_iter().enumerate().take(probes) {
+            assert_eq!(sent_to(&did), None, "before both are back");
+            let load = full.map(|full| Load { link: Some(full), uplink: None });
+            desk.manager.probed(&mut desk.did, desk.now, ServerId([server as u8; 6]), load);
+            did = desk.take();
+        }
+        assert_eq!(sent_to(&did), Some(taken), "{allowed} {fresh} {found:?}");
+    }
+}
+
+#[test]
+fn managers_together_keep_to_a_cold_servers_pace() {
+    // Managers, tune-ins that each made of late, set-ups that all of them together may make at once.
+    for (managers, busy, most) in [(2, 0, 2), (200, 40, 30), (200, 1, 200)] {
+        let sent = |seed| {
+            let mut desk = Desk::new(None);
+            let pace = Pace::new(managers, &[40.0], ms(10_000), 0.4, 2.0);
+            (desk.manager.pace, desk.manager.chance) = (pace, Pcg(seed));
+            for vw in 0..busy {
+                desk.ask(100 + vw, 0, 1, 1);
+            }
+            desk.list(0, Standing::Ready, Some(desk.now));
+            u32::from(sent_to(&desk.ask(1, 0, 0, 1)).is_some())
+        };
+        let all: u32 = (0..u64::from(managers)).map(|i| sent(7919 * i + 1)).sum();
+        assert!(all >= 1 && all <= most, "{all} of {managers} with {busy} each");
+    }
+}
