--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,7 +70,7 @@
         let (_, own, grown) = self.last();
         // Guards against news that stops or was of another link: it fades into all asking as we do, as far as
         // our viewings there are enough to tell, and into what is usual.
-        let (alike, held) = (own * view.siblings / self.kb, view.held[self.tier] / ENOUGH);
+        let (alike, held) = (own * view.siblings / self.kb, (view.held[self.tier] - 1.0).max(0.0) / ENOUGH);
         let (mut sum, mut weights) = (FADED * (held * alike + view.usual[self.tier]) / (held + 1.0), FADED);
         for &(at, full) in &self.heard {
             let then = self.trail.iter().rev().find(|t| t.0 <= at).or(self.trail.front());
@@ -119,7 +119,7 @@
     pub(crate) fn settle(&mut self, own: f64, kbs: [f64; 2]) {
         for tier in 0..2 {
             let base = [1.0, self.usual[0] * kbs[0] / kbs[1]][tier].min(BANDS[tier].0);
-            let (held, alike) = (self.held[tier] / ENOUGH, own * self.siblings / kbs[tier]);
+            let (held, alike) = ((self.held[tier] - 1.0).max(0.0) / ENOUGH, own * self.siblings / kbs[tier]);
             let start = (FADED * (held * alike + base) / (held + 1.0), FADED);
             let news = self.news[tier].iter().map(|(at, full)| (self.weight(*at), *full));
             let (sum, weights) = news.fold(start, |(s, w), (weight, full)| (s + weight * full, w + weight));
