--- a/src/policy.rs
+++ b/src/policy.rs
@@ -351,15 +351,24 @@
             News::Uplink(full) => {
                 self.view.hear(&mut self.uplinks[self.network.rack(s.listed.cell)], then, full);
             }
-            News::Share(share) if share.is_finite() => {
-                // It speaks of all viewings at the server, and of its link.
-                s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share));
+            News::Share(share) => {
+                // It speaks of all viewings there. Where most of our servers in a rack are short, its uplink is.
+                s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share.max(0.0)));
+                s.short = (share < FULL).then_some(now);
+                let rack = self.network.rack(s.listed.cell);
+                let near = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
+                let peers: BTreeSet<_> = near.filter_map(|v| v.server).collect();
+                let times = peers.iter().filter_map(|id| self.servers[id].short);
+                let short = times.filter(|at| now.saturating_sub(*at) < INTERVAL).count();
+                let link = match self.servers.get_mut(&server) {
+                    Some(s) if short < 2 || short * 2 <= peers.len() => &mut s.link,
+                    _ => &mut self.uplinks[rack],
+                };
                 let full = 1.0 / share.max(0.05);
-                if share < FULL && s.link.full(&self.view) < full {
-                    s.link.hear(then, full);
+                if share < FULL && link.full(&self.view) < full {
+                    link.hear(then, full);
                 }
             }
-            News::Share(_) => {}
         }
     }
 
@@ -420,9 +429,8 @@
     fn take(
         &mut self, vw: ViewingId, package: PackageId, title: TitleId, cells: Cells, top: usize,
     ) -> Option<&mut Viewing<Next>> {
-        let p = self.packages.get(package.0)?;
-        let top = top.min(p.top).min(self.ladder.rates.len() - 1).max(p.floor);
-        let viewing = Viewing::new(package.0, title, cells, (p.floor, top));
+        let (p, most) = (self.packages.get(package.0)?, self.ladder.rates.len() - 1);
+        let viewing = Viewing::new(package.0, title, cells, (p.floor, top.min(p.top).min(most).max(p.floor)));
         Some(self.viewings.entry(vw).insert_entry(viewing).into_mut())
     }
 
@@ -603,6 +611,7 @@
             let link = links.entry(id).or_default();
             let alone = luck > 0.0 && self.servers[&id].link.held < 2;
             let dear = if alone { dear / price } else { 1.0 };
+            let luck = if self.servers[&id].link.held > 1 { 1.0 } else { luck };
             if luck * kb <= link.min(uplink) * dear && rungs.get(&vw) == Some(&(rung - 1)) {
                 (*link, uplink) = (*link - kb, uplink - kb);
                 rungs.insert(vw, rung);
--- a/src/state.rs
+++ b/src/state.rs
@@ -257,12 +257,14 @@
     pub health: Health,
     pub cold_until: Duration,
     pub sent: Option<Duration>,
+    /// When it was last told of as short.
+    pub short: Option<Duration>,
 }
 
 impl Server {
     pub fn new(listed: Listed, link: Link, cold_until: Duration) -> Self {
         let (warning, health) = (Warning::default(), Health::default());
-        Server { listed, link, warning, health, cold_until, sent: None }
+        Server { listed, link, warning, health, cold_until, sent: None, short: None }
     }
 }
 
