--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,7 +32,6 @@
 /// Rungs are looked at so many times an interval.
 const LOOKS: u32 = 4;
 /// What is asked of a link or uplink: rungs rise up to the first, and fall from the second down to the first.
-/// Many servers' notes tell of an uplink, the second, so its account is the better known.
 const BANDS: [(f64, f64); 2] = [(0.97, 1.1), (0.95, 1.06)];
 /// The part of our room that one look may fill; the intervals that a change of rung is reckoned to last.
 const HASTE: f64 = 0.5;
@@ -100,8 +99,9 @@
 }
 
 impl View {
+    /// News halves its weight in half of the time between notes.
     fn weight(&self, at: Duration) -> f64 {
-        (-(self.now.saturating_sub(at).as_secs_f64() / self.half.as_secs_f64().max(0.1))).exp2()
+        (-2.0 * self.now.saturating_sub(at).as_secs_f64() / self.told.as_secs_f64().max(0.2)).exp2()
     }
 
     /// Guards against crowds that outrun the notes: others' viewings grow in number as all ours did, as far
@@ -352,7 +352,7 @@
                 self.view.hear(&mut self.uplinks[self.network.rack(s.listed.cell)], then, full);
             }
             News::Share(share) => {
-                // It speaks of all viewings there. Where most of our servers in a rack are short, its uplink is.
+                // It speaks of all viewings there. Where most of our servers of a rack are short, that is.
                 s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share.max(0.0)));
                 s.short = (share < FULL).then_some(now);
                 let rack = self.network.rack(s.listed.cell);
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,11 +163,11 @@
     }
 }
 
-/// What all links are looked at with: the time, how fast news ages, our viewings' number over time, and by
+/// What all links are looked at with: the time, how often notes come, our viewings' number over time, and by
 /// tier the last news of any link and what is usual.
 pub(crate) struct View {
     pub now: Duration,
-    pub half: Duration,
+    pub told: Duration,
     pub crowd: VecDeque<(Duration, f64)>,
     pub news: [VecDeque<(Duration, f64)>; 2],
     pub usual: [f64; 2],
@@ -177,9 +177,9 @@
 }
 
 impl View {
-    pub fn new(half: Duration, siblings: f64) -> Self {
+    pub fn new(told: Duration, siblings: f64) -> Self {
         let (now, crowd, news, usual) = (Duration::ZERO, VecDeque::new(), Default::default(), [0.0; 2]);
-        View { now, half, crowd, news, usual, held: [0.0; 2], siblings }
+        View { now, told, crowd, news, usual, held: [0.0; 2], siblings }
     }
 
     /// News of a link, kept with it and among the last of any.
@@ -306,7 +306,7 @@
         let uplinks = (0..network.racks.max(1)).map(|_| Link::new(network.uplink_kb, 1)).collect();
         let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
         let places = vec![vec![]; network.places.max(1) as usize];
-        let (started, chance, view) = (now, Pcg(seed), View::new(network.told / 2, siblings));
+        let (started, chance, view) = (now, Pcg(seed), View::new(network.told, siblings));
         Manager {
             started,
             chance,
