--- a/src/policy.rs
+++ b/src/policy.rs
@@ -41,7 +41,7 @@
 /// The part of the pace promised by the settings that all managers together may use.
 const PACED: f64 = 0.8;
 /// The part of that pace which evenly spread set-ups may reach: some servers are asked for far more.
-const EVEN: f64 = 0.05;
+const EVEN: f64 = 0.03;
 /// The weight of no news at all, where news of this moment weighs 1.
 const FADED: f64 = 0.2;
 /// So many of our viewings at a link tell as much of it as the news of others.
