--- a/src/state.rs
+++ b/src/state.rs
@@ -329,11 +329,13 @@
         }
     }
 
-    /// The servers of the cells that hold a title.
+    /// The servers of the cells that hold a title; one listed anew at another cell holds nothing.
     pub(crate) fn holders(&self, cells: Cells) -> impl Iterator<Item = ServerId> + use<'_> {
         let places = self.places.len();
         let cell = move |i| (cells.first as usize + i) % places;
-        (0..places.min(cells.spread as usize)).flat_map(move |i| self.places[cell(i)].iter().copied())
+        let there = move |id: &ServerId, at: usize| self.servers[id].listed.cell as usize % places == at;
+        let held = move |at: usize| self.places[at].iter().copied().filter(move |id| there(id, at));
+        (0..places.min(cells.spread as usize)).flat_map(move |i| held(cell(i)))
     }
 
     /// The rack that a viewing is at.
