--- /dev/null
+++ b/crates/daemon/src/link.rs
@@ -0,0 +1,284 @@
+//! What passes between the manager and one video server: set-ups, rungs, releases, probes, and its notes.
+
+use crate::pool::{Connection, Failed};
+use crate::setup::server_address;
+use crate::shell::Shell;
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode};
+use ivyward::front::{Load, News, PackageId, ServerId, TitleId, ViewingId};
+use ivyward_session::{Happened, Over, SessionId, TuneIn};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout};
+
+/// No answer of a server is longer, but for its notes.
+const LONGEST: usize = 16 << 10;
+/// The first pause before something is tried again, and the longest; each is twice the last, less some by chance.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+
+fn request(method: Method, server: ServerId, path: &str, body: &Value) -> Request<Full<Bytes>> {
+    let body = if body.is_null() { Bytes::new() } else { Bytes::from(body.to_string()) };
+    let mut request = Request::new(Full::from(body));
+    *request.method_mut() = method;
+    // Paths are made of numbers and of the manager's name, which `encoded` has made safe.
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    if let Ok(host) = HeaderValue::from_str(&server_address(server).to_string()) {
+        request.headers_mut().insert("host", host);
+    }
+    request
+}
+
+/// A name as a part of a path (RFC 3986, 2.1).
+pub fn encoded(name: &str) -> String {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+    name.bytes().map(|b| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") }).collect()
+}
+
+/// The load that came with an answer: a dictionary of link and uplink (RFC 9651, 3.2).
+fn load(answer: &Response<Incoming>) -> Load {
+    let text = answer.headers().get("ivy-load").map(HeaderValue::as_bytes).unwrap_or_default();
+    let report: sfv::Dictionary = sfv::Parser::new(text).parse().unwrap_or_default();
+    let of = |name: &str| match report.get(name) {
+        Some(sfv::ListEntry::Item(item)) => match &item.bare_item {
+            sfv::BareItem::Decimal(full) => Some(f64::from(*full)),
+            sfv::BareItem::Integer(full) => Some(i64::from(*full) as f64),
+            _ => None,
+        },
+        _ => None,
+    };
+    Load { link: of("link"), uplink: of("uplink") }
+}
+
+/// Reads an answer to its end; the connection is then fit to be used again.
+async fn read(answer: Response<Incoming>) -> Option<()> {
+    Limited::new(answer.into_body(), LONGEST).collect().await.ok().map(drop)
+}
+
+/// One tune-in on its socket, from the connection to what became of it.
+pub async fn set_up(
+    shell: Shell, session: SessionId, vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
+    (package, title): (PackageId, TitleId),
+) {
+    let (happened, load) = tried(&shell, session, vw, tune_in, server, rung, (package, title)).await;
+    let Some(happened) = happened else { return };
+    tracing::debug!(viewing = vw.0, tune_in = tune_in.0, server = %server_address(server), ?happened, "set-up");
+    shell.tell(move |front, hands, now| {
+        hands.over(vw, tune_in);
+        front.happened(hands, now, vw, tune_in, happened, load);
+    });
+}
+
+async fn tried(
+    shell: &Shell, session: SessionId, vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
+    (package, title): (PackageId, TitleId),
+) -> (Option<Happened>, Load) {
+    let none = Load::default();
+    let address = server_address(server);
+    let mut used = shell.0.pool.used(address);
+    let mut allowed = false;
+    loop {
+        let again = used.is_some();
+        let mut connection = match used.take() {
+            Some(connection) => connection,
+            None => match Connection::open(address, shell.0.connect).await {
+                Ok(connection) => connection,
+                Err(_) if allowed => return (Some(Happened::NotWritten), none),
+                Err(_) => return (Some(Happened::NotConnected), none),
+            },
+        };
+        if !allowed {
+            let (tell, told) = oneshot::channel();
+            shell.tell(move |front, hands, now| {
+                let _ = tell.send(front.sending(hands, now, vw, tune_in));
+            });
+            allowed = told.await.unwrap_or(false);
+            if !allowed {
+                shell.0.pool.put(address, connection);
+                return (None, none);
+            }
+        }
+        let inner = &shell.0;
+        let rates = inner.rates.get(package.0).map_or(&[][..], |(_, _, rates)| rates);
+        let title = inner.titles.iter().find(|about| about.id == title);
+        let length = title.map_or(Duration::ZERO, |title| title.length);
+        let segments = (length.as_secs_f64() / inner.segment.as_secs_f64()).ceil() as u64;
+        let body = json!({
+            "manager": inner.name, "birth": inner.birth, "vw": vw.0, "n": tune_in.0,
+            "session": format!("{:032x}", session.0), "package": package.0,
+            "title": title.map_or("", |title| title.name.as_str()), "rung": rung, "rates": rates,
+            "lease_ms": inner.lease.as_millis() as u64, "segment_ms": inner.segment.as_millis() as u64,
+            "segments": segments,
+        });
+        let answer = match connection.ask(request(Method::POST, server, "/viewings", &body)).await {
+            Ok(answer) => answer,
+            // A connection that had been closed while it stood idle: nothing went out, so a fresh one is no second try.
+            Err(Failed::NotWritten) if again => continue,
+            Err(Failed::NotWritten) => return (Some(Happened::NotWritten), none),
+            Err(Failed::Broke) => return (Some(Happened::Broke), none),
+        };
+        let (load, status) = (load(&answer), answer.status());
+        let never_ran = answer.headers().contains_key("ivy-never-ran");
+        if read(answer).await.is_some() {
+            shell.0.pool.put(address, connection);
+        }
+        let happened = match status {
+            StatusCode::CREATED => Happened::Plays,
+            _ if never_ran => Happened::Refused,
+            _ => Happened::Errored,
+        };
+        return (Some(happened), load);
+    }
+}
+
+/// One request and its answer, for what may be asked twice.
+async fn ask(
+    shell: &Shell, server: ServerId, method: Method, path: &str, body: &Value,
+) -> Option<(StatusCode, Load)> {
+    let address = server_address(server);
+    loop {
+        let used = shell.0.pool.used(address);
+        let again = used.is_some();
+        let mut connection = match used {
+            Some(connection) => connection,
+            None => Connection::open(address, shell.0.connect).await.ok()?,
+        };
+        match connection.ask(request(method.clone(), server, path, body)).await {
+            Ok(answer) => {
+                let came = (answer.status(), load(&answer));
+                if read(answer).await.is_some() {
+                    shell.0.pool.put(address, connection);
+                }
+                return Some(came);
+            }
+            Err(Failed::NotWritten) if again => {}
+            Err(_) => return None,
+        }
+    }
+}
+
+fn path(shell: &Shell, vw: ViewingId, tune_in: TuneIn) -> String {
+    format!("/viewings/{}/{}/{}/{}", encoded(&shell.0.name), shell.0.birth, vw.0, tune_in.0)
+}
+
+/// Asks again and again, with growing pauses, until it is answered or no longer matters.
+async fn insist(shell: &Shell, server: ServerId, method: Method, path: &str, body: &Value) {
+    let (until, mut pause) = (Instant::now() + shell.0.lease * 2, PAUSES.0);
+    while Instant::now() < until && !shell.gone(server) {
+        let asked = ask(shell, server, method.clone(), path, body);
+        if let Ok(Some(_)) = timeout(PAUSES.1, asked).await {
+            return;
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(PAUSES.1);
+    }
+}
+
+pub async fn release(shell: Shell, server: ServerId, vw: ViewingId, tune_in: TuneIn) {
+    insist(&shell, server, Method::DELETE, &path(&shell, vw, tune_in), &Value::Null).await;
+}
+
+pub async fn rung(shell: Shell, server: ServerId, vw: ViewingId, tune_in: TuneIn, rung: usize) {
+    let path = path(&shell, vw, tune_in);
+    let body = json!({"rung": rung});
+    let asked = ask(&shell, server, Method::PATCH, &path, &body);
+    if !matches!(timeout(PAUSES.1, asked).await, Ok(Some(_))) {
+        tracing::debug!(viewing = vw.0, rung, "a rung didn't reach its server");
+    }
+}
+
+pub async fn probe(shell: Shell, server: ServerId) {
+    let asked = ask(&shell, server, Method::GET, "/load", &Value::Null);
+    let load = timeout(shell.0.connect, asked).await.ok().flatten().map(|(_, load)| load);
+    shell.tell(move |front, hands, now| front.probed(hands, now, server, load));
+}
+
+/// Follows a server's notes while it is listed. When the connection breaks, what the server then says it plays is
+/// what is left; when none comes about again, nothing is.
+pub async fn follow(shell: Shell, server: ServerId) {
+    let ServerId(bytes) = server;
+    let seed = bytes.iter().fold(shell.0.seed, |sum, b| sum.wrapping_mul(257).wrapping_add(u64::from(*b)));
+    let (mut chance, mut pause) = (Pcg64Mcg::seed_from_u64(seed), PAUSES.0);
+    loop {
+        if notes(&shell, server).await {
+            pause = PAUSES.0;
+        } else {
+            if shell.gone(server) {
+                return;
+            }
+            // Guards against all managers coming back to one server at once.
+            sleep(pause.mul_f64(0.5 + 0.5 * chance.random::<f64>())).await;
+            pause = (pause * 2).min(PAUSES.1);
+        }
+    }
+}
+
+/// One connection's notes, to its end. Whether any came.
+async fn notes(shell: &Shell, server: ServerId) -> bool {
+    let path = format!("/notes?manager={}&birth={}", encoded(&shell.0.name), shell.0.birth);
+    let mut connection = match Connection::open(server_address(server), shell.0.connect).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            // Refused: no process listens there, so nothing plays. After silence that isn't known.
+            if error.kind() == std::io::ErrorKind::ConnectionRefused {
+                shell.tell(move |front, hands, now| front.still(hands, now, server, &[]));
+            }
+            return false;
+        }
+    };
+    let Ok(answer) = connection.ask(request(Method::GET, server, &path, &Value::Null)).await else {
+        return false;
+    };
+    if answer.status() != StatusCode::OK {
+        return false;
+    }
+    let mut events = BodyDataStream::new(answer.into_body()).eventsource();
+    let mut any = false;
+    while let Some(Ok(event)) = events.next().await {
+        let Ok(told) = serde_json::from_str::<Value>(&event.data) else {
+            tracing::warn!(server = %server_address(server), data = event.data, "a note can't be read");
+            continue;
+        };
+        any = true;
+        heard(shell, server, &told);
+    }
+    any
+}
+
+fn heard(shell: &Shell, server: ServerId, told: &Value) {
+    let tune_in = |vw: &Value, n: &Value| {
+        let vw = u32::try_from(vw.as_u64()?).ok()?;
+        Some((ViewingId(vw), TuneIn(u16::try_from(n.as_u64()?).ok()?)))
+    };
+    if let Some(playing) = told["playing"].as_array() {
+        let playing: Vec<_> = playing.iter().filter_map(|p| tune_in(&p[0], &p[1])).collect();
+        return shell.tell(move |front, hands, now| front.still(hands, now, server, &playing));
+    }
+    let Some((vw, n)) = tune_in(&told["vw"], &told["n"]) else { return };
+    let over = match told["over"].as_str() {
+        Some("ended") => Some(Over::Ended),
+        Some("left") => Some(Over::Left),
+        _ => None,
+    };
+    if let Some(why) = over {
+        return shell.tell(move |front, hands, now| front.over(hands, now, server, vw, n, why));
+    }
+    let x = told["x"].as_f64().unwrap_or(f64::NAN);
+    let news = match told["note"].as_str() {
+        Some("share") => News::Share(x),
+        Some("link") => News::Link(x),
+        Some("uplink") => News::Uplink(x),
+        _ => return,
+    };
+    if x.is_finite() && x >= 0.0 {
+        shell.tell(move |front, _, now| front.news(now, server, vw, news));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/list.rs
@@ -0,0 +1,99 @@
+//! Follows the list of servers: the whole list first, then changes as they are pushed. When the connection breaks the
+//! last list stays, and the whole one is asked for anew.
+
+use crate::link::encoded;
+use crate::pool::Connection;
+use crate::setup::server_id;
+use crate::shell::Shell;
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http_body_util::{BodyDataStream, Full};
+use hyper::Request;
+use hyper::header::HeaderValue;
+use ivyward::front::{Extent, KindId, Listed, ServerId, Standing, ZoneId};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The first pause before the list is asked for again, and the longest.
+const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+
+/// When each start of a server that was told of was, by our clock: told again, it is not another start.
+type Births = BTreeMap<ServerId, (u64, Option<Duration>)>;
+
+pub async fn follow(shell: Shell, address: SocketAddr) {
+    let (mut births, mut pause) = (Births::new(), PAUSES.0);
+    let mut chance = Pcg64Mcg::seed_from_u64(shell.0.seed);
+    loop {
+        if read(&shell, address, &mut births).await {
+            pause = PAUSES.0;
+        }
+        tracing::warn!(%address, "the list is lost; the last one stays");
+        sleep(pause.mul_f64(0.5 + 0.5 * chance.random::<f64>())).await;
+        pause = (pause * 2).min(PAUSES.1);
+    }
+}
+
+/// One connection's list, to its end. Whether any came.
+async fn read(shell: &Shell, address: SocketAddr, births: &mut Births) -> bool {
+    let Ok(mut connection) = Connection::open(address, shell.0.connect).await else { return false };
+    let mut request = Request::new(Full::<Bytes>::default());
+    *request.uri_mut() = format!("/list?manager={}", encoded(&shell.0.name)).parse().unwrap_or_default();
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert("host", host);
+    }
+    let Ok(answer) = connection.ask(request).await else { return false };
+    let mut events = BodyDataStream::new(answer.into_body()).eventsource();
+    let mut any = false;
+    while let Some(Ok(event)) = events.next().await {
+        let told: Value = serde_json::from_str(&event.data).unwrap_or_default();
+        let (rows, extent) = match (&told["whole"], &told["changes"]) {
+            (Value::Array(rows), _) => (rows, Extent::Whole),
+            (_, Value::Array(rows)) => (rows, Extent::Changes),
+            _ => {
+                tracing::warn!(%address, data = event.data, "news of the list can't be read");
+                continue;
+            }
+        };
+        let now = shell.now();
+        let list: Option<Vec<_>> = rows.iter().map(|row| listed(row, now, births)).collect();
+        // Guards against a whole list of which a part can't be read: the rest would be taken for gone.
+        let Some(list) = list else {
+            tracing::warn!(%address, data = event.data, "a line of the list can't be read");
+            continue;
+        };
+        any = true;
+        shell.follow(&list);
+        shell.tell(move |front, _, now| front.listed(now, &list, extent));
+    }
+    any
+}
+
+fn listed(row: &Value, now: Duration, births: &mut Births) -> Option<Listed> {
+    let server = server_id(row["server"].as_str()?)?;
+    let birth = row["birth"].as_u64()?;
+    let known = births.get(&server).filter(|(number, _)| *number == birth).map(|(_, born)| *born);
+    let age = row["age_ms"].as_u64().map(Duration::from_millis);
+    let born = known.unwrap_or_else(|| age.and_then(|age| now.checked_sub(age)));
+    births.insert(server, (birth, born));
+    Some(Listed {
+        server,
+        standing: match row["standing"].as_str()? {
+            "ready" => Standing::Ready,
+            "draining" => Standing::Draining,
+            "gone" => Standing::Gone,
+            _ => return None,
+        },
+        born,
+        weight: row["weight"].as_f64().filter(|weight| *weight > 0.0)?,
+        zone: ZoneId(u8::try_from(row["zone"].as_u64()?).ok()?),
+        kind: KindId(row["kind"].as_u64()? as usize),
+        cell: u32::try_from(row["cell"].as_u64()?).ok()?,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,127 @@
+//! `ivyward`: the session front.
+
+use clap::{Parser, Subcommand};
+use ivyward_daemon::{embedded, manage, read};
+use ivyward_settings::Part;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[derive(Parser)]
+#[command(version, about = "Places and shapes video sessions on streaming servers")]
+struct Line {
+    #[command(subcommand)]
+    what: What,
+    /// Log as JSON lines
+    #[arg(long, global = true)]
+    json: bool,
+    /// What is logged, as in "info,ivyward_daemon=debug"
+    #[arg(long, global = true, default_value = "info", env = "IVYWARD_LOG")]
+    log: String,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Run a manager; without a file, one over stand-in servers that it starts itself
+    Run { settings: Option<PathBuf> },
+    /// Tell all that is wrong with settings
+    Check { settings: PathBuf },
+    /// Mint a token for trying
+    Token {
+        title: String,
+        #[arg(long, default_value = "clip")]
+        package: String,
+        /// The highest rung that the viewer can use
+        #[arg(long, default_value_t = 255)]
+        top: usize,
+        /// Seconds until it expires
+        #[arg(long, default_value_t = 60)]
+        life: u64,
+        /// The settings with the keys; the embedded ones if left out
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Tell the version
+    Version,
+}
+
+fn settings(file: &Path) -> Result<Part, String> {
+    let text = fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    read(&text).map_err(|faults| {
+        let lines = faults.iter().map(|fault| format!("{}:{fault}", file.display()));
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
+
+fn run(file: Option<&Path>) -> Result<(), String> {
+    let settings = match file {
+        Some(file) => settings(file)?,
+        None => embedded::settings(embedded::fleet()?)?,
+    };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+        let ended = async move {
+            tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+        };
+        let ready = |address| {
+            println!("listening {address}");
+            if file.is_none() {
+                let (title, package) = ("how-to-charge", "clip");
+                match embedded::token(&settings, title, package, 255, Duration::from_secs(600)) {
+                    Ok(token) => println!("curl -i 'http://{address}/mpd/{title}.mpd?token={token}'"),
+                    Err(error) => println!("no token: {error}"),
+                }
+            }
+        };
+        manage(&settings, ready, ended).await
+    })
+}
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    let filter = match tracing_subscriber::EnvFilter::try_new(&line.log) {
+        Ok(filter) => filter,
+        Err(error) => {
+            eprintln!("ivyward: --log: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    if line.json {
+        logs.json().init()
+    } else {
+        logs.init()
+    }
+    let done = match line.what {
+        What::Run { settings } => run(settings.as_deref()),
+        What::Check { settings: file } => {
+            settings(&file).map(|_| println!("{}: nothing wrong", file.display()))
+        }
+        What::Token { title, package, top, life, settings: file } => {
+            let given = match file {
+                Some(file) => settings(&file),
+                None => embedded::settings(([127, 0, 0, 1], 0).into()),
+            };
+            let life = Duration::from_secs(life);
+            given
+                .and_then(|given| embedded::token(&given, &title, &package, top, life))
+                .map(|t| println!("{t}"))
+        }
+        What::Version => {
+            println!("ivyward {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pool.rs
@@ -0,0 +1,147 @@
+//! Connections to servers. Nothing is ever sent again by itself: each request is written once, on one connection, and
+//! how many bytes of it went out is counted where they go out.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+/// Idle connections kept to one server, and for how long.
+const IDLE: usize = 8;
+const IDLE_FOR: Duration = Duration::from_secs(10);
+
+/// Counts what is written.
+struct Counted {
+    stream: TcpStream,
+    written: Rc<Cell<u64>>,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = &done {
+            self.written.set(self.written.get() + *bytes as u64);
+        }
+        done
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection; it closes when it is dropped, whatever is under way on it.
+pub struct Connection {
+    send: SendRequest<Full<Bytes>>,
+    written: Rc<Cell<u64>>,
+    _task: AbortOnDropHandle<()>,
+    since: Instant,
+}
+
+/// What a request on a connection came to, if it was not answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed {
+    NotWritten,
+    /// At least a byte went out; it may have been read.
+    Broke,
+}
+
+impl Connection {
+    /// # Errors
+    /// No connection came about in time.
+    pub async fn open(address: SocketAddr, within: Duration) -> io::Result<Connection> {
+        let stream = timeout(within, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        let written = Rc::new(Cell::new(0));
+        let counted = Counted { stream, written: written.clone() };
+        let (send, connection) = handshake(TokioIo::new(counted)).await.map_err(io::Error::other)?;
+        let task = spawn_local(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, %address, "a connection to a server broke");
+            }
+        });
+        Ok(Connection { send, written, _task: AbortOnDropHandle::new(task), since: Instant::now() })
+    }
+
+    /// # Errors
+    /// How far the request got.
+    pub async fn ask(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failed> {
+        let before = self.written.get();
+        self.send
+            .send_request(request)
+            .await
+            .map_err(|_| if self.written.get() == before { Failed::NotWritten } else { Failed::Broke })
+    }
+}
+
+/// Idle connections, by server.
+#[derive(Default)]
+pub struct Pool(RefCell<BTreeMap<SocketAddr, Vec<Connection>>>);
+
+impl Pool {
+    /// A connection that was used before, if one still stands.
+    pub fn used(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.0.borrow_mut();
+        let waiting = idle.get_mut(&address)?;
+        let found = loop {
+            match waiting.pop() {
+                Some(connection) if !stands(&connection) => {}
+                other => break other,
+            }
+        };
+        if waiting.is_empty() {
+            idle.remove(&address);
+        }
+        found
+    }
+
+    /// To be used again; its answer was read to the end.
+    pub fn put(&self, address: SocketAddr, mut connection: Connection) {
+        connection.since = Instant::now();
+        let mut idle = self.0.borrow_mut();
+        let waiting = idle.entry(address).or_default();
+        waiting.retain(stands);
+        if waiting.len() < IDLE && connection.send.is_ready() {
+            waiting.push(connection);
+        }
+    }
+
+    /// Closes what has stood idle for too long.
+    pub fn sweep(&self) {
+        self.0.borrow_mut().retain(|_, waiting| {
+            waiting.retain(stands);
+            !waiting.is_empty()
+        });
+    }
+}
+
+fn stands(connection: &Connection) -> bool {
+    !connection.send.is_closed() && connection.since.elapsed() < IDLE_FOR
+}
--- /dev/null
+++ b/crates/daemon/src/setup.rs
@@ -0,0 +1,207 @@
+//! From settings to the calls that set the parts up, and what has to fit together in them.
+
+use ivyward::front::{Cells, KindId, Listed, PackageId, ServerId, Standing, TitleId, ZoneId};
+use ivyward::policy::Manager;
+use ivyward::state::{Ladder, Limits, Network, Pace, Package, Ration};
+use ivyward_dash::token::Keys;
+use ivyward_session::Fence;
+use ivyward_settings::{Fault, Part, twice};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What the schema can't say: what has to fit together.
+pub fn faults(settings: &Part) -> Vec<Fault> {
+    let ladder = settings.one("ladder");
+    let rungs = ladder.list("rung");
+    let packages = settings.list("package");
+    let servers = settings.list("server");
+    let kinds = settings.list("kind").len();
+    let tokens = settings.one("tokens");
+    let mut faults = vec![];
+    for (before, rung) in rungs.iter().zip(rungs.iter().skip(1)) {
+        for field in ["rate_kb", "worth"] {
+            if rung.number(field) <= before.number(field) {
+                faults.push(rung.fault(field, "must be over that of the rung before"));
+            }
+        }
+    }
+    for package in &packages {
+        if package.count("floor") >= rungs.len() {
+            faults.push(
+                package.fault("floor", &format!("lies over the ladder, which has {} rungs", rungs.len())),
+            );
+        }
+        if package.count("top") < package.count("floor") {
+            faults.push(package.fault("top", "lies under the floor"));
+        }
+        if package.number("patience_s") < package.number("join_target_s") {
+            faults.push(package.fault("patience_s", "is shorter than the join target"));
+        }
+    }
+    for name in ["package", "title"] {
+        faults.extend(twice(&settings.list(name), "name"));
+    }
+    faults.extend(twice(&servers, "address"));
+    faults.extend(twice(&tokens.list("key"), "id"));
+    for server in &servers {
+        if server_id(&server.text("address")).is_none() {
+            faults.push(server.fault("address", "is no IPv4 address with a port"));
+        }
+        if server.count("kind") >= kinds {
+            faults.push(server.fault("kind", &format!("is none of the {kinds} kinds")));
+        }
+    }
+    let places = settings.one("network").count("places");
+    for title in settings.list("title").iter().filter(|title| title.count("first_cell") >= places) {
+        faults.push(title.fault("first_cell", &format!("is none of the {places} places")));
+    }
+    if !settings.has("list_address") && servers.is_empty() {
+        faults.push(settings.fault("list_address", "is missing, and no server is given"));
+    }
+    for (part, name) in [(settings, "list_address"), (&settings.one("manager"), "listen")] {
+        if part.has(name) && part.text(name).parse::<SocketAddr>().is_err() {
+            faults.push(part.fault(name, "is no address with a port"));
+        }
+    }
+    if let Err(wrong) = keys(&tokens) {
+        faults.extend(wrong);
+    }
+    faults.sort_by_key(|fault| (fault.line, fault.column));
+    faults
+}
+
+/// # Errors
+/// Keys that can't be used, and a signing key that is not there or can't sign.
+pub fn keys(tokens: &Part) -> Result<Keys, Vec<Fault>> {
+    let (mut keys, mut faults) = (Keys::new(&tokens.text("signs")), vec![]);
+    for key in tokens.list("key") {
+        let id = key.text("id");
+        let private = key.has("ed25519_private").then(|| key.text("ed25519_private"));
+        let (field, added) = match (key.has("secret"), key.has("ed25519_public")) {
+            (true, false) => ("secret", keys.add_secret(&id, &key.text("secret"))),
+            (false, true) => {
+                let public = key.text("ed25519_public");
+                ("ed25519_public", keys.add_ed25519(&id, &public, private.as_deref()))
+            }
+            _ => ("id", Err("needs one of secret and ed25519_public".into())),
+        };
+        faults.extend(added.err().map(|what| key.fault(field, &what)));
+    }
+    if faults.is_empty() && !keys.can_sign() {
+        faults.push(tokens.fault("signs", "names no key that can sign"));
+    }
+    if faults.is_empty() { Ok(keys) } else { Err(faults) }
+}
+
+/// A server's id is its address.
+pub fn server_id(address: &str) -> Option<ServerId> {
+    let SocketAddr::V4(address) = address.parse().ok()? else { return None };
+    let ([a, b, c, d], [p, q]) = (address.ip().octets(), address.port().to_be_bytes());
+    Some(ServerId([a, b, c, d, p, q]))
+}
+
+pub fn server_address(ServerId([a, b, c, d, p, q]): ServerId) -> SocketAddr {
+    SocketAddr::from(([a, b, c, d], u16::from_be_bytes([p, q])))
+}
+
+fn ration(settings: &Part) -> Option<(Duration, f64, f64)> {
+    let ration = settings.one("ration");
+    settings.has("ration").then(|| (ration.span("span_s"), ration.number("free"), ration.number("share")))
+}
+
+/// The decision module, as the settings have it.
+pub fn module(settings: &Part) -> Manager {
+    let (manager, network) = (settings.one("manager"), settings.one("network"));
+    let (cold, limits, ladder) = (settings.one("cold"), settings.one("limits"), settings.one("ladder"));
+    let rungs = ladder.list("rung");
+    let siblings = manager.count("siblings") as u32;
+    let of = |field: &str| rungs.iter().map(|rung| rung.number(field)).collect();
+    let package = |package: &Part| Package {
+        value: package.number("value"),
+        target: package.span("join_target_s"),
+        once: package.truth("once"),
+        scale: package.number("scale"),
+        floor: package.count("floor"),
+        top: package.count("top").min(rungs.len() - 1),
+        seats: package.count("seats"),
+    };
+    let streams: Vec<_> = settings.list("kind").iter().map(|kind| kind.number("streams")).collect();
+    let (warm_up, from, multiple) = (cold.span("warm_up_s"), cold.number("from"), cold.number("multiple"));
+    let zone = ZoneId(manager.count("zone") as u8);
+    Manager::new(
+        (manager.whole("seed"), siblings, zone, network.number("cross")),
+        Ladder { rates: of("rate_kb"), worths: of("worth"), switch: ladder.number("switch_s") },
+        Network {
+            places: network.count("places") as u32,
+            racks: network.count("racks") as u32,
+            links_kb: network.number("links_kb"),
+            weight_kb: network.number("weight_kb"),
+            uplink_kb: network.number("uplink_kb"),
+            told: network.span("told_s"),
+            seen: network.span("seen_s"),
+        },
+        Pace::new(siblings, &streams, warm_up, from, multiple),
+        Limits {
+            tune_ins: limits.count("tune_ins") as u16,
+            call_off: limits.truth("call_off"),
+            probe: limits.truth("probe"),
+            come_back: limits.has("come_back_s").then(|| limits.span("come_back_s")),
+        },
+        ration(settings).map(|(span, free, share)| Ration::new(span, free, share)),
+        settings.list("package").iter().map(package).collect(),
+    )
+}
+
+pub fn fence(settings: &Part) -> Fence {
+    let seats = settings.list("package").iter().map(|package| package.count("seats")).collect();
+    Fence::new(settings.one("network").span("drain_grace_s"), ration(settings), seats)
+}
+
+/// By package: the viewer's patience, and whether it is paid at set-up.
+pub fn terms(settings: &Part) -> Vec<(Duration, bool)> {
+    settings.list("package").iter().map(|p| (p.span("patience_s"), p.truth("once"))).collect()
+}
+
+/// The servers that the settings name.
+pub fn servers(settings: &Part) -> Vec<Listed> {
+    let listed = |server: &Part| {
+        Some(Listed {
+            server: server_id(&server.text("address"))?,
+            standing: Standing::Ready,
+            born: None,
+            weight: server.number("weight"),
+            zone: ZoneId(server.count("zone") as u8),
+            kind: KindId(server.count("kind")),
+            cell: server.count("cell") as u32,
+        })
+    };
+    settings.list("server").iter().filter_map(listed).collect()
+}
+
+/// What a manager needs to know of a title.
+#[derive(Clone)]
+pub struct Title {
+    pub id: TitleId,
+    pub name: String,
+    pub cells: Cells,
+    pub length: Duration,
+}
+
+pub fn titles(settings: &Part) -> Vec<Title> {
+    let title = |(i, title): (usize, &Part)| Title {
+        id: TitleId(i as u64),
+        name: title.text("name"),
+        cells: Cells { first: title.count("first_cell") as u32, spread: title.count("spread") as u32 },
+        length: title.span("length_s"),
+    };
+    settings.list("title").iter().enumerate().map(title).collect()
+}
+
+/// By package: its name, and the rates of the ladder's rungs as it plays them, kB a second.
+pub fn rates(settings: &Part) -> Vec<(PackageId, String, Vec<f64>)> {
+    let rungs = settings.one("ladder").list("rung");
+    let rates = |scale: f64| rungs.iter().map(|rung| rung.number("rate_kb") * scale).collect();
+    let packages = settings.list("package");
+    let package = |(i, p): (usize, &Part)| (PackageId(i), p.text("name"), rates(p.number("scale")));
+    packages.iter().enumerate().map(package).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/viewers.rs
@@ -0,0 +1,229 @@
+//! Where viewers come in: one manifest request is one viewing request, and its HTTP answer is the viewing's answer.
+
+use crate::shell::Shell;
+use crate::{date, setup};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ivyward::front::PackageId;
+use ivyward_dash::manifest::manifest;
+use ivyward_dash::token::{Keys, Pass, Refusal};
+use ivyward_session::{Answer, RequestId, SessionId};
+use ivyward_settings::Part;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// The head of a request must fit into this.
+const LONGEST_HEAD: usize = 16 << 10;
+
+/// What requests are answered by.
+struct Desk {
+    shell: Shell,
+    keys: Keys,
+    life: Duration,
+    skew: Duration,
+    refresh: Duration,
+    titles: BTreeMap<String, setup::Title>,
+    packages: BTreeMap<String, (PackageId, Vec<f64>)>,
+    /// When sessions that play began, so that all their manifests say the same.
+    began: RefCell<BTreeMap<u128, (Duration, Duration)>>,
+}
+
+pub async fn serve(shell: Shell, listener: TcpListener, settings: Part) {
+    let (tokens, manager) = (settings.one("tokens"), settings.one("manager"));
+    let Ok(keys) = setup::keys(&tokens) else { return };
+    let titles = setup::titles(&settings).into_iter().map(|title| (title.name.clone(), title)).collect();
+    let packages = setup::rates(&settings).into_iter().map(|(id, name, rates)| (name, (id, rates))).collect();
+    let desk = Rc::new(Desk {
+        shell,
+        keys,
+        life: tokens.span("life_s"),
+        skew: tokens.span("skew_s"),
+        refresh: settings.one("manifest").span("refresh_s"),
+        titles,
+        packages,
+        began: RefCell::default(),
+    });
+    let (most, head) = (manager.count("most_connections"), manager.span("head_within_s"));
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        // Guards against a flood of connections: the next ones wait in the listener's queue.
+        while open.get() >= most {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // Out of file handles, most likely: a pause, or this would spin.
+                tracing::warn!(%error, "no connection can be taken");
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        stream.set_nodelay(true).ok();
+        open.set(open.get() + 1);
+        let (desk, open) = (desk.clone(), open.clone());
+        spawn_local(async move {
+            let answer = |request| {
+                let desk = desk.clone();
+                async move { Ok::<_, Infallible>(desk.answer(request).await) }
+            };
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(head)
+                .max_buf_size(LONGEST_HEAD)
+                .serve_connection(TokioIo::new(stream), hyper::service::service_fn(answer))
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(%error, "a viewer's connection broke");
+            }
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+type Page = Response<Full<Bytes>>;
+
+fn page(status: StatusCode, text: impl Into<Bytes>) -> Page {
+    let mut page = Response::new(Full::new(text.into()));
+    *page.status_mut() = status;
+    page.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    page
+}
+
+fn with(mut page: Page, name: &'static str, value: &str) -> Page {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        page.headers_mut().insert(HeaderName::from_static(name), value);
+    }
+    page
+}
+
+fn refused(refusal: Refusal) -> Page {
+    let status =
+        if refusal == Refusal::ForeignTitle { StatusCode::FORBIDDEN } else { StatusCode::UNAUTHORIZED };
+    let page = page(status, format!("the token is not taken: {refusal}\n"));
+    let page = with(page, "www-authenticate", "Bearer error=\"invalid_token\"");
+    with(page, "ivy-refused", &refusal.to_string())
+}
+
+/// Tells the core if the viewer closes before the answer.
+struct Waiting {
+    shell: Shell,
+    session: SessionId,
+    request: RequestId,
+    answered: Cell<bool>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if !self.answered.get() {
+            let (session, request) = (self.session, self.request);
+            self.shell.tell(move |front, hands, now| {
+                hands.forget(request);
+                front.closed(hands, now, session, request);
+            });
+        }
+    }
+}
+
+impl Desk {
+    async fn answer(&self, request: Request<Incoming>) -> Page {
+        let path = request.uri().path();
+        let name = path.strip_prefix("/mpd/").and_then(|rest| rest.strip_suffix(".mpd"));
+        let Some(name) = name else { return page(StatusCode::NOT_FOUND, "no such page\n") };
+        if request.method() != Method::GET {
+            return with(page(StatusCode::METHOD_NOT_ALLOWED, "only GET is answered here\n"), "allow", "GET");
+        }
+        if request.body().size_hint().lower() > 0 || !request.body().is_end_stream() {
+            let page = page(StatusCode::BAD_REQUEST, "no body belongs here\n");
+            return with(page, "connection", "close");
+        }
+        let bearer = request.headers().get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let bearer = bearer.and_then(|value| value.strip_prefix("Bearer "));
+        let query = request.uri().query().unwrap_or_default();
+        let given = query.split('&').find_map(|pair| pair.strip_prefix("token="));
+        let Some(token) = bearer.or(given) else { return refused(Refusal::Malformed) };
+        let now = date();
+        let (pass, until) = match self.keys.check(token, now, self.skew) {
+            Ok(taken) => taken,
+            Err(refusal) => return refused(refusal),
+        };
+        let Some(title) = self.titles.get(name) else {
+            return page(StatusCode::NOT_FOUND, "no such title\n");
+        };
+        if pass.title != name {
+            return refused(Refusal::ForeignTitle);
+        }
+        let Some((package, rates)) = self.packages.get(&pass.package) else {
+            return page(StatusCode::FORBIDDEN, "no such package\n");
+        };
+        let (request, session) = (self.shell.request(), SessionId(pass.session));
+        let (tell, told) = oneshot::channel();
+        let begun = pass.tune_in.is_some();
+        let about = (*package, title.id, title.cells, pass.top);
+        let left = until.saturating_sub(now);
+        self.shell.tell(move |front, hands, now| {
+            hands.expect(request, tell);
+            front.asked(hands, now, request, session, about, begun, now + left);
+        });
+        let waiting = Waiting { shell: self.shell.clone(), session, request, answered: Cell::new(false) };
+        let Ok(answer) = told.await else { return page(StatusCode::BAD_GATEWAY, "the manager ends\n") };
+        waiting.answered.set(true);
+        tracing::debug!(session = %format_args!("{:032x}", pass.session), title = name, ?answer, "answered");
+        match answer {
+            Answer::Plays { server, vw, tune_in, rung } => {
+                let (name, birth) = (self.shell.0.name.clone(), self.shell.0.birth);
+                let pass = Pass { tune_in: Some((name, birth, vw.0, tune_in.0)), ..pass };
+                let server = setup::server_address(server);
+                self.manifest(title, &server.to_string(), &rates[..=rung.min(rates.len() - 1)], &pass, now)
+            }
+            Answer::Blocked { come_back } => {
+                let page = page(StatusCode::SERVICE_UNAVAILABLE, "blocked: nothing plays it now\n");
+                // Whole seconds (RFC 9110, 10.2.3); the span as it is beside them.
+                let span = come_back.unwrap_or_default();
+                let page = with(page, "retry-after", &span.as_secs_f64().ceil().to_string());
+                with(page, "ivy-come-back-ms", &span.as_millis().to_string())
+            }
+            Answer::Aborted { late: false } => {
+                page(StatusCode::BAD_GATEWAY, "aborted: it could not be set up\n")
+            }
+            Answer::Aborted { late: true } => page(StatusCode::GATEWAY_TIMEOUT, "aborted: too late\n"),
+            Answer::Conflict => page(StatusCode::CONFLICT, "this session watches something else\n"),
+        }
+    }
+
+    fn manifest(
+        &self, title: &setup::Title, server: &str, rates: &[f64], pass: &Pass, now: Duration,
+    ) -> Page {
+        let token = match self.keys.mint(pass, now, self.life) {
+            Ok(token) => token,
+            Err(error) => return page(StatusCode::INTERNAL_SERVER_ERROR, format!("no token: {error}\n")),
+        };
+        let began = {
+            let mut began = self.began.borrow_mut();
+            let forgotten = title.length.max(self.life) * 2;
+            if began.len().is_multiple_of(256) {
+                began.retain(|_, (_, last)| now < *last + forgotten);
+            }
+            let entry = began.entry(pass.session).or_insert((now, now));
+            entry.1 = now;
+            entry.0
+        };
+        let here = self.shell.0.address;
+        let base = format!("http://{server}/v/{token}/");
+        let again = format!("http://{here}/mpd/{}.mpd?token={token}", title.name);
+        let spans = (title.length, self.shell.0.segment, self.refresh);
+        let text = manifest(&title.name, &base, &again, rates, spans, (began, now));
+        with(page(StatusCode::OK, text), "content-type", "application/dash+xml")
+    }
+}
--- /dev/null
+++ b/crates/dash/src/tests.rs
@@ -0,0 +1,135 @@
+use crate::manifest;
+use crate::token::{Keys, Pass, Refusal};
+use base64::prelude::{BASE64_URL_SAFE_NO_PAD, Engine as _};
+use std::time::Duration;
+
+const OLD: &str = "a secret of thirty-two bytes or more";
+const NEW: &str = "another secret, as long as the first";
+/// The key pair of RFC 8037, appendix A.
+const PUBLIC: &str = "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=";
+const PRIVATE: &str = "MC4CAQAwBQYDK2VwBCIEIJ1hsZ3v/VpguoRK9JLsLMREScVpezJpGXA7rAMcrn9g";
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn pass(tune_in: Option<(String, u64, u32, u16)>) -> Pass {
+    let text = String::from;
+    Pass { session: 7 << 100, title: text("a"), package: text("p"), top: 2, tenant: text("t"), tune_in }
+}
+
+fn keys(signs: &str) -> Keys {
+    let mut keys = Keys::new(signs);
+    keys.add_secret("old", OLD).expect("long enough");
+    keys.add_secret("new", NEW).expect("long enough");
+    keys.add_ed25519("ed", PUBLIC, Some(PRIVATE)).expect("a key pair");
+    keys
+}
+
+#[test]
+fn what_is_minted_is_read_by_any_key_in_force() {
+    for signs in ["old", "new", "ed"] {
+        for tune_in in [None, Some(("m".to_string(), u64::MAX, 7, 3))] {
+            let pass = pass(tune_in);
+            let token = keys(signs).mint(&pass, s(100), s(10)).expect("signed");
+            assert_eq!(keys("old").check(&token, s(105), s(1)), Ok((pass, s(110))), "{signs}");
+        }
+    }
+}
+
+#[test]
+fn refusals_are_told_apart() {
+    let token = keys("old").mint(&pass(None), s(100), s(10)).expect("signed");
+    let parts: Vec<_> = token.split('.').collect();
+    let other = keys("ed").mint(&pass(None), s(100), s(10)).expect("signed");
+    let put = |header: &str, claims: &str| {
+        let [header, claims] = [header, claims].map(|text| BASE64_URL_SAFE_NO_PAD.encode(text));
+        format!("{header}.{claims}.{}", parts[2])
+    };
+    let none = put(r#"{"alg":"none","kid":"old"}"#, "{}");
+    let weaker = put(r#"{"alg":"HS256","kid":"ed"}"#, "{}");
+    let foreign = put(r#"{"alg":"HS256","kid":"x"}"#, "{}");
+    let cases = [
+        (token.clone(), 100, Ok(())),
+        (token.clone(), 99, Ok(())),
+        (token.clone(), 98, Err(Refusal::NotYetValid)),
+        (token.clone(), 110, Ok(())),
+        (token.clone(), 111, Err(Refusal::Expired)),
+        (
+            format!("{}.{}.{}", parts[0], parts[1], other.split('.').nth(2).unwrap_or("")),
+            100,
+            Err(Refusal::Forged),
+        ),
+        (format!("{}.{}.{}", parts[0], other.split('.').nth(1).unwrap_or(""), parts[2]), 100, Ok(())),
+        (foreign, 100, Err(Refusal::UnknownKey)),
+        (none, 100, Err(Refusal::Malformed)),
+        (weaker, 100, Err(Refusal::Forged)),
+        (String::new(), 100, Err(Refusal::Malformed)),
+        ("a.b".into(), 100, Err(Refusal::Malformed)),
+        ("x".repeat(5000), 100, Err(Refusal::Malformed)),
+    ];
+    for (token, now, wanted) in cases {
+        assert_eq!(keys("new").check(&token, s(now), s(1)).map(|_| ()), wanted, "{token} at {now}");
+    }
+}
+
+#[test]
+fn claims_that_lack_something_are_malformed() {
+    let whole = serde_json::json!({"vw": "0".repeat(32), "title": "a", "pkg": "p", "top": 1, "tenant": "", "nbf": 1,
+        "exp": 9, "tin": ["m", 1, 2, 3]});
+    let spoilt = [
+        ("vw", "7".into()),
+        ("title", 3.into()),
+        ("top", (-1).into()),
+        ("exp", "9".into()),
+        ("tin", serde_json::json!(["m", 1, 5_000_000_000_u64, 3])),
+        ("tenant", serde_json::Value::Null),
+    ];
+    let key = jsonwebtoken::EncodingKey::from_secret(OLD.as_bytes()).expect("a key");
+    let mut header = jsonwebtoken::Header::new(jsonwebtoken::Algorithm::HS256);
+    header.kid = Some("old".into());
+    let check = |claims: &serde_json::Value| {
+        let token = jsonwebtoken::encode(&header, claims, &key).expect("signed");
+        keys("old").check(&token, s(5), s(0)).map(|_| ())
+    };
+    assert_eq!(check(&whole), Ok(()));
+    for (name, value) in spoilt {
+        let mut claims = whole.clone();
+        claims[name] = value;
+        assert_eq!(check(&claims), Err(Refusal::Malformed), "{name}");
+    }
+}
+
+#[test]
+fn keys_that_cant_be_used_say_why() {
+    let mut keys = Keys::new("k");
+    assert_eq!(keys.add_secret("k", "short"), Err("is 5 bytes long, under 32".into()));
+    assert!(keys.add_ed25519("k", "%", None).is_err_and(|e| e.contains("base64")));
+    assert_eq!(keys.add_ed25519("k", "AAAA", None), Err("is 3 bytes long, not 32".into()));
+    assert!(!keys.can_sign() && keys.mint(&pass(None), s(0), s(1)).is_err());
+    keys.add_ed25519("k", PUBLIC, None).expect("a public key");
+    assert!(!keys.can_sign(), "a public key signs nothing");
+}
+
+#[test]
+fn manifests_offer_the_rungs_given_and_keep_their_begin() {
+    let spans = (s(31), s(2), s(3));
+    for rungs in 1..=3 {
+        let rates = &[100.0, 250.5, 900.0][..rungs];
+        let text =
+            |now| manifest::manifest("a<b", "http://s/?a&b/", "http://m/", rates, spans, (s(1000), now));
+        let found = manifest::read(&text(s(1001)));
+        assert_eq!(found, Ok(("http://s/?a&b/".into(), "http://m/".into(), rungs)));
+        let (first, later) = (dash_mpd_core::parse(&text(s(1001))), dash_mpd_core::parse(&text(s(1009))));
+        let (first, later) = (first.expect("a manifest"), later.expect("a manifest"));
+        assert_eq!(first.availabilityStartTime, later.availabilityStartTime);
+        assert!(first.publishTime < later.publishTime);
+        assert_eq!(first.periods[0].id, later.periods[0].id);
+        let set = &first.periods[0].adaptations[0];
+        let rates: Vec<_> = set.representations.iter().filter_map(|r| r.bandwidth).collect();
+        assert_eq!(rates, [800_000, 2_004_000, 7_200_000][..rungs]);
+    }
+    for text in ["", "<MPD/>", "<a>", "{}"] {
+        assert!(manifest::read(text).is_err(), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/dash/src/token.rs
@@ -0,0 +1,178 @@
+//! Session tokens: JSON Web Tokens (RFC 7519) signed by HMAC (RFC 7518, 3.2) or Ed25519 (RFC 8037). The app gives a
+//! player one without a tune-in; the manager's own name the tune-in that they were given for.
+
+use base64::prelude::{BASE64_STANDARD, Engine as _};
+use jsonwebtoken::errors::ErrorKind;
+use jsonwebtoken::{Algorithm, DecodingKey, EncodingKey, Header, Validation, decode, decode_header, encode};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// No token of ours is longer; longer ones are not looked at.
+const LONGEST: usize = 2048;
+
+/// Why a token is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    Malformed,
+    Forged,
+    UnknownKey,
+    NotYetValid,
+    Expired,
+    ForeignTitle,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::Malformed => "malformed",
+            Refusal::Forged => "forged",
+            Refusal::UnknownKey => "unknown-key",
+            Refusal::NotYetValid => "not-yet-valid",
+            Refusal::Expired => "expired",
+            Refusal::ForeignTitle => "foreign-title",
+        })
+    }
+}
+
+/// What a token entitles to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pass {
+    /// The session.
+    pub session: u128,
+    pub title: String,
+    pub package: String,
+    pub top: usize,
+    pub tenant: String,
+    /// The manager, its start, the viewing there and the tune-in that it was given for; none from the app.
+    pub tune_in: Option<(String, u64, u32, u16)>,
+}
+
+struct Key {
+    algorithm: Algorithm,
+    checks: DecodingKey,
+    signs: Option<EncodingKey>,
+}
+
+/// The keys in force. Two are valid during a change of keys; one signs.
+#[derive(Default)]
+pub struct Keys {
+    keys: BTreeMap<String, Key>,
+    signs: String,
+}
+
+impl Keys {
+    /// `signs`: the id of the key that signs.
+    pub fn new(signs: &str) -> Self {
+        Keys { keys: BTreeMap::new(), signs: signs.into() }
+    }
+
+    /// # Errors
+    /// The secret is too short for HS256 (RFC 7518, 3.2: as long as the hash, 32 bytes).
+    pub fn add_secret(&mut self, id: &str, secret: &str) -> Result<(), String> {
+        if secret.len() < 32 {
+            return Err(format!("is {} bytes long, under 32", secret.len()));
+        }
+        let checks = DecodingKey::from_secret(secret.as_bytes()).map_err(|e| e.to_string())?;
+        let signs = EncodingKey::from_secret(secret.as_bytes()).map_err(|e| e.to_string())?;
+        self.keys.insert(id.into(), Key { algorithm: Algorithm::HS256, checks, signs: Some(signs) });
+        Ok(())
+    }
+
+    /// An Ed25519 key: the public one as base64 of its 32 bytes, the private one as base64 of PKCS#8 DER.
+    ///
+    /// # Errors
+    /// One of them is not base64, or of a wrong length.
+    pub fn add_ed25519(&mut self, id: &str, public: &str, private: Option<&str>) -> Result<(), String> {
+        let bytes = |text: &str| BASE64_STANDARD.decode(text).map_err(|e| format!("is not base64: {e}"));
+        let public = bytes(public)?;
+        if public.len() != 32 {
+            return Err(format!("is {} bytes long, not 32", public.len()));
+        }
+        let signs = private.map(bytes).transpose()?.map(|der| EncodingKey::from_ed_der(&der));
+        let checks = DecodingKey::from_ed_der(&public);
+        self.keys.insert(id.into(), Key { algorithm: Algorithm::EdDSA, checks, signs });
+        Ok(())
+    }
+
+    /// Whether the signing key is there and can sign.
+    pub fn can_sign(&self) -> bool {
+        self.keys.get(&self.signs).is_some_and(|key| key.signs.is_some())
+    }
+
+    /// A signed token, valid from `now` for `life`.
+    ///
+    /// # Errors
+    /// No key signs.
+    pub fn mint(&self, pass: &Pass, now: Duration, life: Duration) -> Result<String, String> {
+        let key = self.keys.get(&self.signs).ok_or_else(|| format!("no key {:?}", self.signs))?;
+        let signs = key.signs.as_ref().ok_or_else(|| format!("key {:?} can't sign", self.signs))?;
+        let mut header = Header::new(key.algorithm);
+        header.kid = Some(self.signs.clone());
+        // Dates are whole seconds (RFC 7519, 2); a part of a second more is not life lost.
+        let ends = (now + life).as_millis().div_ceil(1000) as u64;
+        let mut claims = json!({
+            "vw": format!("{:032x}", pass.session), "title": pass.title, "pkg": pass.package, "top": pass.top,
+            "tenant": pass.tenant, "nbf": now.as_secs(), "exp": ends,
+        });
+        if let Some((manager, birth, vw, n)) = &pass.tune_in {
+            claims["tin"] = json!([manager, birth, vw, n]);
+        }
+        encode(&header, &claims, signs).map_err(|e| e.to_string())
+    }
+
+    /// What a token entitles to, and when it ends. `skew`: how far clocks may be apart.
+    ///
+    /// # Errors
+    /// Why it is not taken. Dates are looked at only of what is signed.
+    pub fn check(&self, token: &str, now: Duration, skew: Duration) -> Result<(Pass, Duration), Refusal> {
+        if token.len() > LONGEST {
+            return Err(Refusal::Malformed);
+        }
+        let header = decode_header(token).map_err(|_| Refusal::Malformed)?;
+        let key = header.kid.and_then(|id| self.keys.get(&id)).ok_or(Refusal::UnknownKey)?;
+        // Guards against a token that names a weaker way of signing than its key's.
+        let mut how = Validation::new(key.algorithm);
+        how.validate_exp = false;
+        how.validate_aud = false;
+        how.required_spec_claims.clear();
+        let claims = decode::<Value>(token, &key.checks, &how).map_err(|error| match error.kind() {
+            ErrorKind::InvalidSignature | ErrorKind::InvalidAlgorithm => Refusal::Forged,
+            _ => Refusal::Malformed,
+        })?;
+        let claims = claims.claims;
+        let date = |name: &str| claims[name].as_u64().map(Duration::from_secs).ok_or(Refusal::Malformed);
+        let (from, until) = (date("nbf")?, date("exp")?);
+        if now + skew < from {
+            return Err(Refusal::NotYetValid);
+        }
+        if now >= until + skew {
+            return Err(Refusal::Expired);
+        }
+        let pass = pass(&claims).ok_or(Refusal::Malformed)?;
+        Ok((pass, until))
+    }
+}
+
+fn pass(claims: &Value) -> Option<Pass> {
+    let text = |name: &str| claims[name].as_str().map(String::from);
+    let session = text("vw").filter(|vw| vw.len() == 32)?;
+    let tune_in = match &claims["tin"] {
+        Value::Null => None,
+        tin => Some((
+            tin[0].as_str()?.to_string(),
+            tin[1].as_u64()?,
+            u32::try_from(tin[2].as_u64()?).ok()?,
+            u16::try_from(tin[3].as_u64()?).ok()?,
+        )),
+    };
+    Some(Pass {
+        session: u128::from_str_radix(&session, 16).ok()?,
+        title: text("title")?,
+        package: text("pkg")?,
+        top: usize::try_from(claims["top"].as_u64()?).ok()?,
+        tenant: text("tenant")?,
+        tune_in,
+    })
+}
--- /dev/null
+++ b/crates/session/src/book.rs
@@ -0,0 +1,164 @@
+//! What is held of viewings, and what the module's actions change in it.
+
+use crate::{Answer, Effects, Fence, RequestId, SessionId, Timer, TuneIn};
+use ivyward::front::{Actions, Ending, PackageId, ServerId, TitleId, ViewingId};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Where a viewing is, and with it what its next result means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// Nothing is out; the module may be waiting for probes.
+    Deciding,
+    /// A tune-in is out. `written`: its first byte has gone or may have.
+    Out {
+        server: ServerId,
+        tune_in: TuneIn,
+        written: bool,
+    },
+    Plays {
+        server: ServerId,
+        tune_in: TuneIn,
+    },
+}
+
+pub(crate) struct Viewing {
+    pub session: SessionId,
+    pub package: usize,
+    pub title: TitleId,
+    pub once: bool,
+    /// Those that wait for the answer.
+    pub requests: Vec<RequestId>,
+    pub answered: bool,
+    pub step: Step,
+    pub rung: usize,
+    pub tune_ins: u16,
+    /// When its player last asked.
+    pub seen: Duration,
+    /// A tune-in may have run, for a paid viewing the end of all others.
+    pub ran: bool,
+    /// Its token's end: until then the same session may come again.
+    pub valid: Duration,
+}
+
+/// An ending that the module is still to be told of.
+pub(crate) struct Ended {
+    pub vw: ViewingId,
+    pub tune_in: TuneIn,
+    pub server: ServerId,
+    pub ending: Ending,
+}
+
+pub(crate) struct Book {
+    pub viewings: BTreeMap<ViewingId, Viewing>,
+    pub sessions: BTreeMap<SessionId, ViewingId>,
+    /// Paid sessions that may have run, until their tokens end.
+    pub spent: BTreeMap<SessionId, Duration>,
+    pub ended: VecDeque<Ended>,
+    pub fence: Fence,
+    pub last: u32,
+}
+
+impl Book {
+    /// An id that no live viewing has.
+    pub fn fresh(&mut self) -> ViewingId {
+        loop {
+            self.last = self.last.wrapping_add(1);
+            if !self.viewings.contains_key(&ViewingId(self.last)) {
+                return ViewingId(self.last);
+            }
+        }
+    }
+
+    /// The answer, to all that wait for it; none after the first.
+    pub fn answer(&mut self, out: &mut dyn Effects, vw: ViewingId, answer: Answer) {
+        let Some(viewing) = self.viewings.get_mut(&vw).filter(|viewing| !viewing.answered) else { return };
+        viewing.answered = true;
+        std::mem::take(&mut viewing.requests).into_iter().for_each(|request| out.answer(request, answer));
+        if !matches!(answer, Answer::Plays { .. }) && viewing.step == Step::Deciding {
+            self.forget(vw);
+        }
+    }
+
+    /// The viewing is over and nothing of it is out.
+    pub fn forget(&mut self, vw: ViewingId) {
+        let Some(viewing) = self.viewings.remove(&vw) else { return };
+        if viewing.step != Step::Deciding {
+            self.fence.holds(viewing.package, viewing.title, false);
+        }
+        self.fence.ended(viewing.session, vw);
+        if self.sessions.get(&viewing.session) == Some(&vw) {
+            self.sessions.remove(&viewing.session);
+        }
+        if viewing.once && viewing.ran {
+            self.spent.insert(viewing.session, viewing.valid);
+        }
+    }
+
+    /// Takes the tune-in off a viewing if it is that one.
+    pub fn take_out(&mut self, vw: ViewingId, tune_in: TuneIn) -> Option<(ServerId, bool)> {
+        let viewing = self.viewings.get_mut(&vw)?;
+        let Step::Out { server, tune_in: out, written } = viewing.step else { return None };
+        if out != tune_in {
+            return None;
+        }
+        viewing.step = Step::Deciding;
+        self.fence.holds(viewing.package, viewing.title, false);
+        self.fence.ended(viewing.session, vw);
+        Some((server, written))
+    }
+}
+
+/// The module's hand in the book, for one event.
+pub(crate) struct Hand<'a> {
+    pub book: &'a mut Book,
+    pub out: &'a mut dyn Effects,
+}
+
+impl Actions for Hand<'_> {
+    fn tune_in(&mut self, vw: ViewingId, server: ServerId, limit: Duration) {
+        let Some(viewing) = self.book.viewings.get_mut(&vw) else { return };
+        let tune_in = TuneIn(viewing.tune_ins);
+        viewing.tune_ins += 1;
+        viewing.step = Step::Out { server, tune_in, written: false };
+        self.book.fence.holds(viewing.package, viewing.title, true);
+        let about = (PackageId(viewing.package), viewing.title);
+        self.out.set_up(viewing.session, vw, tune_in, server, viewing.rung, about);
+        self.out.wake(limit, Timer::Limit(vw, tune_in));
+    }
+
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>) {
+        self.book.answer(self.out, vw, Answer::Blocked { come_back });
+    }
+
+    fn abort(&mut self, vw: ViewingId) {
+        self.book.answer(self.out, vw, Answer::Aborted { late: false });
+    }
+
+    fn call_off(&mut self, vw: ViewingId, tune_in: u16) {
+        let tune_in = TuneIn(tune_in);
+        // One that plays by now is not called off.
+        let Some((server, written)) = self.book.take_out(vw, tune_in) else { return };
+        self.out.drop_set_up(vw, tune_in);
+        if written {
+            self.out.release(server, vw, tune_in);
+        }
+        self.book.ended.push_back(Ended { vw, tune_in, server, ending: Ending::CalledOff });
+    }
+
+    fn set_rung(&mut self, vw: ViewingId, rung: usize) {
+        let Some(viewing) = self.book.viewings.get_mut(&vw) else { return };
+        viewing.rung = rung;
+        if let Step::Plays { server, tune_in } = viewing.step {
+            self.out.rung(server, vw, tune_in, rung);
+        }
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        self.out.probe(server);
+    }
+
+    fn wake(&mut self, after: Duration, token: u64) {
+        self.out.wake(after, Timer::Module(token));
+    }
+}
--- /dev/null
+++ b/crates/session/src/fence.rs
@@ -0,0 +1,135 @@
+//! Assertions of the rules at the last moment before a byte goes out. They decide nothing: a breach is counted and
+//! told, and every day's verdict reads the count. What they go by is booked here, apart from what the core goes by.
+
+use crate::SessionId;
+use ivyward::front::{ServerId, Standing, TitleId, ViewingId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// A rule that would be broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Breach {
+    LateAnswer,
+    TwoTuneIns,
+    PaidTwice,
+    AfterDrain,
+    Seats,
+    Ration,
+}
+
+/// A ration of further tune-ins: span, so many free, and a share of the viewings taken.
+type Ration = (Duration, f64, f64);
+
+/// What has gone out, as the rules count it.
+pub struct Fence {
+    grace: Duration,
+    ration: Option<Ration>,
+    seats: Vec<usize>,
+    out: BTreeMap<SessionId, ViewingId>,
+    known: BTreeSet<ServerId>,
+    ended: BTreeMap<ServerId, Duration>,
+    taken: VecDeque<Duration>,
+    further: VecDeque<Duration>,
+    held: BTreeMap<(usize, TitleId), usize>,
+    pub counts: BTreeMap<Breach, u64>,
+}
+
+impl Fence {
+    /// `seats`: by package, 0 for no cap.
+    pub fn new(grace: Duration, ration: Option<Ration>, seats: Vec<usize>) -> Self {
+        Fence {
+            grace,
+            ration,
+            seats,
+            out: BTreeMap::new(),
+            known: BTreeSet::new(),
+            ended: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            held: BTreeMap::new(),
+            counts: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn taken(&mut self, now: Duration) {
+        if let Some((span, ..)) = self.ration {
+            self.taken.push_back(now);
+            self.taken.retain(|at| *at + span > now);
+        }
+    }
+
+    /// News of a server's standing; a drain told again was told before.
+    pub(crate) fn told(&mut self, now: Duration, server: ServerId, standing: Standing) {
+        self.known.insert(server);
+        match standing {
+            Standing::Ready => drop(self.ended.remove(&server)),
+            Standing::Draining | Standing::Gone => drop(self.ended.entry(server).or_insert(now)),
+        }
+    }
+
+    /// A whole list came: servers that it doesn't name are gone.
+    pub(crate) fn told_whole(&mut self, now: Duration, named: &BTreeSet<ServerId>) {
+        let gone: Vec<_> = self.known.difference(named).copied().collect();
+        gone.into_iter().for_each(|server| self.told(now, server, Standing::Gone));
+    }
+
+    /// Whether a server is known to drain or to be gone.
+    pub(crate) fn ending(&self, server: ServerId) -> bool {
+        self.ended.contains_key(&server)
+    }
+
+    pub(crate) fn holds(&mut self, package: usize, title: TitleId, more: bool) {
+        let held = self.held.entry((package, title)).or_default();
+        *held = if more { *held + 1 } else { held.saturating_sub(1) };
+        if *held == 0 {
+            self.held.remove(&(package, title));
+        }
+    }
+
+    /// A set-up is about to be written: what it would break. `again`: a further tune-in, `ran`: an earlier one of a
+    /// paid viewing may have run.
+    pub(crate) fn sending(
+        &mut self, now: Duration, session: SessionId, vw: ViewingId, server: ServerId,
+        about: (usize, TitleId), (again, ran): (bool, bool),
+    ) -> Vec<Breach> {
+        let mut breaches = vec![];
+        if self.out.insert(session, vw).is_some() {
+            breaches.push(Breach::TwoTuneIns);
+        }
+        if ran {
+            breaches.push(Breach::PaidTwice);
+        }
+        if self.ended.get(&server).is_some_and(|told| now > *told + self.grace) {
+            breaches.push(Breach::AfterDrain);
+        }
+        let seats = self.seats.get(about.0).copied().unwrap_or_default();
+        if seats > 0 && self.held.get(&about).copied().unwrap_or_default() > seats {
+            breaches.push(Breach::Seats);
+        }
+        if let Some((span, free, share)) = self.ration.filter(|_| again) {
+            self.further.push_back(now);
+            self.further.retain(|at| *at + span >= now);
+            let taken = self.taken.iter().filter(|at| **at + span > now).count() as f64;
+            if self.further.len() as f64 > free + share * taken {
+                breaches.push(Breach::Ration);
+            }
+        }
+        breaches.iter().for_each(|breach| *self.counts.entry(*breach).or_default() += 1);
+        breaches
+    }
+
+    pub(crate) fn ended(&mut self, session: SessionId, vw: ViewingId) {
+        if self.out.get(&session) == Some(&vw) {
+            self.out.remove(&session);
+        }
+    }
+
+    pub(crate) fn late(&mut self) {
+        *self.counts.entry(Breach::LateAnswer).or_default() += 1;
+    }
+
+    /// Set-ups out by its own count.
+    pub fn out(&self) -> usize {
+        self.out.len()
+    }
+}
--- /dev/null
+++ b/crates/session/src/lib.rs
@@ -0,0 +1,108 @@
+//! The session core: viewings from request to end. Events come in by the methods of [`Front`], each with `now`, the
+//! span since the start; what is to be done goes out through [`Effects`]. It knows no sockets and no clock, and decides
+//! nothing that the module decides: it keeps what a viewing has out, tells endings apart and hands them on.
+
+mod book;
+mod fence;
+mod front;
+
+pub use fence::{Breach, Fence};
+pub use front::Front;
+
+use ivyward::front::{PackageId, ServerId, TitleId, ViewingId};
+use std::time::Duration;
+
+/// A viewer's session, as its token names it; stays over refreshes and resends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SessionId(pub u128);
+
+/// One request on one socket. Several may wait for the answer of one viewing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u64);
+
+/// The number of a viewing's tune-in, from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TuneIn(pub u16);
+
+/// What provably happened to a set-up on its socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Happened {
+    /// The server plays it.
+    Plays,
+    /// No connection came about.
+    NotConnected,
+    /// Not one byte of it was written.
+    NotWritten,
+    /// The server turned it away and says that it never ran.
+    Refused,
+    /// The server answered with an error.
+    Errored,
+    /// The connection broke after a byte was written, on a fresh connection or on a used one.
+    Broke,
+}
+
+/// Why a viewing ended while it played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    Ended,
+    /// The viewer stopped fetching, or left.
+    Left,
+    /// Its server was lost.
+    Lost,
+}
+
+/// The one answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It plays there, up to that rung.
+    Plays {
+        server: ServerId,
+        vw: ViewingId,
+        tune_in: TuneIn,
+        rung: usize,
+    },
+    Blocked {
+        come_back: Option<Duration>,
+    },
+    /// It failed; a server may have begun.
+    Aborted {
+        late: bool,
+    },
+    /// The session is watching something else.
+    Conflict,
+}
+
+/// What waits for its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Timer {
+    /// The module's own, with its token.
+    Module(u64),
+    /// The limit of a tune-in.
+    Limit(ViewingId, TuneIn),
+    /// The last moment for a viewing's answer.
+    Answer(ViewingId),
+    /// Whether its player still asks for manifests.
+    Seen(ViewingId),
+}
+
+/// What the core has done by whoever drives it.
+pub trait Effects {
+    fn answer(&mut self, request: RequestId, answer: Answer);
+    /// Connects to the server and, if `Front::sending` then allows it, sends the set-up.
+    fn set_up(
+        &mut self, session: SessionId, vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
+        about: (PackageId, TitleId),
+    );
+    /// Nobody waits for this set-up any more: its connection is closed.
+    fn drop_set_up(&mut self, vw: ViewingId, tune_in: TuneIn);
+    /// Whatever the server has of this tune-in ends, now or when it comes to it.
+    fn release(&mut self, server: ServerId, vw: ViewingId, tune_in: TuneIn);
+    fn rung(&mut self, server: ServerId, vw: ViewingId, tune_in: TuneIn, rung: usize);
+    fn probe(&mut self, server: ServerId);
+    fn wake(&mut self, after: Duration, timer: Timer);
+    /// An assertion failed; it has changed nothing.
+    fn breach(&mut self, breach: Breach, vw: ViewingId);
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/session/src/tests.rs
@@ -0,0 +1,316 @@
+//! Tables of events and of what must come of them, with the real module and without sockets.
+
+mod world;
+
+use crate::{Answer, Breach, Happened, Over, Timer, TuneIn};
+use ivyward::front::{Load, Standing, ViewingId};
+use world::{Did, World, ms, server, session};
+
+const PLAIN: usize = 0;
+const PAID: usize = 1;
+const SEATED: usize = 2;
+
+/// The one set-up that is out.
+fn out(world: &World) -> (ViewingId, TuneIn) {
+    let set_ups = world.did.iter().filter_map(|did| match did {
+        Did::SetUp(vw, n, _) => Some((*vw, *n)),
+        _ => None,
+    });
+    set_ups.last().expect("a set-up is out")
+}
+
+fn answers(world: &World) -> Vec<&Answer> {
+    world
+        .did
+        .iter()
+        .filter_map(|did| if let Did::Answer(_, answer) = did { Some(answer) } else { None })
+        .collect()
+}
+
+#[test]
+fn what_follows_an_ending_goes_by_what_is_proved() {
+    use Happened::*;
+    // What happened, whether the plain and the paid package are set up again after it, and whether it is released.
+    let cases = [
+        (NotConnected, true, true, false),
+        (NotWritten, true, true, false),
+        (Refused, true, true, false),
+        (Errored, true, false, true),
+        (Broke, true, false, true),
+    ];
+    for (what, plain, paid, released) in cases {
+        for (package, again) in [(PLAIN, plain), (PAID, paid)] {
+            let mut world = World::new();
+            world.asks(1, session(1), package);
+            let (vw, n) = out(&world);
+            assert!(world.sending(vw, n));
+            world.happens(vw, n, what);
+            let after = world.did.iter().filter(|did| matches!(did, Did::SetUp(..))).count();
+            assert_eq!(after == 2, again, "{what:?} of package {package}: {:?}", world.did);
+            assert_eq!(world.released(vw, n), released, "{what:?}");
+            if !again {
+                assert_eq!(
+                    answers(&world),
+                    [&Answer::Aborted { late: false }],
+                    "{what:?} of package {package}"
+                );
+                assert!(world.front.is_empty());
+            }
+        }
+    }
+}
+
+#[test]
+fn each_way_of_asking_again_is_one_viewing_with_one_answer_each() {
+    let mut world = World::new();
+    world.asks(1, session(1), PLAIN);
+    let (vw, n) = out(&world);
+    // Two requests cross, a refresh while it plays, another title under the same session.
+    world.asks(2, session(1), PLAIN);
+    assert!(world.sending(vw, n));
+    world.happens(vw, n, Happened::Plays);
+    world.asks(3, session(1), PLAIN);
+    world.asks_for(4, session(1), PLAIN, 1);
+    let set_ups = world.did.iter().filter(|did| matches!(did, Did::SetUp(..))).count();
+    let all = answers(&world);
+    assert_eq!((set_ups, all.len()), (1, 4), "{:?}", world.did);
+    assert!(all[..3].iter().all(|answer| matches!(answer, Answer::Plays { tune_in, .. } if *tune_in == n)));
+    assert_eq!(all[3], &Answer::Conflict);
+    world.over(vw, n, Over::Ended);
+    assert!(world.front.is_empty());
+}
+
+#[test]
+fn a_limit_and_an_answer_in_any_order_make_one_answer() {
+    // The answer may come before the limit, after it, or in the same turn as either.
+    for limit_first in [false, true] {
+        for package in [PLAIN, PAID] {
+            let mut world = World::new();
+            world.asks(1, session(1), package);
+            let (vw, n) = out(&world);
+            assert!(world.sending(vw, n));
+            if limit_first {
+                world.fires(Timer::Limit(vw, n));
+                world.happens(vw, n, Happened::Plays);
+            } else {
+                world.happens(vw, n, Happened::Plays);
+                world.fires(Timer::Limit(vw, n));
+            }
+            let plays =
+                answers(&world).iter().filter(|answer| matches!(answer, Answer::Plays { .. })).count();
+            assert_eq!(plays, usize::from(!limit_first), "package {package}, limit first: {limit_first}");
+            assert_eq!(world.released(vw, n), limit_first, "what may have run there is released");
+            world.runs(ms(20_000));
+            assert_eq!(answers(&world).len(), 1, "{:?}", world.did);
+            assert_eq!(world.front.breaches().len(), 0);
+        }
+    }
+}
+
+#[test]
+fn a_limit_before_the_first_byte_proves_that_nothing_ran() {
+    for written in [false, true] {
+        let mut world = World::new();
+        world.asks(1, session(1), PAID);
+        let (vw, n) = out(&world);
+        if written {
+            assert!(world.sending(vw, n));
+        }
+        world.fires(Timer::Limit(vw, n));
+        assert_eq!(world.released(vw, n), written);
+        assert!(!world.sending(vw, n), "a set-up given up on is not written any more");
+        let aborted = answers(&world).contains(&&Answer::Aborted { late: false });
+        assert_eq!(aborted, written, "{:?}", world.did);
+    }
+}
+
+#[test]
+fn a_drain_heard_after_the_decision_stops_the_set_up() {
+    for standing in [Standing::Draining, Standing::Gone] {
+        let mut world = World::new();
+        world.asks(1, session(1), PAID);
+        let (vw, n) = out(&world);
+        let at = world.server_of(vw, n);
+        world.lists(&[(at, standing)]);
+        assert!(!world.sending(vw, n));
+        let (again, next) = out(&world);
+        assert_eq!((again, next), (vw, TuneIn(1)), "nothing was written, so even a paid one goes elsewhere");
+        assert_ne!(world.server_of(vw, next), at);
+    }
+}
+
+#[test]
+fn a_viewer_that_closes_early_leaves_nothing_behind() {
+    for (written, plays_late) in [(false, false), (true, false), (true, true)] {
+        let mut world = World::new();
+        world.asks(1, session(1), PLAIN);
+        world.asks(2, session(1), PLAIN);
+        let (vw, n) = out(&world);
+        if written {
+            assert!(world.sending(vw, n));
+        }
+        world.closes(1, session(1));
+        assert_eq!(world.front.live(), 1, "another request still waits");
+        world.closes(2, session(1));
+        if plays_late {
+            world.happens(vw, n, Happened::Plays);
+        }
+        assert_eq!(world.released(vw, n), written);
+        world.runs(ms(20_000));
+        assert!(world.front.is_empty() && answers(&world).is_empty(), "{:?}", world.did);
+    }
+}
+
+#[test]
+fn a_paid_session_that_may_have_run_is_never_set_up_again() {
+    type Ends = fn(&mut World, ViewingId, TuneIn);
+    let cases: [(&str, Ends, bool); 5] = [
+        ("played to its end", |w, vw, n| w.played(vw, n, Over::Ended), true),
+        ("its server was lost", |w, vw, n| w.played(vw, n, Over::Lost), true),
+        ("it broke", |w, vw, n| w.happens(vw, n, Happened::Broke), true),
+        ("no answer came", |w, vw, n| w.fires(Timer::Limit(vw, n)), true),
+        ("turned away everywhere", |w, _, _| w.refuses_all(), false),
+    ];
+    for (name, ends, spent) in cases {
+        let mut world = World::new();
+        world.asks(1, session(1), PAID);
+        let (vw, n) = out(&world);
+        assert!(world.sending(vw, n));
+        ends(&mut world, vw, n);
+        assert!(world.front.is_empty(), "{name}");
+        world.did.clear();
+        world.asks(2, session(1), PAID);
+        let again = world.did.iter().any(|did| matches!(did, Did::SetUp(..)));
+        assert_eq!(again, !spent, "{name}: {:?}", world.did);
+    }
+    // After a restart only the token still tells that it was set up.
+    let mut world = World::new();
+    world.asks_begun(1, session(1), PAID);
+    assert_eq!(answers(&world), [&Answer::Aborted { late: false }]);
+}
+
+#[test]
+fn what_a_server_no_longer_plays_is_over() {
+    let mut world = World::new();
+    for i in 1..=6 {
+        world.asks(i, session(u128::from(i)), PLAIN);
+        let (vw, n) = out(&world);
+        assert!(world.sending(vw, n));
+        world.happens(vw, n, Happened::Plays);
+    }
+    let (vw, n) = out(&world);
+    let at = world.server_of(vw, n);
+    let there = world.at(at);
+    world.still(at, &[(vw, n)]);
+    assert_eq!(world.front.live(), 6 - there + 1);
+    world.still(at, &[]);
+    assert_eq!(world.front.live(), 6 - there);
+}
+
+#[test]
+fn a_player_that_falls_silent_gives_its_place_back() {
+    let mut world = World::new();
+    world.asks(1, session(1), PLAIN);
+    let (vw, n) = out(&world);
+    assert!(world.sending(vw, n));
+    world.happens(vw, n, Happened::Plays);
+    for _ in 0..4 {
+        world.runs(ms(6000));
+        world.asks(2, session(1), PLAIN);
+    }
+    assert_eq!(world.front.live(), 1, "it asks for manifests");
+    world.runs(ms(20_000));
+    assert!(world.front.is_empty() && world.released(vw, n), "it asks no more");
+}
+
+#[test]
+fn ends_answer_each_viewing_once() {
+    let mut world = World::new();
+    for i in 1..=4 {
+        world.asks(i, session(u128::from(i)), if i == 4 { PAID } else { PLAIN });
+        let (vw, n) = out(&world);
+        if i != 2 {
+            assert!(world.sending(vw, n));
+        }
+        if i == 3 {
+            world.happens(vw, n, Happened::Plays);
+        }
+    }
+    world.stop();
+    let blocked = Answer::Blocked { come_back: None };
+    let all = answers(&world);
+    assert_eq!((all.len(), world.front.waiting()), (4, 0));
+    assert_eq!([all[1], all[2], all[3]], [&blocked, &blocked, &Answer::Aborted { late: false }]);
+    world.asks(9, session(9), PLAIN);
+    assert_eq!(answers(&world).last(), Some(&&blocked), "nothing new is taken");
+    world.runs(ms(20_000));
+    assert_eq!(answers(&world).len(), 5);
+}
+
+#[test]
+fn hundreds_in_one_turn_are_answered_by_the_end_of_their_patience() {
+    let mut world = World::new();
+    for i in 0..400 {
+        world.asks(i, session(u128::from(i)), PLAIN);
+    }
+    // No server ever answers anything.
+    let waiting: Vec<_> = world.set_ups();
+    for (vw, n) in waiting {
+        world.sending(vw, n);
+    }
+    world.runs(ms(60_000));
+    assert_eq!(answers(&world).len(), 400);
+    assert!(world.front.is_empty() && world.front.breaches().is_empty(), "{:?}", world.front.breaches());
+}
+
+#[test]
+fn seats_hold_and_the_fence_sees_what_breaks_a_rule() {
+    let mut world = World::new();
+    for i in 1..=3 {
+        world.asks(i, session(u128::from(i)), SEATED);
+        if i < 3 {
+            let (vw, n) = out(&world);
+            assert!(world.sending(vw, n));
+            world.happens(vw, n, Happened::Plays);
+        }
+    }
+    assert_eq!(answers(&world).last(), Some(&&Answer::Blocked { come_back: None }));
+    // The fence alone, handed what must not be.
+    let mut fence = world::fence();
+    let (one, two, about) = (ViewingId(1), ViewingId(2), (SEATED, ivyward::front::TitleId(0)));
+    let send = |fence: &mut crate::Fence, at, vw, again, ran| {
+        fence.sending(ms(at), session(1), vw, server(1), about, (again, ran))
+    };
+    assert_eq!(send(&mut fence, 0, one, false, false), []);
+    assert_eq!(send(&mut fence, 1, two, false, false), [Breach::TwoTuneIns]);
+    fence.ended(session(1), two);
+    assert_eq!(send(&mut fence, 2, one, false, true), [Breach::PaidTwice]);
+    fence.ended(session(1), one);
+    fence.told(ms(10), server(1), Standing::Draining);
+    assert_eq!(send(&mut fence, 260, one, false, false), []);
+    fence.ended(session(1), one);
+    assert_eq!(send(&mut fence, 261, one, false, false), [Breach::AfterDrain]);
+    fence.ended(session(1), one);
+    fence.told(ms(300), server(1), Standing::Ready);
+    (0..3).for_each(|_| fence.holds(about.0, about.1, true));
+    assert_eq!(send(&mut fence, 301, one, false, false), [Breach::Seats]);
+    fence.holds(about.0, about.1, false);
+    for (i, breaches) in [vec![], vec![], vec![Breach::Ration]].into_iter().enumerate() {
+        fence.ended(session(1), one);
+        assert_eq!(send(&mut fence, 400 + i as u64, one, true, false), breaches);
+    }
+    assert_eq!(fence.counts.values().sum::<u64>(), 5);
+}
+
+#[test]
+fn load_comes_with_an_answer_and_breaks_nothing_when_it_is_odd() {
+    for full in [0.0, 0.5, f64::NAN, f64::INFINITY, -1.0] {
+        let mut world = World::new();
+        world.asks(1, session(1), PLAIN);
+        let (vw, n) = out(&world);
+        assert!(world.sending(vw, n));
+        world.happens_with(vw, n, Happened::Refused, Load { link: Some(full), uplink: Some(full) });
+        world.runs(ms(20_000));
+        assert_eq!(answers(&world).len(), 1, "{full}");
+    }
+}
--- /dev/null
+++ b/crates/session/src/tests/world.rs
@@ -0,0 +1,234 @@
+//! A small world for the core: six servers, three packages, time that a test moves.
+
+use crate::{Answer, Breach, Effects, Fence, Front, Happened, Over, RequestId, SessionId, Timer, TuneIn};
+use ivyward::front::*;
+use ivyward::policy::Manager;
+use ivyward::state::{Ladder, Limits, Network, Pace, Package, Ration};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const BEGIN: Duration = Duration::from_secs(1000);
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn server(i: u8) -> ServerId {
+    ServerId([127, 0, 0, i, 0, 80])
+}
+
+pub fn session(i: u128) -> SessionId {
+    SessionId(i)
+}
+
+/// What the core had done.
+#[derive(Debug, PartialEq)]
+pub enum Did {
+    Answer(RequestId, Answer),
+    SetUp(ViewingId, TuneIn, ServerId),
+    Drop(ViewingId, TuneIn),
+    Release(ServerId, ViewingId, TuneIn),
+    Breach(Breach),
+}
+
+#[derive(Default)]
+struct Hands {
+    did: Vec<Did>,
+    timers: Vec<(Duration, Timer)>,
+}
+
+impl Effects for Hands {
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        self.did.push(Did::Answer(request, answer));
+    }
+    fn set_up(
+        &mut self, _: SessionId, vw: ViewingId, n: TuneIn, server: ServerId, _: usize,
+        _: (PackageId, TitleId),
+    ) {
+        self.did.push(Did::SetUp(vw, n, server));
+    }
+    fn drop_set_up(&mut self, vw: ViewingId, n: TuneIn) {
+        self.did.push(Did::Drop(vw, n));
+    }
+    fn release(&mut self, server: ServerId, vw: ViewingId, n: TuneIn) {
+        self.did.push(Did::Release(server, vw, n));
+    }
+    fn rung(&mut self, _: ServerId, _: ViewingId, _: TuneIn, _: usize) {}
+    fn probe(&mut self, _: ServerId) {}
+    fn wake(&mut self, after: Duration, timer: Timer) {
+        self.timers.push((after, timer));
+    }
+    fn breach(&mut self, breach: Breach, _: ViewingId) {
+        self.did.push(Did::Breach(breach));
+    }
+}
+
+pub struct World {
+    pub front: Front,
+    pub did: Vec<Did>,
+    now: Duration,
+    timers: BTreeMap<(Duration, u64), Timer>,
+    order: u64,
+}
+
+pub fn fence() -> Fence {
+    Fence::new(ms(250), Some((ms(5000), 2.0, 0.0)), vec![0, 0, 2])
+}
+
+impl World {
+    pub fn new() -> World {
+        let package =
+            |once, seats| Package { value: 1.0, target: ms(1000), once, scale: 1.0, floor: 0, top: 1, seats };
+        let module = Manager::new(
+            (7, 1, ZoneId(0), 0.0),
+            Ladder { rates: vec![100.0, 200.0], worths: vec![0.5, 1.0], switch: 0.5 },
+            Network {
+                places: 6,
+                racks: 2,
+                links_kb: 600_000.0,
+                weight_kb: 100_000.0,
+                uplink_kb: 300_000.0,
+                told: ms(3000),
+                seen: ms(1000),
+            },
+            Pace::new(1, &[1000.0], ms(100), 1.0, 100.0),
+            Limits { tune_ins: 3, call_off: true, probe: false, come_back: Some(ms(2000)) },
+            Some(Ration::new(ms(5000), 1000.0, 1.0)),
+            vec![package(false, 0), package(true, 0), package(false, 2)],
+        );
+        let fence = Fence::new(ms(250), Some((ms(5000), 1000.0, 1.0)), vec![0, 0, 2]);
+        let terms = vec![(ms(3000), false), (ms(3000), true), (ms(3000), false)];
+        let front = Front::new(module, fence, terms, (ms(40), ms(9000)));
+        let mut world = World { front, did: vec![], now: BEGIN, timers: BTreeMap::new(), order: 0 };
+        world.with(|front, hands, now| front.start(hands, now));
+        let all: Vec<_> = (0..6).map(|i| (server(i), Standing::Ready)).collect();
+        world.lists(&all);
+        // Warm by now.
+        world.runs(ms(500));
+        world.did.clear();
+        world
+    }
+
+    fn with<T>(&mut self, act: impl FnOnce(&mut Front, &mut dyn Effects, Duration) -> T) -> T {
+        let mut hands = Hands::default();
+        let came = act(&mut self.front, &mut hands, self.now);
+        self.did.extend(hands.did);
+        for (after, timer) in hands.timers {
+            self.order += 1;
+            self.timers.insert((self.now + after, self.order), timer);
+        }
+        came
+    }
+
+    /// Lets time pass.
+    pub fn runs(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((at, _), timer) = entry.remove_entry();
+            self.now = at;
+            self.with(|front, hands, now| front.woken(hands, now, timer));
+        }
+        self.now = until;
+    }
+
+    pub fn fires(&mut self, timer: Timer) {
+        self.with(|front, hands, now| front.woken(hands, now, timer));
+    }
+
+    pub fn asks(&mut self, request: u64, session: SessionId, package: usize) {
+        self.asks_for(request, session, package, 0);
+    }
+
+    pub fn asks_for(&mut self, request: u64, session: SessionId, package: usize, title: u64) {
+        self.asks_as(request, session, package, title, false);
+    }
+
+    pub fn asks_begun(&mut self, request: u64, session: SessionId, package: usize) {
+        self.asks_as(request, session, package, 0, true);
+    }
+
+    fn asks_as(&mut self, request: u64, session: SessionId, package: usize, title: u64, begun: bool) {
+        let about = (PackageId(package), TitleId(title), Cells { first: 0, spread: 6 }, 1);
+        self.with(|front, hands, now| {
+            front.asked(hands, now, RequestId(request), session, about, begun, now + ms(60_000));
+        });
+    }
+
+    pub fn closes(&mut self, request: u64, session: SessionId) {
+        self.with(|front, hands, now| front.closed(hands, now, session, RequestId(request)));
+    }
+
+    pub fn sending(&mut self, vw: ViewingId, n: TuneIn) -> bool {
+        self.with(|front, hands, now| front.sending(hands, now, vw, n))
+    }
+
+    pub fn happens(&mut self, vw: ViewingId, n: TuneIn, what: Happened) {
+        self.happens_with(vw, n, what, Load::default());
+    }
+
+    pub fn happens_with(&mut self, vw: ViewingId, n: TuneIn, what: Happened, load: Load) {
+        self.with(|front, hands, now| front.happened(hands, now, vw, n, what, load));
+    }
+
+    pub fn over(&mut self, vw: ViewingId, n: TuneIn, why: Over) {
+        let at = self.server_of(vw, n);
+        self.with(|front, hands, now| front.over(hands, now, at, vw, n, why));
+    }
+
+    pub fn played(&mut self, vw: ViewingId, n: TuneIn, why: Over) {
+        self.happens(vw, n, Happened::Plays);
+        self.over(vw, n, why);
+    }
+
+    pub fn still(&mut self, at: ServerId, playing: &[(ViewingId, TuneIn)]) {
+        self.with(|front, hands, now| front.still(hands, now, at, playing));
+    }
+
+    pub fn stop(&mut self) {
+        self.with(|front, hands, now| front.stop(hands, now));
+    }
+
+    pub fn lists(&mut self, rows: &[(ServerId, Standing)]) {
+        let row = |(server, standing): &(ServerId, Standing)| Listed {
+            server: *server,
+            standing: *standing,
+            born: None,
+            weight: 1.0,
+            zone: ZoneId(0),
+            kind: KindId(0),
+            cell: u32::from(server.0[3]),
+        };
+        let rows: Vec<_> = rows.iter().map(row).collect();
+        self.with(|front, _, now| front.listed(now, &rows, Extent::Changes));
+    }
+
+    /// Turns the set-up that is out away until nothing is out any more.
+    pub fn refuses_all(&mut self) {
+        while let Some((vw, n)) = self.set_ups().last().copied().filter(|_| self.front.waiting() > 0) {
+            self.sending(vw, n);
+            self.happens(vw, n, Happened::Refused);
+        }
+    }
+
+    pub fn set_ups(&self) -> Vec<(ViewingId, TuneIn)> {
+        let set_up = |did: &Did| if let Did::SetUp(vw, n, _) = did { Some((*vw, *n)) } else { None };
+        self.did.iter().filter_map(set_up).collect()
+    }
+
+    pub fn server_of(&self, vw: ViewingId, n: TuneIn) -> ServerId {
+        let set_up = self.did.iter().find_map(|did| match did {
+            Did::SetUp(v, m, server) if (*v, *m) == (vw, n) => Some(*server),
+            _ => None,
+        });
+        set_up.expect("a set-up")
+    }
+
+    /// Set-ups sent to a server.
+    pub fn at(&self, at: ServerId) -> usize {
+        self.did.iter().filter(|did| matches!(did, Did::SetUp(_, _, server) if *server == at)).count()
+    }
+
+    pub fn released(&self, vw: ViewingId, n: TuneIn) -> bool {
+        self.did.iter().any(|did| matches!(did, Did::Release(_, v, m) if (*v, *m) == (vw, n)))
+    }
+}
--- /dev/null
+++ b/crates/settings/build.rs
@@ -0,0 +1,15 @@
+//! Compiles the schemas, so that the program carries them.
+
+use std::{env, error::Error, fs, path::Path};
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let schemas = Path::new(&env::var("CARGO_MANIFEST_DIR")?).join("../../proto");
+    println!("cargo:rerun-if-changed={}", schemas.display());
+    let mut compiler = protox::Compiler::new([&schemas])?;
+    compiler
+        .include_imports(true)
+        .open_files(["ivyward.proto", "day.proto"].map(|name| schemas.join(name)))?;
+    // Encoded by the compiler itself: its descriptor types would drop the options that the checks go by.
+    fs::write(Path::new(&env::var("OUT_DIR")?).join("schemas.bin"), compiler.encode_file_descriptor_set())?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,317 @@
+//! Stand-ins of the video servers and of the list service: the model of `ivyward-fleet` behind sockets on loopback,
+//! many servers in one process. What passes on the sockets is recorded as it passes. They are not real servers: what
+//! they show of a manager is how it behaves, not how fast a real fleet is.
+
+mod given;
+mod list;
+mod record;
+mod server;
+
+pub use given::fleet;
+pub use list::Standing;
+pub use record::{Record, Records, SetUpEnd, What};
+
+use bytes::Bytes;
+use http_body_util::channel::{Channel, Sender};
+use hyper::body::Frame;
+use hyper_util::rt::TokioIo;
+use ivyward_dash::token::Keys;
+use ivyward_fleet::{Fleet, Key, ManagerNo, Note, Over, ServerNo};
+use list::List;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+/// The model is looked at so often for notes, leases and falls.
+const TICK: Duration = Duration::from_millis(50);
+/// Events that a slow reader may have waiting.
+const WAITING: usize = 1024;
+
+pub(crate) type Body = http_body_util::Either<http_body_util::Full<Bytes>, Channel<Bytes, Infallible>>;
+
+/// A manager, its start, and where its notes go.
+type Reader = (ManagerNo, u64, Sender<Bytes, Infallible>);
+
+/// One server's sockets.
+struct Door {
+    address: SocketAddr,
+    /// Ends its listener and connections.
+    life: RefCell<CancellationToken>,
+    thawed: Notify,
+    /// It doesn't even accept.
+    silent: Cell<bool>,
+    readers: RefCell<Vec<Reader>>,
+}
+
+struct State {
+    fleet: RefCell<Fleet>,
+    doors: Vec<Door>,
+    list: List,
+    keys: Keys,
+    skew: Duration,
+    /// True rates over the ladder's, by title, lie this part above or below.
+    vary: f64,
+    seed: u64,
+    managers: RefCell<BTreeMap<String, ManagerNo>>,
+    segments: RefCell<BTreeMap<(ServerNo, Key), (u64, Duration)>>,
+    records: Records,
+    begun: Instant,
+}
+
+/// A fleet of stand-ins that runs. To be used on one `LocalSet`.
+#[derive(Clone)]
+pub struct Standins(Rc<State>);
+
+fn event(value: Value) -> Frame<Bytes> {
+    Frame::data(Bytes::from(format!("data: {value}\n\n")))
+}
+
+/// A listener that can be opened again at once where one was closed.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
+}
+
+/// The loopback address of a server, by its order.
+fn address(at: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(127, 1, (at / 250) as u8, (at % 250 + 1) as u8), 0))
+}
+
+impl Standins {
+    /// Opens all servers and the list service. `keys` check players' tokens, with clocks `skew` apart at most; `list_late`:
+    /// how late the list is; `begun`: when the records' clock starts.
+    ///
+    /// # Errors
+    /// An address can't be bound.
+    pub fn open(
+        seed: u64, fleet: Fleet, cells: usize, (keys, skew): (Keys, Duration),
+        (vary, list_late): (f64, Duration), begun: Instant,
+    ) -> io::Result<Standins> {
+        let listeners: Vec<_> = (0..fleet.len()).map(|at| listen(address(at))).collect::<io::Result<_>>()?;
+        let doors = listeners.iter().map(|listener| {
+            Ok(Door {
+                address: listener.local_addr()?,
+                life: RefCell::default(),
+                thawed: Notify::new(),
+                silent: Cell::new(false),
+                readers: RefCell::default(),
+            })
+        });
+        let doors: Vec<_> = doors.collect::<io::Result<_>>()?;
+        let rows = fleet.boxes().map(|at| list::Row::new(doors[at.0].address, at.0 % cells.max(1)));
+        let list = List::new(rows.collect(), list_late);
+        let list_listener = listen(SocketAddr::from(([127, 1, 0, 0], 0)))?;
+        list.address.set(list_listener.local_addr()?);
+        let state = State {
+            fleet: RefCell::new(fleet),
+            doors,
+            list,
+            keys,
+            skew,
+            vary,
+            seed,
+            managers: RefCell::default(),
+            segments: RefCell::default(),
+            records: Records::default(),
+            begun,
+        };
+        let standins = Standins(Rc::new(state));
+        listeners.into_iter().enumerate().for_each(|(at, listener)| standins.serve(ServerNo(at), listener));
+        spawn_local(standins.clone().serve_list(list_listener));
+        spawn_local(standins.clone().tick());
+        Ok(standins)
+    }
+
+    pub fn now(&self) -> Duration {
+        self.0.begun.elapsed()
+    }
+
+    pub fn list_address(&self) -> SocketAddr {
+        self.0.list.address.get()
+    }
+
+    pub fn address(&self, at: ServerNo) -> SocketAddr {
+        self.0.doors[at.0].address
+    }
+
+    pub fn records(&self) -> &Records {
+        &self.0.records
+    }
+
+    fn record(&self, what: What) {
+        self.0.records.add(self.now(), what);
+    }
+
+    /// Looks at the model, or changes it.
+    pub fn model<T>(&self, with: impl FnOnce(&mut Fleet) -> T) -> T {
+        with(&mut self.0.fleet.borrow_mut())
+    }
+
+    /// The number that a manager has here.
+    pub(crate) fn manager(&self, name: &str) -> ManagerNo {
+        let mut managers = self.0.managers.borrow_mut();
+        let next = ManagerNo(managers.len() as u32);
+        *managers.entry(name.to_string()).or_insert(next)
+    }
+
+    pub fn manager_names(&self) -> BTreeMap<ManagerNo, String> {
+        self.0.managers.borrow().iter().map(|(name, no)| (*no, name.clone())).collect()
+    }
+
+    fn serve(&self, at: ServerNo, listener: TcpListener) {
+        let life = CancellationToken::new();
+        *self.0.doors[at.0].life.borrow_mut() = life.clone();
+        let standins = self.clone();
+        spawn_local(async move {
+            let ended = life.clone();
+            let accept = async {
+                loop {
+                    while standins.0.doors[at.0].silent.get() {
+                        sleep(TICK).await;
+                    }
+                    let Ok((stream, _)) = listener.accept().await else { continue };
+                    stream.set_nodelay(true).ok();
+                    let (standins, life) = (standins.clone(), life.clone());
+                    spawn_local(async move {
+                        let service =
+                            hyper::service::service_fn(|request| standins.clone().answer(at, request));
+                        let connection = hyper::server::conn::http1::Builder::new()
+                            .serve_connection(TokioIo::new(stream), service);
+                        tokio::select! {
+                            _ = connection => {}
+                            () = life.cancelled() => {}
+                        }
+                    });
+                }
+            };
+            tokio::select! { () = accept => {}, () = ended.cancelled() => {} }
+        });
+    }
+
+    async fn tick(self) {
+        loop {
+            sleep(TICK).await;
+            let now = self.now();
+            for (at, key, why) in self.model(|fleet| fleet.expire(now)) {
+                self.over(at, key, why);
+            }
+            for (at, who) in self.model(Fleet::fallen) {
+                self.record(What::Fell { server: at, who });
+                self.closed(at);
+                self.list_soon(at, Standing::Gone);
+            }
+            for (at, key, note) in self.model(|fleet| fleet.notes(now)) {
+                let (what, x) = match note {
+                    Note::Share(x) => ("share", x),
+                    Note::Link(x) => ("link", x),
+                    Note::Uplink(x) => ("uplink", x),
+                };
+                self.tell(at, key, json!({"note": what, "x": x, "vw": key.vw, "n": key.n}));
+            }
+        }
+    }
+
+    /// A stream is over: its manager is told.
+    fn over(&self, at: ServerNo, key: Key, why: Over) {
+        self.0.segments.borrow_mut().remove(&(at, key));
+        self.record(What::StreamOver { server: at, key, why });
+        let why = match why {
+            Over::Ended => "ended",
+            Over::Lease => "left",
+            Over::Released | Over::Died => return,
+        };
+        self.tell(at, key, json!({"over": why, "vw": key.vw, "n": key.n}));
+    }
+
+    fn tell(&self, at: ServerNo, key: Key, value: Value) {
+        let mut readers = self.0.doors[at.0].readers.borrow_mut();
+        readers.retain_mut(|(manager, birth, sender)| {
+            (*manager, *birth) != (key.manager, key.birth) || sender.try_send(event(value.clone())).is_ok()
+        });
+    }
+
+    /// Its sockets close at once.
+    fn closed(&self, at: ServerNo) {
+        let door = &self.0.doors[at.0];
+        door.life.borrow().cancel();
+        door.readers.borrow_mut().clear();
+        door.silent.set(false);
+        door.thawed.notify_waiters();
+    }
+
+    /// Stands still: takes what comes and answers nothing.
+    pub fn freeze(&self, at: ServerNo) {
+        self.record(What::Fault { server: at, name: "freeze", on: true });
+        self.model(|fleet| fleet.faults(at).frozen = true);
+    }
+
+    /// Goes on with what it took.
+    pub fn thaw(&self, at: ServerNo) {
+        self.record(What::Fault { server: at, name: "freeze", on: false });
+        self.model(|fleet| fleet.faults(at).frozen = false);
+        self.0.doors[at.0].silent.set(false);
+        self.0.doors[at.0].thawed.notify_waiters();
+    }
+
+    /// Goes silent: nothing is accepted either.
+    pub fn vanish(&self, at: ServerNo) {
+        self.freeze(at);
+        self.0.doors[at.0].silent.set(true);
+    }
+
+    /// The process dies.
+    pub fn crash(&self, at: ServerNo) {
+        let managers = self.model(|fleet| fleet.managers(at));
+        self.record(What::Died { server: at, managers });
+        for key in self.model(|fleet| fleet.die(at)) {
+            self.over(at, key, Over::Died);
+        }
+        self.closed(at);
+        self.list_soon(at, Standing::Gone);
+    }
+
+    /// A process starts there, cold.
+    ///
+    /// # Errors
+    /// Its address can't be bound again.
+    pub fn start(&self, at: ServerNo) -> io::Result<()> {
+        let listener = listen(self.0.doors[at.0].address)?;
+        let now = self.now();
+        self.model(|fleet| fleet.start(now, at));
+        self.record(What::Born { server: at });
+        self.serve(at, listener);
+        self.list_soon(at, Standing::Ready);
+        Ok(())
+    }
+
+    pub fn drain(&self, at: ServerNo) {
+        self.record(What::Fault { server: at, name: "drain", on: true });
+        self.model(|fleet| fleet.drain(at));
+        self.list_soon(at, Standing::Draining);
+    }
+
+    /// Something else is wrong with a server, or no more.
+    pub fn fault(
+        &self, at: ServerNo, name: &'static str, on: bool, change: impl FnOnce(&mut ivyward_fleet::Faults),
+    ) {
+        self.record(What::Fault { server: at, name, on });
+        self.model(|fleet| change(fleet.faults(at)));
+    }
+
+    /// The list is so much later than usual.
+    pub fn list_late(&self, by: Duration) {
+        self.0.list.stale.set(by);
+    }
+}
