--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -19,7 +19,8 @@
 #[test]
 fn set_ups_end_as_the_server_stands() {
     type Spoil = fn(&mut Fleet);
-    let cases: [(&str, Spoil, fn(&SetUp) -> bool); 8] = [
+    type Fits = fn(&SetUp) -> bool;
+    let cases: [(&str, Spoil, Fits); 8] = [
         ("well", |_| (), |s| matches!(s, SetUp::Plays(span) if *span >= ms(14) && *span <= ms(26))),
         (
             "slow",
@@ -32,12 +33,16 @@
         ("breaks", |f| f.faults(ServerNo(0)).breaks = true, |s| *s == SetUp::Breaks),
         (
             "released before it came",
-            |f| drop(f.release(ms(0), ServerNo(0), key(2, 1, 0), ms(900))),
+            |f| {
+                let _ = f.release(ms(0), ServerNo(0), key(2, 1, 0), ms(900));
+            },
             |s| *s == SetUp::Stale,
         ),
         (
             "a later start known",
-            |f| drop(f.set_up(ms(0), ServerNo(0), key(3, 1, 0), &RATES, 0, ms(1))),
+            |f| {
+                let _ = f.set_up(ms(0), ServerNo(0), key(3, 1, 0), &RATES, 0, ms(1));
+            },
             |s| *s == SetUp::Stale,
         ),
     ];
@@ -109,7 +114,9 @@
     let mut told = vec![];
     for at in 0..100 {
         if at == 50 {
-            (0..4).for_each(|vw| drop(fleet.release(ms(at * 100), ServerNo(0), key(1, vw, 0), ms(1))));
+            for vw in 0..4 {
+                fleet.release(ms(at * 100), ServerNo(0), key(1, vw, 0), ms(1));
+            }
         }
         told.extend(fleet.notes(ms(at * 100)).into_iter().map(|(_, _, note)| (at, note)));
     }
--- a/crates/session/src/tests.rs
+++ b/crates/session/src/tests.rs
@@ -12,11 +12,7 @@
 
 /// The one set-up that is out.
 fn out(world: &World) -> (ViewingId, TuneIn) {
-    let set_ups = world.did.iter().filter_map(|did| match did {
-        Did::SetUp(vw, n, _) => Some((*vw, *n)),
-        _ => None,
-    });
-    set_ups.last().expect("a set-up is out")
+    *world.set_ups().last().expect("a set-up is out")
 }
 
 fn answers(world: &World) -> Vec<&Answer> {
