--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,12 +2,13 @@
 //! inputs come to it through one queue, effects leave in order.
 
 pub mod embedded;
+pub mod pool;
 pub mod setup;
 
 mod birth;
 mod link;
 mod list;
-mod pool;
+
 mod shell;
 mod viewers;
 
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -90,6 +90,11 @@
         Ok(Connection { send, written, _task: AbortOnDropHandle::new(task), since: Instant::now() })
     }
 
+    /// Whether it is fit for a request.
+    pub fn stands(&self) -> bool {
+        !self.send.is_closed() && self.since.elapsed() < IDLE_FOR
+    }
+
     /// # Errors
     /// How far the request got.
     pub async fn ask(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Failed> {
@@ -112,7 +117,7 @@
         let waiting = idle.get_mut(&address)?;
         let found = loop {
             match waiting.pop() {
-                Some(connection) if !stands(&connection) => {}
+                Some(connection) if !connection.stands() => {}
                 other => break other,
             }
         };
@@ -127,7 +132,7 @@
         connection.since = Instant::now();
         let mut idle = self.0.borrow_mut();
         let waiting = idle.entry(address).or_default();
-        waiting.retain(stands);
+        waiting.retain(Connection::stands);
         if waiting.len() < IDLE && connection.send.is_ready() {
             waiting.push(connection);
         }
@@ -136,12 +141,8 @@
     /// Closes what has stood idle for too long.
     pub fn sweep(&self) {
         self.0.borrow_mut().retain(|_, waiting| {
-            waiting.retain(stands);
+            waiting.retain(Connection::stands);
             !waiting.is_empty()
         });
     }
 }
-
-fn stands(connection: &Connection) -> bool {
-    !connection.send.is_closed() && connection.since.elapsed() < IDLE_FOR
-}
--- a/crates/daemon/src/setup.rs
+++ b/crates/daemon/src/setup.rs
@@ -63,6 +63,11 @@
             faults.push(part.fault(name, "is no address with a port"));
         }
     }
+    // Guards against idle connections closed in the moment in which their players ask again.
+    let (manager, manifest) = (settings.one("manager"), settings.one("manifest"));
+    if manager.number("head_within_s") < 2.0 * (manifest.number("refresh_s") + manifest.number("segment_s")) {
+        faults.push(manager.fault("head_within_s", "is under twice the manifest's refresh_s and segment_s"));
+    }
     if let Err(wrong) = keys(&tokens) {
         faults.extend(wrong);
     }
--- /dev/null
+++ b/crates/lab/src/day.rs
@@ -0,0 +1,166 @@
+//! One day: stand-ins and troubles in one thread, viewers in another, each manager a process of its own.
+
+use crate::managers::Manager;
+use crate::verdict::{Package, Process, Terms, Verdict, judge};
+use crate::viewers::Seen;
+use crate::{trouble, viewers};
+use ivyward_daemon::setup;
+use ivyward_settings::{Fault, Part};
+use ivyward_standin::Standins;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use std::{env, fs, process, thread};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// After the last viewer, what still has to end gets this long.
+const REST: Duration = Duration::from_millis(300);
+
+/// Reads a script.
+///
+/// # Errors
+/// All faults found.
+pub fn read(text: &str) -> Result<Part, Vec<Fault>> {
+    let script = ivyward_settings::read("Day", text)?;
+    let settings = script.one("settings");
+    let without_list = |fault: &Fault| !fault.field.ends_with("list_address");
+    let mut faults: Vec<_> = setup::faults(&settings).into_iter().filter(without_list).collect();
+    let packages = settings.list("package").len();
+    let viewers = script.one("viewers");
+    let shares = viewers.numbers("package_share");
+    if !shares.is_empty() && shares.len() != packages {
+        faults.push(
+            viewers.fault("package_share", &format!("has {} shares for {packages} packages", shares.len())),
+        );
+    }
+    if viewers.number("watch_most_s") < viewers.number("watch_least_s") {
+        faults.push(viewers.fault("watch_most_s", "is under watch_least_s"));
+    }
+    let length = script.number("length_s");
+    for trouble in script.list("trouble").iter().filter(|trouble| trouble.number("at_s") >= length) {
+        faults.push(trouble.fault("at_s", &format!("is after the day's {length} s")));
+    }
+    if faults.is_empty() { Ok(script) } else { Err(faults) }
+}
+
+fn terms(script: &Part) -> Terms {
+    let settings = script.one("settings");
+    let package = |package: &Part| Package {
+        name: package.text("name"),
+        patience: package.span("patience_s"),
+        target: package.span("join_target_s"),
+        value: package.number("value"),
+        once: package.truth("once"),
+        floor: package.count("floor"),
+        seats: package.count("seats"),
+    };
+    let ration = settings.one("ration");
+    Terms {
+        packages: settings.list("package").iter().map(package).collect(),
+        grace: settings.one("network").span("drain_grace_s"),
+        ration: settings
+            .has("ration")
+            .then(|| (ration.span("span_s"), ration.number("free"), ration.number("share"))),
+        slack: script.span("slack_s"),
+        grain: script.span("grain_s"),
+    }
+}
+
+fn runtime() -> Result<Runtime, String> {
+    Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
+}
+
+/// A folder for the managers' files, gone with the day.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        fs::remove_dir_all(&self.0).ok();
+    }
+}
+
+/// Plays a day and judges it.
+///
+/// # Errors
+/// It could not be played.
+pub fn play(
+    script: &Part, seed: Option<u64>, program: Option<&Path>, logs: Option<&Path>,
+) -> Result<Verdict, String> {
+    let seed = seed.unwrap_or_else(|| script.whole("seed"));
+    let own = env::current_exe().map_err(|e| e.to_string())?;
+    let program = program.unwrap_or(&own);
+    let begun = Instant::now();
+    let folder = Folder(env::temp_dir().join(format!("ivyward-day-{}-{seed}", process::id())));
+    for dir in [Some(folder.0.as_path()), logs].into_iter().flatten() {
+        fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+    }
+    let local = LocalSet::new();
+    local.block_on(&runtime()?, async {
+        let (settings, fleet) = (script.one("settings"), script.one("fleet"));
+        let tokens = settings.one("tokens");
+        let keys = setup::keys(&tokens).map_err(|faults| format!("{faults:?}"))?;
+        let model = ivyward_standin::fleet(seed, &fleet, &settings);
+        let cells = settings.one("network").count("places");
+        let about = (fleet.number("vary"), fleet.span("list_late_s"));
+        let standins = Standins::open(seed, model, cells, (keys, tokens.span("skew_s")), about, begun)
+            .map_err(|e| format!("stand-ins: {e}"))?;
+        let siblings = script.count("managers");
+        let mut managers = vec![];
+        for i in 0..siblings {
+            let list = standins.list_address();
+            managers.push(
+                Manager::start(&settings, (i, siblings), seed, list, &folder.0, program, logs, begun).await?,
+            );
+        }
+        let managers = Rc::new(managers);
+        let begin = begun.elapsed() + script.span("settle_s");
+        let end = begin + script.span("length_s");
+        let played = trouble::play(&script.list("trouble"), seed, &standins, &managers, begun, begin);
+        let seen = crowd(script, seed, &managers, begun, (begin, end)).await?;
+        // Troubles that outlast the viewers still have to end: a manager that is down must come up again.
+        let last = played.iter().map(|trouble| trouble.until).max().unwrap_or_default();
+        sleep_until(begun + last).await;
+        sleep(REST).await;
+        let mut processes = vec![];
+        let names = standins.manager_names();
+        for manager in managers.iter() {
+            while manager.gaps.borrow().iter().any(|gap| gap.1.is_none())
+                && begun.elapsed() < last + REST * 100
+            {
+                sleep(REST).await;
+            }
+            let no = names.iter().find(|(_, name)| **name == manager.name).map(|(no, _)| *no);
+            let ended = manager.end().await;
+            processes.push(Process { no, gaps: manager.gaps.borrow().clone(), ended });
+        }
+        let records = standins.records().take();
+        let mut verdict = judge(&terms(script), &records, &seen.asked, &seen.watched, &processes, &played);
+        let size = format!("{} managers, {} stand-in servers", siblings, fleet.count("servers"));
+        verdict.title =
+            format!("day {} seed {seed}: {size}, {:.0} s", script.text("name"), script.number("length_s"));
+        Ok(verdict)
+    })
+}
+
+/// The viewers, in a thread of their own: they must not wait for the stand-ins.
+async fn crowd(
+    script: &Part, seed: u64, managers: &[Manager], begun: Instant, span: (Duration, Duration),
+) -> Result<Seen, String> {
+    let addresses: Vec<_> = managers.iter().map(|manager| manager.address).collect();
+    // A part knows its text by a pointer that stays in its thread, so the script goes over as text.
+    let text = script.to_text();
+    let (tell, told) = oneshot::channel();
+    let thread = thread::spawn(move || {
+        let played = || {
+            let script = ivyward_settings::read("Day", &text).map_err(|faults| format!("{faults:?}"))?;
+            LocalSet::new().block_on(&runtime()?, viewers::play(&script, seed, addresses, begun, span))
+        };
+        tell.send(played()).ok();
+    });
+    let seen = told.await.map_err(|_| "the viewers' thread broke off".to_string())?;
+    thread.join().map_err(|_| "the viewers' thread broke off".to_string())?;
+    seen
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! The laboratory: days as scripts, played by real manager processes, stand-in servers and viewers on loopback, and
+//! judged from what passed on the sockets.
+
+pub mod day;
+pub mod managers;
+pub mod trouble;
+pub mod verdict;
+pub mod viewers;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/managers.rs
@@ -0,0 +1,125 @@
+//! Real manager processes of a day: started, killed outright, started anew, and ended.
+
+use ivyward_settings::Part;
+use std::cell::RefCell;
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep, timeout};
+
+/// A manager must have come up within this, and have ended after being told to.
+const UP: Duration = Duration::from_secs(20);
+const DOWN: Duration = Duration::from_secs(20);
+
+/// One manager over its processes.
+pub struct Manager {
+    pub name: String,
+    pub address: SocketAddr,
+    file: PathBuf,
+    program: PathBuf,
+    log: Option<PathBuf>,
+    process: RefCell<Option<Child>>,
+    /// When it was killed, and up again.
+    pub gaps: RefCell<Vec<(Duration, Option<Duration>)>>,
+    begun: Instant,
+}
+
+async fn start(program: &Path, file: &Path, log: Option<&Path>) -> Result<(Child, SocketAddr), String> {
+    let errors = match log {
+        Some(log) => File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .map_err(|e| format!("{}: {e}", log.display()))?
+            .into(),
+        None => Stdio::null(),
+    };
+    let mut command = Command::new(program);
+    command
+        .arg("run")
+        .arg(file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(errors)
+        .kill_on_drop(true);
+    let mut process = command.spawn().map_err(|e| format!("{}: {e}", program.display()))?;
+    let lines = process.stdout.take().ok_or("no output")?;
+    let mut lines = BufReader::new(lines).lines();
+    let line = timeout(UP, lines.next_line()).await.map_err(|_| "a manager did not come up".to_string())?;
+    let line = line.map_err(|e| e.to_string())?.ok_or("a manager ended at its start")?;
+    let address = line.strip_prefix("listening ").and_then(|address| address.parse().ok());
+    Ok((process, address.ok_or_else(|| format!("a manager said {line:?}"))?))
+}
+
+impl Manager {
+    /// Starts the `i`-th of `siblings` managers over the list at `list`; its files go into `dir`.
+    ///
+    /// # Errors
+    /// It didn't come up.
+    pub async fn start(
+        settings: &Part, (i, siblings): (usize, usize), seed: u64, list: SocketAddr, dir: &Path,
+        program: &Path, logs: Option<&Path>, begun: Instant,
+    ) -> Result<Manager, String> {
+        let name = format!("m{}", i + 1);
+        let (mut settings, mut manager) = (settings.clone(), settings.one("manager"));
+        manager.put_text("name", &name);
+        manager.put_text("listen", "127.0.0.1:0");
+        manager.put_text("state_dir", &dir.join(&name).to_string_lossy());
+        manager.put_whole("seed", seed.wrapping_mul(1000).wrapping_add(i as u64));
+        manager.put_whole("siblings", siblings as u64);
+        settings.put("manager", manager.clone());
+        settings.put_text("list_address", &list.to_string());
+        let file = dir.join(format!("{name}.txtpb"));
+        let write = |settings: &Part| {
+            fs::write(&file, settings.to_text()).map_err(|e| format!("{}: {e}", file.display()))
+        };
+        write(&settings)?;
+        let log = logs.map(|logs| logs.join(format!("{name}.log")));
+        let (process, address) = start(program, &file, log.as_deref()).await?;
+        // It comes back at the same address.
+        manager.put_text("listen", &address.to_string());
+        settings.put("manager", manager);
+        write(&settings)?;
+        Ok(Manager {
+            name,
+            address,
+            file,
+            program: program.into(),
+            log,
+            process: RefCell::new(Some(process)),
+            gaps: RefCell::default(),
+            begun,
+        })
+    }
+
+    /// Killed outright, and started anew after a span.
+    ///
+    /// # Errors
+    /// It didn't come up again.
+    pub async fn kill(&self, down: Duration) -> Result<(), String> {
+        let Some(mut process) = self.process.take() else { return Ok(()) };
+        self.gaps.borrow_mut().push((self.begun.elapsed(), None));
+        process.kill().await.map_err(|e| e.to_string())?;
+        sleep(down).await;
+        let (process, _) = start(&self.program, &self.file, self.log.as_deref()).await?;
+        *self.process.borrow_mut() = Some(process);
+        if let Some(gap) = self.gaps.borrow_mut().last_mut() {
+            gap.1 = Some(self.begun.elapsed());
+        }
+        Ok(())
+    }
+
+    /// Told to end; whether it did so with nothing left unanswered.
+    pub async fn end(&self) -> bool {
+        let Some(mut process) = self.process.take() else { return false };
+        let Some(id) = process.id() else { return false };
+        let told = Command::new("kill").arg("-TERM").arg(id.to_string()).status().await;
+        let ended = timeout(DOWN, process.wait()).await;
+        told.is_ok_and(|told| told.success())
+            && ended.is_ok_and(|ended| ended.is_ok_and(|ended| ended.success()))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/trouble.rs
@@ -0,0 +1,170 @@
+//! What goes wrong on a day: each trouble of the script at its time, on what the seed draws.
+
+use crate::managers::Manager;
+use ivyward_fleet::ServerNo;
+use ivyward_settings::Part;
+use ivyward_standin::Standins;
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// A trouble as it was played.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Played {
+    pub kind: String,
+    pub from: Duration,
+    pub until: Duration,
+    /// The servers it took; none where it took racks or managers, or the list.
+    pub servers: Vec<ServerNo>,
+    pub managers: Vec<usize>,
+}
+
+fn part_of<T>(all: Vec<T>, part: f64, chance: &mut Pcg64Mcg) -> Vec<T> {
+    let mut all = all;
+    all.shuffle(chance);
+    let count = (all.len() as f64 * part).round().max(1.0) as usize;
+    all.truncate(count);
+    all
+}
+
+/// Plays all troubles of a day that begins at `begin`; what each takes is drawn here, so that it is known beforehand.
+pub fn play(
+    troubles: &[Part], seed: u64, standins: &Standins, managers: &Rc<Vec<Manager>>, begun: Instant,
+    begin: Duration,
+) -> Vec<Played> {
+    let mut all = vec![];
+    for (i, trouble) in troubles.iter().enumerate() {
+        let mut chance = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(31).wrapping_add(i as u64));
+        let kind = trouble.choice("kind");
+        let (from, len) = (begin + trouble.span("at_s"), trouble.span("len_s"));
+        let (part, size, extra) = (trouble.number("part"), trouble.number("size"), trouble.span("extra"));
+        let mut servers: Vec<_> = standins.model(|fleet| fleet.boxes().collect());
+        let mut taken = vec![];
+        match kind.as_str() {
+            "UPLINK" | "LIST_LATE" | "BURST" | "NOTES_LATE" => servers.clear(),
+            "MANAGER_KILL" => {
+                servers.clear();
+                taken = part_of((0..managers.len()).collect(), part, &mut chance);
+            }
+            _ => servers = part_of(servers, part, &mut chance),
+        }
+        let until = from + len;
+        all.push(Played {
+            kind: kind.clone(),
+            from,
+            until,
+            servers: servers.clone(),
+            managers: taken.clone(),
+        });
+        let (standins, managers) = (standins.clone(), managers.clone());
+        spawn_local(async move {
+            sleep_until(begun + from).await;
+            run(&kind, &standins, &managers, (servers, taken), (part, size, extra, len), chance).await;
+        });
+    }
+    all
+}
+
+async fn run(
+    kind: &str, standins: &Standins, managers: &Rc<Vec<Manager>>,
+    (servers, taken): (Vec<ServerNo>, Vec<usize>), (part, size, extra, len): (f64, f64, Duration, Duration),
+    mut chance: Pcg64Mcg,
+) {
+    let each = |with: &dyn Fn(ServerNo)| servers.iter().for_each(|at| with(*at));
+    match kind {
+        "FREEZE" => {
+            each(&|at| standins.freeze(at));
+            sleep(len).await;
+            each(&|at| standins.thaw(at));
+        }
+        "CRASH" => {
+            each(&|at| standins.crash(at));
+            sleep(len).await;
+            each(&|at| standins.start(at));
+        }
+        "VANISH" => {
+            each(&|at| standins.vanish(at));
+            sleep(len).await;
+            each(&|at| standins.crash(at));
+            each(&|at| standins.start(at));
+        }
+        "DEPLOY" => {
+            let batch = ((servers.len() as f64 * size.min(1.0)).ceil() as usize).max(1);
+            let batches = servers.len().div_ceil(batch) as u32;
+            for batch in servers.chunks(batch) {
+                batch.iter().for_each(|at| standins.drain(*at));
+                let (next, standins, batch) =
+                    (Instant::now() + len / batches, standins.clone(), batch.to_vec());
+                spawn_local(async move {
+                    sleep(extra).await;
+                    batch.iter().for_each(|at| standins.crash(*at));
+                    sleep(Duration::from_millis(100)).await;
+                    batch.iter().for_each(|at| standins.start(*at));
+                });
+                sleep_until(next).await;
+            }
+        }
+        "ANSWER_LOST" => turned(standins, &servers, "answer_lost", len, |f, on| f.answer_lost = on).await,
+        "BREAK" => turned(standins, &servers, "break", len, |f, on| f.breaks = on).await,
+        "FAST_ERRORS" => {
+            let part = size.min(1.0);
+            turned(standins, &servers, "fast_errors", len, |f, on| f.errors = if on { part } else { 0.0 })
+                .await;
+        }
+        "SLOW" => turned(standins, &servers, "slow", len, |f, on| f.slow = if on { size } else { 1.0 }).await,
+        "LINK" => turned(standins, &servers, "link", len, |f, on| f.link = if on { size } else { 1.0 }).await,
+        "NEIGHBOUR" => {
+            let until = Instant::now() + len;
+            while Instant::now() < until {
+                let on = Duration::from_secs_f64(0.5 + chance.random::<f64>() * extra.as_secs_f64());
+                turned(standins, &servers, "neighbour", on, |f, on| f.link = if on { size } else { 1.0 })
+                    .await;
+                sleep(on.min(until.saturating_duration_since(Instant::now()))).await;
+            }
+        }
+        "UPLINK" => {
+            let racks = standins.model(|fleet| fleet.racks());
+            let racks = part_of((0..racks).collect(), part, &mut chance);
+            standins.model(|fleet| racks.iter().for_each(|rack| fleet.sag(*rack, size)));
+            sleep(len).await;
+            standins.model(|fleet| racks.iter().for_each(|rack| fleet.sag(*rack, 1.0)));
+        }
+        "LIST_LATE" => {
+            standins.list_late(Duration::from_secs_f64(size));
+            sleep(len).await;
+            standins.list_late(Duration::ZERO);
+        }
+        "NOTES_LATE" => {
+            standins.model(|fleet| fleet.notes_late(Duration::from_secs_f64(size)));
+            sleep(len).await;
+            standins.model(|fleet| fleet.notes_late(Duration::ZERO));
+        }
+        "MANAGER_KILL" => {
+            for i in taken {
+                let managers = managers.clone();
+                spawn_local(async move {
+                    if let Err(error) = managers[i].kill(len).await {
+                        eprintln!("{}: {error}", managers[i].name);
+                    }
+                });
+            }
+        }
+        // A burst is drawn with the viewers.
+        _ => {}
+    }
+}
+
+/// A fault on some servers for a while.
+async fn turned(
+    standins: &Standins, servers: &[ServerNo], name: &'static str, len: Duration,
+    turn: impl Fn(&mut ivyward_fleet::Faults, bool),
+) {
+    servers.iter().for_each(|at| standins.fault(*at, name, true, |faults| turn(faults, true)));
+    sleep(len).await;
+    servers.iter().for_each(|at| standins.fault(*at, name, false, |faults| turn(faults, false)));
+}
--- /dev/null
+++ b/crates/lab/src/viewers.rs
@@ -0,0 +1,430 @@
+//! Viewers of a day: they come when the seed says, whatever became of those before, ask for manifests, fetch segments,
+//! leave, and come again after a break or a block. What they ask and what they get is recorded where it passes.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::HeaderValue;
+use hyper::{Request, StatusCode};
+use ivyward_daemon::pool::Connection;
+use ivyward_daemon::{date, setup};
+use ivyward_dash::manifest;
+use ivyward_dash::token::{Keys, Pass};
+use ivyward_settings::Part;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// A viewer waits so much longer than its patience for an answer, so that late ones are seen.
+const LATE: Duration = Duration::from_secs(2);
+const CONNECT: Duration = Duration::from_secs(1);
+const LONGEST: usize = 64 << 10;
+
+/// How a request for a manifest ended at the viewer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Came {
+    Answer(u16),
+    /// The viewer closed it.
+    Closed,
+    /// The connection broke, or never came about.
+    Cut,
+    /// Nothing came.
+    Nothing,
+}
+
+/// One request for a manifest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    pub manager: usize,
+    pub session: u128,
+    pub package: usize,
+    pub at: Duration,
+    pub came_at: Duration,
+    pub came: Came,
+    /// Not a refresh of a viewing that played.
+    pub new: bool,
+    /// The connection stood when it was asked.
+    pub sent: bool,
+}
+
+/// One viewer over all its tries.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Watched {
+    pub package: usize,
+    /// From its first request to its first manifest.
+    pub joined: Option<Duration>,
+    /// Worth of what was played over what was wanted, in seconds at the worth of the best rung.
+    pub played: f64,
+    pub wanted: f64,
+    pub stalls: usize,
+    pub breaks: usize,
+    pub switches: usize,
+    pub tries: usize,
+}
+
+/// What viewers saw.
+#[derive(Default)]
+pub struct Seen {
+    pub asked: Vec<Asked>,
+    pub watched: Vec<Watched>,
+}
+
+struct Crowd {
+    managers: Vec<SocketAddr>,
+    keys: Keys,
+    life: Duration,
+    titles: Vec<setup::Title>,
+    /// Name and patience of each package, and whether it is paid at set-up.
+    packages: Vec<(String, Duration, bool)>,
+    worths: Vec<f64>,
+    segment: Duration,
+    refresh: Duration,
+    returns: (f64, Duration),
+    fetch: bool,
+    begun: Instant,
+    seen: RefCell<Seen>,
+    out: Cell<usize>,
+}
+
+/// What a viewer is like.
+struct Viewer {
+    session: u128,
+    package: usize,
+    title: usize,
+    watch: Duration,
+    top: usize,
+    close_early: bool,
+    no_show: bool,
+    ask_twice: bool,
+}
+
+/// Draws one of some weights.
+fn draw(weights: &[f64], chance: &mut Pcg64Mcg) -> usize {
+    let mut left = chance.random::<f64>() * weights.iter().sum::<f64>();
+    for (i, weight) in weights.iter().enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return i;
+        }
+    }
+    weights.len() - 1
+}
+
+/// Plays the viewers from `begin` to `end`, and lets all come to their end.
+pub async fn play(
+    script: &Part, seed: u64, managers: Vec<SocketAddr>, begun: Instant, (begin, end): (Duration, Duration),
+) -> Result<Seen, String> {
+    let (viewers, settings) = (script.one("viewers"), script.one("settings"));
+    let tokens = settings.one("tokens");
+    let packages: Vec<_> = settings.list("package");
+    let shares = Some(viewers.numbers("package_share")).filter(|shares| shares.iter().sum::<f64>() > 0.0);
+    let shares = shares.unwrap_or_else(|| vec![1.0; packages.len()]);
+    let titles = setup::titles(&settings);
+    let zipf: Vec<_> = (1..=titles.len()).map(|rank| (rank as f64).powf(-viewers.number("zipf"))).collect();
+    let worths: Vec<_> =
+        settings.one("ladder").list("rung").iter().map(|rung| rung.number("worth")).collect();
+    let bursts: Vec<_> = script.list("trouble").into_iter().filter(|t| t.choice("kind") == "BURST").collect();
+    let crowd = Rc::new(Crowd {
+        managers,
+        keys: setup::keys(&tokens).map_err(|faults| format!("{faults:?}"))?,
+        life: tokens.span("life_s"),
+        packages: packages.iter().map(|p| (p.text("name"), p.span("patience_s"), p.truth("once"))).collect(),
+        segment: settings.one("manifest").span("segment_s"),
+        refresh: settings.one("manifest").span("refresh_s"),
+        returns: (viewers.number("returns"), viewers.span("returns_after_s")),
+        fetch: viewers.truth("fetch"),
+        begun,
+        seen: RefCell::default(),
+        out: Cell::new(0),
+        titles,
+        worths,
+    });
+    let (mut chance, mut at, mut number) = (Pcg64Mcg::seed_from_u64(seed ^ 0x76_69_65_77), begin, 0_u64);
+    let most = bursts.iter().map(|burst| burst.number("size")).fold(1.0, f64::max);
+    let rungs = crowd.worths.len();
+    let (least, longest) = (viewers.number("watch_least_s"), viewers.number("watch_most_s"));
+    loop {
+        // Thinned to the rate of the moment, so that a burst changes no other draw.
+        at += Duration::from_secs_f64(
+            -(1.0 - chance.random::<f64>()).ln() / (viewers.number("rate_per_s") * most),
+        );
+        if at >= end {
+            break;
+        }
+        let within = |burst: &&Part| {
+            let from = begin + burst.span("at_s");
+            from <= at && at < from + burst.span("len_s")
+        };
+        let rate = bursts.iter().filter(within).map(|burst| burst.number("size")).fold(1.0, f64::max);
+        let comes = chance.random::<f64>() < rate / most;
+        number += 1;
+        let mut own = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(0x9E37_79B9).wrapping_add(number));
+        if !comes {
+            continue;
+        }
+        let title = draw(&zipf, &mut own);
+        let watch = Duration::from_secs_f64(least + (longest - least).max(0.0) * own.random::<f64>());
+        let chances = |name: &str, own: &mut Pcg64Mcg| own.random::<f64>() < viewers.number(name);
+        let top = if chances("small_screens", &mut own) { rungs.div_ceil(2) - 1 } else { rungs - 1 };
+        let viewer = Viewer {
+            session: 0,
+            package: draw(&shares, &mut own),
+            title,
+            watch: watch.min(crowd.titles[title].length),
+            top,
+            close_early: chances("close_early", &mut own),
+            no_show: chances("no_show", &mut own),
+            ask_twice: chances("ask_twice", &mut own),
+        };
+        sleep_until(begun + at).await;
+        let crowd = crowd.clone();
+        crowd.out.set(crowd.out.get() + 1);
+        spawn_local(async move {
+            let watched = crowd.watches(viewer, own).await;
+            crowd.seen.borrow_mut().watched.push(watched);
+            crowd.out.set(crowd.out.get() - 1);
+        });
+    }
+    while crowd.out.get() > 0 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    Ok(crowd.seen.take())
+}
+
+/// What a request for a manifest brought.
+enum Got {
+    Manifest { base: String, again: String, rungs: usize },
+    Blocked(Duration),
+    Failed,
+    Lost,
+}
+
+fn get(url: &str) -> Option<(SocketAddr, Request<Full<Bytes>>)> {
+    let rest = url.strip_prefix("http://")?;
+    let (host, path) = rest.split_at(rest.find('/')?);
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = path.parse().ok()?;
+    request.headers_mut().insert("host", HeaderValue::from_str(host).ok()?);
+    Some((host.parse().ok()?, request))
+}
+
+/// A connection that is kept from request to request.
+#[derive(Default)]
+struct Line(Option<(SocketAddr, Connection)>);
+
+impl Line {
+    async fn open(&mut self, address: SocketAddr) -> bool {
+        if self.0.as_ref().is_some_and(|(to, connection)| *to == address && connection.stands()) {
+            return true;
+        }
+        self.0 = Connection::open(address, CONNECT).await.ok().map(|connection| (address, connection));
+        self.0.is_some()
+    }
+
+    /// Status, the headers that matter to a player, and the body.
+    async fn get(&mut self, request: Request<Full<Bytes>>) -> Option<(StatusCode, [Option<u64>; 2], Bytes)> {
+        let (_, connection) = self.0.as_mut()?;
+        let answer = match connection.ask(request).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.0 = None;
+                return None;
+            }
+        };
+        let number = |name: &str| answer.headers().get(name)?.to_str().ok()?.parse().ok();
+        let (status, numbers) = (answer.status(), [number("ivy-come-back-ms"), number("ivy-rung")]);
+        match Limited::new(answer.into_body(), LONGEST).collect().await {
+            Ok(body) => Some((status, numbers, body.to_bytes())),
+            Err(_) => {
+                self.0 = None;
+                None
+            }
+        }
+    }
+}
+
+impl Crowd {
+    fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    fn token(&self, viewer: &Viewer) -> Result<String, String> {
+        let pass = Pass {
+            session: viewer.session,
+            title: self.titles[viewer.title].name.clone(),
+            package: self.packages[viewer.package].0.clone(),
+            top: viewer.top,
+            tenant: "lab".into(),
+            tune_in: None,
+        };
+        self.keys.mint(&pass, date(), self.life)
+    }
+
+    /// One request, recorded. `limit`: when the viewer closes it.
+    async fn ask(
+        &self, line: &mut Line, url: &str, viewer: &Viewer, manager: usize, new: bool, limit: Duration,
+    ) -> Got {
+        let Some((address, request)) = get(url) else { return Got::Failed };
+        let sent = line.open(address).await;
+        let at = self.now();
+        let patience = self.packages[viewer.package].1;
+        let came = if sent { timeout(limit.min(patience + LATE), line.get(request)).await } else { Ok(None) };
+        let came_at = self.now();
+        let (came, got) = match came {
+            Err(_) => {
+                line.0 = None;
+                (if limit < patience { Came::Closed } else { Came::Nothing }, Got::Lost)
+            }
+            Ok(None) => (Came::Cut, Got::Lost),
+            Ok(Some((status, [come_back, _], body))) => {
+                let got = match status {
+                    StatusCode::OK => match manifest::read(&String::from_utf8_lossy(&body)) {
+                        Ok((base, again, rungs)) => Got::Manifest { base, again, rungs },
+                        Err(_) => Got::Failed,
+                    },
+                    StatusCode::SERVICE_UNAVAILABLE => {
+                        Got::Blocked(Duration::from_millis(come_back.unwrap_or_default()))
+                    }
+                    _ => Got::Failed,
+                };
+                (Came::Answer(status.as_u16()), got)
+            }
+        };
+        let (session, package) = (viewer.session, viewer.package);
+        self.seen.borrow_mut().asked.push(Asked { manager, session, package, at, came_at, came, new, sent });
+        got
+    }
+
+    async fn watches(&self, mut viewer: Viewer, mut chance: Pcg64Mcg) -> Watched {
+        let begin = self.now();
+        let worth = self.worths[viewer.top];
+        let wanted = viewer.watch.as_secs_f64() * worth;
+        let mut watched = Watched { package: viewer.package, wanted, ..Default::default() };
+        let mut left = viewer.watch;
+        let until = begin + viewer.watch + self.packages[viewer.package].1;
+        loop {
+            watched.tries += 1;
+            viewer.session = chance.random();
+            let manager = chance.random_range(0..self.managers.len());
+            let (line, url) = match self.token(&viewer) {
+                Ok(token) => {
+                    let title = &self.titles[viewer.title].name;
+                    (
+                        Line::default(),
+                        format!("http://{}/mpd/{title}.mpd?token={token}", self.managers[manager]),
+                    )
+                }
+                Err(_) => return watched,
+            };
+            let mut line = line;
+            let limit = if viewer.close_early {
+                Duration::from_millis(chance.random_range(0..40))
+            } else {
+                Duration::MAX
+            };
+            let first = self.ask(&mut line, &url, &viewer, manager, true, limit);
+            let got = if viewer.ask_twice {
+                // The app resends, or two of its requests cross.
+                let mut second = Line::default();
+                let crossing = self.ask(&mut second, &url, &viewer, manager, true, Duration::MAX);
+                tokio::join!(first, crossing).0
+            } else {
+                first.await
+            };
+            let wait = match got {
+                Got::Manifest { base, again, rungs } => {
+                    watched.joined.get_or_insert(self.now() - begin);
+                    if viewer.no_show {
+                        return watched;
+                    }
+                    if self
+                        .plays(&mut line, &viewer, manager, (base, again, rungs), &mut left, &mut watched)
+                        .await
+                    {
+                        return watched;
+                    }
+                    watched.breaks += 1;
+                    Duration::ZERO
+                }
+                Got::Blocked(wait) => wait,
+                // What was paid for and may have run is not asked for again.
+                Got::Failed | Got::Lost if self.packages[viewer.package].2 => return watched,
+                Got::Failed | Got::Lost => Duration::ZERO,
+            };
+            if viewer.close_early || chance.random::<f64>() >= self.returns.0 {
+                return watched;
+            }
+            sleep(wait.max(self.returns.1.mul_f64(0.5 + chance.random::<f64>()))).await;
+            if self.now() >= until {
+                return watched;
+            }
+        }
+    }
+
+    /// Plays to the end of what the viewer wants; false where it broke.
+    async fn plays(
+        &self, line: &mut Line, viewer: &Viewer, manager: usize,
+        (base, again, rungs): (String, String, usize), left: &mut Duration, watched: &mut Watched,
+    ) -> bool {
+        let (mut base, mut again, mut rungs) = (base, again, rungs);
+        let (mut fetches, mut number) = (Line::default(), 1_u64);
+        let (mut refreshed, mut last_rung) = (self.now(), None);
+        while !left.is_zero() {
+            let step = self.segment.min(*left);
+            let segment_begins = self.now();
+            let mut rung = rungs - 1;
+            if self.fetch {
+                let mut given = false;
+                for _ in 0..3 {
+                    let Some((server, request)) = get(&format!("{base}r{rung}/{number}.m4s")) else {
+                        return false;
+                    };
+                    let asked = async {
+                        if !fetches.open(server).await {
+                            return None;
+                        }
+                        fetches.get(request).await
+                    };
+                    match timeout(self.segment + Duration::from_secs(1), asked).await {
+                        Ok(Some((StatusCode::OK, ..))) => {
+                            given = true;
+                            break;
+                        }
+                        // The server holds it to the rung in force.
+                        Ok(Some((StatusCode::FORBIDDEN, [_, Some(most)], _))) => {
+                            rung = rung.min(most as usize)
+                        }
+                        _ => break,
+                    }
+                }
+                if !given {
+                    return false;
+                }
+                if self.now() - segment_begins > self.segment {
+                    watched.stalls += 1;
+                }
+            }
+            watched.switches += usize::from(last_rung.is_some_and(|last| last != rung));
+            last_rung = Some(rung);
+            sleep_until(self.begun + segment_begins + step).await;
+            *left -= step;
+            watched.played += step.as_secs_f64() * self.worths[rung.min(viewer.top)];
+            number += 1;
+            if self.now() >= refreshed + self.refresh && !left.is_zero() {
+                refreshed = self.now();
+                match self.ask(line, &again, viewer, manager, false, Duration::MAX).await {
+                    Got::Manifest { base: b, again: a, rungs: r } => (base, again, rungs) = (b, a, r),
+                    // Its manager may be gone for a moment; what plays plays on.
+                    Got::Lost => {}
+                    Got::Blocked(_) | Got::Failed => return false,
+                }
+            }
+        }
+        true
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -114,7 +114,11 @@
                 continue;
             }
             let value = self.message.get_field(&field).into_owned();
-            if let Some(x) = number(&value) {
+            let numbers = match &value {
+                Value::List(list) => list.iter().filter_map(number).collect(),
+                one => Vec::from_iter(number(one)),
+            };
+            for x in numbers {
                 let whole = field.kind() != prost_reflect::Kind::Double;
                 let wrong = [
                     (!x.is_finite()).then(|| "is no number".to_string()),
@@ -212,6 +216,40 @@
         })
     }
 
+    /// Sets a field that holds text.
+    pub fn put_text(&mut self, name: &str, text: &str) {
+        self.message.set_field(&self.field(name), Value::String(text.into()));
+    }
+
+    /// Sets a field that holds a whole number.
+    pub fn put_whole(&mut self, name: &str, number: u64) {
+        let field = self.field(name);
+        let value = match field.kind() {
+            prost_reflect::Kind::Uint32 => Value::U32(number as u32),
+            _ => Value::U64(number),
+        };
+        self.message.set_field(&field, value);
+    }
+
+    /// Sets a part.
+    pub fn put(&mut self, name: &str, part: Part) {
+        self.message.set_field(&self.field(name), Value::Message(part.message));
+    }
+
+    /// The name of an enumeration's value.
+    pub fn choice(&self, name: &str) -> String {
+        let (field, kind) = (self.field(name), self.field(name).kind());
+        let number = self.message.get_field(&field).as_enum_number().unwrap_or_default();
+        let values = kind.as_enum().expect("a field of choices");
+        values.get_value(number).map(|value| value.name().to_string()).unwrap_or_default()
+    }
+
+    /// The numbers under a name.
+    pub fn numbers(&self, name: &str) -> Vec<f64> {
+        let value = self.message.get_field(&self.field(name)).into_owned();
+        value.as_list().into_iter().flatten().filter_map(number).collect()
+    }
+
     /// The part as text again.
     pub fn to_text(&self) -> String {
         self.message
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -282,18 +282,23 @@
         self.list_soon(at, Standing::Gone);
     }
 
-    /// A process starts there, cold.
-    ///
-    /// # Errors
-    /// Its address can't be bound again.
-    pub fn start(&self, at: ServerNo) -> io::Result<()> {
-        let listener = listen(self.0.doors[at.0].address)?;
-        let now = self.now();
-        self.model(|fleet| fleet.start(now, at));
-        self.record(What::Born { server: at });
-        self.serve(at, listener);
-        self.list_soon(at, Standing::Ready);
-        Ok(())
+    /// A process starts there, cold, as soon as its address is free.
+    pub fn start(&self, at: ServerNo) {
+        let standins = self.clone();
+        spawn_local(async move {
+            let listener = loop {
+                match listen(standins.0.doors[at.0].address) {
+                    Ok(listener) => break listener,
+                    // The one that died has not let go of it yet.
+                    Err(_) => sleep(TICK / 10).await,
+                }
+            };
+            let now = standins.now();
+            standins.model(|fleet| fleet.start(now, at));
+            standins.record(What::Born { server: at });
+            standins.serve(at, listener);
+            standins.list_soon(at, Standing::Ready);
+        });
     }
 
     pub fn drain(&self, at: ServerNo) {
