Socket tests of the hard cases; releases wait where a server stands still

Each hard case of the first program on sockets: late answers, broken paid set-ups, thaws, new births, closing and absent viewers, malformed and slow requests, ends. Found: a release retried every two seconds reached a thawed server up to two seconds late; it now waits there for as long as a lease.

--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -174,7 +174,8 @@
     let (until, mut pause) = (Instant::now() + shell.0.lease * 2, PAUSES.0);
     while Instant::now() < until && !shell.gone(server) {
         let asked = ask(shell, server, method.clone(), path, body);
-        if let Ok(Some(_)) = timeout(PAUSES.1, asked).await {
+        // One that waits at a server which stands still is heard in the moment in which it goes on.
+        if let Ok(Some(_)) = timeout(shell.0.lease, asked).await {
             return;
         }
         sleep(pause).await;
--- /dev/null
+++ b/crates/daemon/tests/sockets.rs
@@ -0,0 +1,339 @@
+//! A manager on sockets, through what goes wrong with servers and viewers.
+
+mod world;
+
+use hyper::StatusCode;
+use ivyward_fleet::ServerNo;
+use ivyward_standin::{SetUpEnd, What};
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use world::{World, get, ms, places, set_ups, with};
+
+fn plain(text: String) -> String {
+    text
+}
+
+fn freeze_all(world: &World, on: bool) {
+    for at in world.all() {
+        if on { world.standins.freeze(at) } else { world.standins.thaw(at) }
+    }
+}
+
+#[test]
+fn a_viewing_goes_from_token_to_manifest_to_segments_to_its_end() {
+    with(plain, |world| async move {
+        let page = world.ask(1, "clip").await;
+        assert_eq!(page.status, StatusCode::OK);
+        let (base, again) = places(&page);
+        for (segment, status) in [("r0/init.mp4", 200), ("r0/1.m4s", 200), ("r9/1.m4s", 403), ("r0/x", 404)] {
+            assert_eq!(get(&format!("{base}{segment}")).await.status, status, "{segment}");
+        }
+        // A refresh is the same viewing at the same server.
+        let (base, _) = places(&get(&again).await);
+        assert_eq!(get(&format!("{base}r0/10.m4s")).await.status, StatusCode::OK);
+        world.until("its end after the last segment", |w| w.streams() == 0).await;
+        assert_eq!(get(&format!("{base}r0/1.m4s")).await.status, StatusCode::NOT_FOUND);
+        assert_eq!(set_ups(&world.records()).len(), 1);
+    });
+}
+
+#[test]
+fn requests_that_are_no_viewing_are_turned_away_before_one_is_taken() {
+    with(plain, |world| async move {
+        let good = world.token(1, "clip");
+        let expired = world.token_for(1, "clip", "how-to-charge", ms(0));
+        sleep(ms(2100)).await;
+        let other = world.token_for(1, "clip", "bay-4-evening", ms(9000));
+        let package = world.token_for(1, "nothing", "how-to-charge", ms(9000));
+        let cases = [
+            (world.url(&expired), 401, Some("expired")),
+            (world.url(&format!("{good}x")), 401, Some("forged")),
+            (world.url("a.b.c"), 401, Some("malformed")),
+            (world.url(""), 401, Some("malformed")),
+            (world.url(&other), 403, Some("foreign-title")),
+            (world.url(&package), 403, None),
+            (world.url(&good).replace("how-to-charge", "nothing"), 404, None),
+            (world.url(&good).replace("/mpd/", "/"), 404, None),
+        ];
+        for (url, status, refused) in cases {
+            let page = get(&url).await;
+            assert_eq!((page.status.as_u16(), page.refused.as_deref()), (status, refused), "{url}");
+        }
+        let path = format!("/mpd/how-to-charge.mpd?token={good}");
+        let long = "x".repeat(40_000);
+        let heads = [
+            (format!("GET {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc"), "400"),
+            (format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n"), "405"),
+            (format!("GET {path} HTTP/1.1\r\nno colon\r\n\r\n"), "400"),
+            (format!("GET /mpd/{long} HTTP/1.1\r\nhost: a\r\n\r\n"), "4"),
+            (format!("GET {path} HTTP/1.1\r\nhost: a\r\nx: {long}\r\n\r\n"), "4"),
+            ("\r\n\r\nnothing of the kind\r\n\r\n".into(), "400"),
+        ];
+        for (head, status) in heads {
+            let came = world.raw(&[(head.as_bytes(), ms(0))]).await;
+            assert!(came.starts_with(&format!("HTTP/1.1 {status}")), "{:.60}: {came:.60}", head);
+        }
+        assert_eq!(set_ups(&world.records()), [], "none of these was a viewing");
+        assert_eq!(world.ask(1, "clip").await.status, StatusCode::OK);
+    });
+}
+
+#[test]
+fn slow_writers_are_cut_off_and_keep_nobody_waiting() {
+    let quick = |text: String| text.replace("listen:", "head_within_s: 8.5 listen:");
+    with(quick, |world| async move {
+        let mut slow = vec![];
+        for _ in 0..50 {
+            let mut stream = TcpStream::connect(world.address).await.expect("a connection");
+            stream.write_all(b"GET /mpd/how").await.expect("written");
+            slow.push(stream);
+        }
+        assert_eq!(world.ask(1, "clip").await.status, StatusCode::OK);
+        sleep(ms(8800)).await;
+        for stream in &mut slow {
+            let mut rest = vec![];
+            let read = tokio::io::AsyncReadExt::read_to_end(stream, &mut rest);
+            let cut = tokio::time::timeout(ms(1000), read).await;
+            assert!(cut.is_ok(), "a connection stays open whose head never came");
+        }
+    });
+}
+
+#[test]
+fn a_server_that_thaws_after_its_viewing_went_elsewhere_keeps_nothing_of_it() {
+    with(
+        |text| text.replace("lease_s: 1", "lease_s: 60"),
+        |world| async move {
+            // All but one stand still: some viewings are tried there first.
+            for at in 0..3 {
+                world.standins.freeze(ServerNo(at));
+            }
+            let mut answers = vec![];
+            for session in 0..12 {
+                answers.push(world.ask(session, "clip").await.status);
+            }
+            let played = answers.iter().filter(|status| **status == StatusCode::OK).count();
+            let waiting = set_ups(&world.records()).iter().filter(|(at, ..)| *at != ServerNo(3)).count();
+            assert!(played >= 6 && waiting >= 1, "{answers:?}, {waiting} at frozen servers");
+            assert_eq!(world.streams(), played);
+            (0..3).for_each(|at| world.standins.thaw(ServerNo(at)));
+            sleep(ms(300)).await;
+            let frozen =
+                (0..3).map(|at| world.standins.model(|fleet| fleet.streams(ServerNo(at)))).sum::<usize>();
+            assert_eq!(frozen, 0, "what was given up on plays nothing");
+        },
+    );
+}
+
+#[test]
+fn a_tune_in_that_times_out_as_its_answer_is_on_the_way_has_one_answer() {
+    with(plain, |world| async move {
+        // The limit is two fifths of the join target: thaws round it fall on either side.
+        for (session, thaw) in (0..10).zip([380, 390, 395, 398, 400, 402, 405, 410, 420, 430]) {
+            freeze_all(&world, true);
+            let standins = world.standins.clone();
+            let all = world.all();
+            spawn_local(async move {
+                sleep(ms(thaw)).await;
+                all.into_iter().for_each(|at| standins.thaw(at));
+            });
+            let page = world.ask(session, "clip").await;
+            assert_eq!(page.status, StatusCode::OK, "thawed after {thaw} ms");
+            let (base, _) = places(&page);
+            assert_eq!(
+                get(&format!("{base}r0/1.m4s")).await.status,
+                StatusCode::OK,
+                "thawed after {thaw} ms"
+            );
+            sleep(ms(150)).await;
+            world.until("one stream a viewing", |w| w.streams() <= session as usize + 1).await;
+        }
+    });
+}
+
+#[test]
+fn paid_set_ups_that_break_are_neither_sent_again_nor_turned_down() {
+    // On a fresh connection, and on one that served another viewing before.
+    for used in [false, true] {
+        with(plain, |world| async move {
+            if used {
+                for session in 0..24 {
+                    assert_eq!(world.ask(session, "clip").await.status, StatusCode::OK);
+                }
+            }
+            world.records();
+            world
+                .all()
+                .into_iter()
+                .for_each(|at| world.standins.fault(at, "break", true, |f| f.breaks = true));
+            let token = world.token(99, "ticket");
+            assert_eq!(get(&world.url(&token)).await.status, StatusCode::BAD_GATEWAY, "used: {used}");
+            // The app asks again with the same token, now that all is well.
+            world
+                .all()
+                .into_iter()
+                .for_each(|at| world.standins.fault(at, "break", false, |f| f.breaks = false));
+            assert_eq!(get(&world.url(&token)).await.status, StatusCode::BAD_GATEWAY);
+            let records = world.records();
+            assert_eq!(set_ups(&records).len(), 1, "used: {used}");
+            let broke = |what: &What| matches!(what, What::SetUpOver { how: SetUpEnd::Broke, .. });
+            assert!(records.iter().any(|record| broke(&record.what)));
+        });
+    }
+}
+
+#[test]
+fn an_idle_connection_that_its_server_closed_is_no_tune_in() {
+    with(plain, |world| async move {
+        for session in 0..16 {
+            world.ask(session, "clip").await;
+        }
+        world.records();
+        // All die and come back at their old addresses: idle connections are dead, streams are gone.
+        for at in world.all() {
+            world.standins.crash(at);
+            world.standins.start(at);
+        }
+        world
+            .until("all are listed again", |w| {
+                w.all().into_iter().all(|at| w.standins.model(|fleet| fleet.up(at)))
+            })
+            .await;
+        sleep(ms(900)).await;
+        for session in 100..104 {
+            assert_eq!(
+                world.ask(session, "ticket").await.status,
+                StatusCode::OK,
+                "a server's new birth takes it"
+            );
+        }
+        let firsts: BTreeSet<_> =
+            set_ups(&world.records()).into_iter().map(|(_, session, n)| (session, n)).collect();
+        assert_eq!(firsts.len(), 4, "each went out once");
+    });
+}
+
+#[test]
+fn tokens_of_a_server_before_its_restart_open_nothing() {
+    with(plain, |world| async move {
+        let page = world.ask(1, "clip").await;
+        let (base, again) = places(&page);
+        for at in world.all() {
+            world.standins.crash(at);
+            world.standins.start(at);
+        }
+        world.until("all are up", |w| w.all().into_iter().all(|at| w.standins.model(|f| f.up(at)))).await;
+        assert_eq!(get(&format!("{base}r0/1.m4s")).await.status, StatusCode::NOT_FOUND);
+        sleep(ms(900)).await;
+        // Its player asks again and is set up anew, for its package may be.
+        let (base, _) = places(&get(&again).await);
+        assert_eq!(get(&format!("{base}r0/1.m4s")).await.status, StatusCode::OK);
+        assert_eq!(world.streams(), 1);
+    });
+}
+
+#[test]
+fn viewers_that_close_or_never_come_leave_no_place_taken() {
+    with(plain, |world| async move {
+        freeze_all(&world, true);
+        for session in 0..8 {
+            let url = world.url(&world.token(session, "clip"));
+            let path =
+                url.split_once(&world.address.to_string()).map(|(_, path)| path.to_string()).expect("a path");
+            let mut stream = TcpStream::connect(world.address).await.expect("a connection");
+            stream
+                .write_all(format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n").as_bytes())
+                .await
+                .expect("written");
+            sleep(ms(20)).await;
+        }
+        world.until("set-ups went out", |w| w.standins.records().len() >= 8).await;
+        freeze_all(&world, false);
+        sleep(ms(400)).await;
+        assert_eq!(world.streams(), 0, "closed before the answer");
+        // These get their answers and never come for a segment.
+        for session in 10..14 {
+            assert_eq!(world.ask(session, "clip").await.status, StatusCode::OK);
+        }
+        assert_eq!(world.streams(), 4);
+        world.until("the leases' end", |w| w.streams() == 0).await;
+    });
+}
+
+#[test]
+fn hundreds_of_requests_in_one_turn_get_an_answer_each() {
+    with(plain, |world| async move {
+        // Each session asks twice, as apps that resend do.
+        let tasks: Vec<_> = (0..300_u128)
+            .map(|i| {
+                let url = world.url(&world.token(i / 2, if i % 6 < 2 { "ticket" } else { "clip" }));
+                spawn_local(async move { get(&url).await })
+            })
+            .collect();
+        let mut servers = vec![BTreeSet::new(); 150];
+        let mut plays = 0;
+        for (i, task) in tasks.into_iter().enumerate() {
+            let page = task.await.expect("an answer");
+            assert!(matches!(page.status.as_u16(), 200 | 502 | 503), "{}", page.status);
+            if page.status == StatusCode::OK {
+                plays += 1;
+                let (base, _) = places(&page);
+                servers[i / 2].insert(base.split('/').nth(2).map(String::from));
+            }
+        }
+        assert!(plays > 60, "{plays}");
+        assert!(servers.iter().all(|at| at.len() <= 1), "both requests of a session are sent to one server");
+        let records = world.records();
+        let sent = set_ups(&records);
+        let once: BTreeSet<_> = sent.iter().map(|(_, session, n)| (*session, *n)).collect();
+        assert_eq!(sent.len(), once.len(), "no tune-in went out twice");
+    });
+}
+
+#[test]
+fn nothing_goes_to_a_server_after_its_drain_was_told() {
+    with(plain, |world| async move {
+        (0..3).for_each(|at| world.standins.drain(ServerNo(at)));
+        sleep(ms(400)).await;
+        world.records();
+        for session in 0..10 {
+            world.ask(session, "clip").await;
+        }
+        let sent = set_ups(&world.records());
+        assert!(sent.len() >= 10 && sent.iter().all(|(at, ..)| *at == ServerNo(3)), "{sent:?}");
+    });
+}
+
+#[test]
+fn it_ends_in_time_with_every_viewing_answered() {
+    with(plain, |mut world| async move {
+        assert_eq!(world.ask(50, "clip").await.status, StatusCode::OK);
+        freeze_all(&world, true);
+        let tasks: Vec<_> = (0..20_u128)
+            .map(|session| {
+                let url = world.url(&world.token(session, if session % 4 == 0 { "ticket" } else { "clip" }));
+                spawn_local(async move { get(&url).await })
+            })
+            .collect();
+        // Probes have failed by then and set-ups are out.
+        sleep(ms(500)).await;
+        let (came, took) = world.end().await;
+        assert_eq!(came, Ok(()));
+        assert!(took < Duration::from_secs(5), "{took:?}");
+        let sent: BTreeSet<_> =
+            set_ups(&world.records()).into_iter().map(|(_, session, _)| session).collect();
+        let paid = sent.iter().filter(|session| **session % 4 == 0 && **session < 20).count();
+        assert!(paid > 0, "{sent:?}");
+        for (session, task) in (0..20_u128).zip(tasks) {
+            let page = task.await.expect("an answer");
+            // A paid one that may have run is not turned down.
+            let wanted = if session % 4 == 0 && sent.contains(&session) { 502 } else { 503 };
+            assert_eq!(page.status.as_u16(), wanted, "session {session}");
+        }
+        assert!(TcpStream::connect(world.address).await.is_err(), "nothing listens any more");
+    });
+}
--- /dev/null
+++ b/crates/daemon/tests/world/mod.rs
@@ -0,0 +1,190 @@
+//! One manager in a thread of its own over stand-ins in this one, all on loopback.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use ivyward_daemon::pool::Connection;
+use ivyward_daemon::{date, setup};
+use ivyward_dash::manifest;
+use ivyward_dash::token::{Keys, Pass};
+use ivyward_fleet::ServerNo;
+use ivyward_settings::Part;
+use ivyward_standin::{Record, Standins, What};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep};
+
+const SETTINGS: &str = include_str!("../../src/default.txtpb");
+/// Cold for so short that no test has to wait for it.
+const FLEET: &str = "servers: 4 link_kb: 4300 uplink_kb: 21000 places: 34 list_late_s: 0.05 warm_up_s: 0.2 uneven: 0 set_up_s: 0.02";
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub struct World {
+    pub standins: Standins,
+    pub address: SocketAddr,
+    pub settings: Part,
+    end: Option<oneshot::Sender<()>>,
+    ended: mpsc::Receiver<Result<(), String>>,
+}
+
+pub struct Page {
+    pub status: StatusCode,
+    pub refused: Option<String>,
+    pub text: String,
+}
+
+/// Runs a test against a manager whose settings text `tweak` may change.
+pub fn with<F: Future<Output = ()>>(tweak: impl Fn(String) -> String, test: impl FnOnce(World) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async { test(World::start(tweak).await).await });
+}
+
+impl World {
+    async fn start(tweak: impl Fn(String) -> String) -> World {
+        let text =
+            SETTINGS.replace("127.0.0.1:8480", "127.0.0.1:0").replace("warm_up_s: 12", "warm_up_s: 0.2");
+        let text = tweak(text.replace("spread: 6", "spread: 12").replace("lease_s: 6", "lease_s: 1"));
+        let fleet = ivyward_settings::read("Fleet", FLEET).expect("a fleet");
+        let given = ivyward_settings::read("Settings", &text).expect("settings");
+        let tokens = given.one("tokens");
+        let keys = setup::keys(&tokens).expect("keys");
+        let model = ivyward_standin::fleet(1, &fleet, &given);
+        let about = (fleet.number("vary"), fleet.span("list_late_s"));
+        let standins = Standins::open(1, model, 12, (keys, tokens.span("skew_s")), about, Instant::now())
+            .expect("stand-ins");
+        let text = format!("{text}\nlist_address: \"{}\"\n", standins.list_address());
+        let settings = ivyward_daemon::read(&text).expect("settings that fit");
+        let (ready, address) = oneshot::channel();
+        let (end, told) = oneshot::channel::<()>();
+        let (tell, ended) = mpsc::channel();
+        thread::spawn(move || {
+            let settings = ivyward_daemon::read(&text).expect("settings that fit");
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            let came = runtime.block_on(ivyward_daemon::manage(
+                &settings,
+                |address| ready.send(address).expect("a test that waits"),
+                async {
+                    told.await.ok();
+                },
+            ));
+            tell.send(came).ok();
+        });
+        let address = address.await.expect("a manager");
+        let world = World { standins, address, settings, end: Some(end), ended };
+        // The list has come and what started with the manager is warm.
+        sleep(ms(400)).await;
+        world
+    }
+
+    pub fn keys(&self) -> Keys {
+        setup::keys(&self.settings.one("tokens")).expect("keys")
+    }
+
+    pub fn token(&self, session: u128, package: &str) -> String {
+        self.token_for(session, package, "how-to-charge", ms(60_000))
+    }
+
+    pub fn token_for(&self, session: u128, package: &str, title: &str, life: Duration) -> String {
+        let (title, package) = (title.to_string(), package.to_string());
+        let pass = Pass { session, title, package, top: 3, tenant: String::new(), tune_in: None };
+        self.keys().mint(&pass, date(), life).expect("a token")
+    }
+
+    pub fn url(&self, token: &str) -> String {
+        format!("http://{}/mpd/how-to-charge.mpd?token={token}", self.address)
+    }
+
+    pub async fn ask(&self, session: u128, package: &str) -> Page {
+        get(&self.url(&self.token(session, package))).await
+    }
+
+    /// Bytes as they are; what came back until the manager closed, or for three seconds.
+    pub async fn raw(&self, parts: &[(&[u8], Duration)]) -> String {
+        let mut stream = TcpStream::connect(self.address).await.expect("a connection");
+        for (bytes, pause) in parts {
+            if stream.write_all(bytes).await.is_err() {
+                break;
+            }
+            sleep(*pause).await;
+        }
+        let mut came = vec![];
+        tokio::time::timeout(ms(3000), stream.read_to_end(&mut came)).await.ok();
+        String::from_utf8_lossy(&came).into_owned()
+    }
+
+    pub fn all(&self) -> Vec<ServerNo> {
+        self.standins.model(|fleet| fleet.boxes().collect())
+    }
+
+    /// Streams that the servers hold.
+    pub fn streams(&self) -> usize {
+        self.all().into_iter().map(|at| self.standins.model(|fleet| fleet.streams(at))).sum()
+    }
+
+    pub fn records(&self) -> Vec<Record> {
+        self.standins.records().take()
+    }
+
+    /// Waits until `fits`, for ten seconds at most.
+    pub async fn until(&self, what: &str, fits: impl Fn(&World) -> bool) {
+        for _ in 0..1000 {
+            if fits(self) {
+                return;
+            }
+            sleep(ms(10)).await;
+        }
+        panic!("never came about: {what}");
+    }
+
+    /// Ends the manager: how it ended and how long that took.
+    pub async fn end(&mut self) -> (Result<(), String>, Duration) {
+        let begun = Instant::now();
+        self.end.take().expect("not ended before").send(()).ok();
+        loop {
+            match self.ended.try_recv() {
+                Ok(came) => return (came, begun.elapsed()),
+                Err(_) => sleep(ms(10)).await,
+            }
+        }
+    }
+}
+
+pub fn set_ups(records: &[Record]) -> Vec<(ServerNo, u128, u16)> {
+    let set_up = |record: &Record| match &record.what {
+        What::SetUp { server, session, key, .. } => Some((*server, *session, key.n)),
+        _ => None,
+    };
+    records.iter().filter_map(set_up).collect()
+}
+
+pub async fn get(url: &str) -> Page {
+    let rest = url.strip_prefix("http://").expect("an address");
+    let (host, path) = rest.split_at(rest.find('/').expect("a path"));
+    let mut connection =
+        Connection::open(host.parse().expect("a host"), ms(1000)).await.expect("a connection");
+    let mut request = Request::new(Full::<Bytes>::default());
+    *request.uri_mut() = path.parse().expect("a path");
+    request.headers_mut().insert("host", host.parse().expect("a host"));
+    let answer = connection.ask(request).await.expect("an answer");
+    let refused = answer.headers().get("ivy-refused").map(|text| text.to_str().expect("text").to_string());
+    let status = answer.status();
+    let body = answer.into_body().collect().await.expect("a body").to_bytes();
+    Page { status, refused, text: String::from_utf8_lossy(&body).into_owned() }
+}
+
+/// Where the segments of a manifest lie, and where to ask again.
+pub fn places(page: &Page) -> (String, String) {
+    let (base, again, _) = manifest::read(&page.text).expect("a manifest");
+    (base, again)
+}
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -218,6 +218,7 @@
         ("in another window", vec![again(100, 1, 1), again(5111, 2, 1)], 0, false),
         ("in the same", vec![again(100, 1, 1), again(5089, 2, 1)], 0, true),
         ("one that no server saw", vec![again(100, 1, 2)], 0, true),
+        ("one that no server saw, long before", vec![again(100, 1, 0), again(5200, 1, 2)], 0, false),
     ];
     for (name, records, viewings, breaks) in cases {
         let verdict = judge(&terms(), &records.concat(), &taken(viewings), &[], &[process(&[])], &[]);
