--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod day;
 pub mod managers;
+pub mod measure;
 pub mod trouble;
 pub mod verdict;
 pub mod viewers;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -30,6 +30,20 @@
     },
     /// Tell all that is wrong with a script
     Check { script: PathBuf },
+    /// Measure a manager against a bare responder, under a script's settings and fleet
+    Measure {
+        script: PathBuf,
+        #[arg(long, default_value_t = 5)]
+        rounds: usize,
+        /// Viewings in a round
+        #[arg(long, default_value_t = 400)]
+        viewings: usize,
+        #[arg(long, default_value_t = 8)]
+        connections: usize,
+    },
+    /// A responder that answers everything with one manifest
+    #[command(hide = true)]
+    Bare,
     /// A manager in a process of its own, for days
     #[command(hide = true)]
     Run { settings: PathBuf },
@@ -59,6 +73,21 @@
     })
 }
 
+fn measure(script: &Path, rounds: usize, viewings: usize, connections: usize) -> Result<(), String> {
+    let script = read(script)?;
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let measured = ivyward_lab::measure::front(&script, &program, rounds, viewings, connections);
+    tokio::task::LocalSet::new().block_on(&runtime, measured)
+}
+
+fn bare() -> Result<(), String> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    runtime.block_on(ivyward_lab::measure::bare())
+}
+
 fn main() -> ExitCode {
     let done = match Line::parse().what {
         What::Check { script } => read(&script).map(|_| {
@@ -66,6 +95,10 @@
             true
         }),
         What::Run { settings } => run(&settings).map(|()| true),
+        What::Bare => bare().map(|()| true),
+        What::Measure { script, rounds, viewings, connections } => {
+            measure(&script, rounds, viewings, connections).map(|()| true)
+        }
         What::Day { script, seed, manager, logs } => read(&script).and_then(|script| {
             let verdict = ivyward_lab::day::play(&script, seed, manager.as_deref(), logs.as_deref())?;
             print!("{verdict}");
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -58,7 +58,17 @@
 }
 
 fn asked(session: u128, package: usize, at: u64, came_at: u64, came: Came) -> Asked {
-    Asked { manager: 0, session, package, at: ms(at), came_at: ms(came_at), came, new: true, sent: true }
+    Asked {
+        manager: 0,
+        session,
+        package,
+        at: ms(at),
+        came_at: ms(came_at),
+        came,
+        new: true,
+        refresh: false,
+        sent: true,
+    }
 }
 
 fn process(gaps: &[(u64, u64)]) -> Process {
@@ -226,6 +236,20 @@
     }
 }
 
+#[test]
+fn crossing_requests_count_as_the_viewings_that_they_may_be() {
+    // Two further tune-ins need two viewings: two requests of one session are two only where none of them plays.
+    let records =
+        [set_up(100, 0, 1, 1, CLIP), over(110, 0, 1, 1, SetUpEnd::Refused), set_up(200, 0, 2, 1, CLIP)];
+    // A refresh of what plays no more is one.
+    for (came, refresh, breaks) in [(503, false, false), (200, false, true), (200, true, false)] {
+        let second = Asked { refresh, ..asked(1, CLIP, 51, 90, Came::Answer(came)) };
+        let twice = [asked(1, CLIP, 50, 90, Came::Answer(503)), second];
+        let verdict = judge(&terms(), &records, &twice, &[], &[process(&[])], &[]);
+        assert_eq!(!verdict.rules[5].1.is_empty(), breaks, "{came}: {verdict}");
+    }
+}
+
 #[test]
 fn a_manager_that_ends_badly_breaks_the_day_and_troubles_are_counted() {
     let bad = Process { ended: false, ..process(&[]) };
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,48 @@
+//! The laboratory as it is called: a short bad day with real manager processes, and scripts that can't be played.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::{env, fs};
+
+fn lab(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_ivyward-lab")).args(arguments).output().expect("the laboratory runs")
+}
+
+fn day(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(name)
+}
+
+#[test]
+fn a_short_bad_day_keeps_all_rules_and_every_trouble_acts() {
+    let out = lab(&["day", &day("short-bad-day.txtpb").to_string_lossy(), "--seed", "3"]);
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{told}{}", String::from_utf8_lossy(&out.stderr));
+    assert_eq!(
+        told.lines().filter(|line| line.starts_with("rule ") && line.contains(" kept ")).count(),
+        6,
+        "{told}"
+    );
+    let troubles: Vec<_> = told.lines().filter(|line| line.starts_with("trouble ")).collect();
+    assert!(troubles.len() == 7 && troubles.iter().all(|line| !line.contains("act 0 times")), "{told}");
+}
+
+#[test]
+fn scripts_that_cant_be_played_say_why() {
+    let quiet = fs::read_to_string(day("quiet.txtpb")).expect("a script");
+    let file = env::temp_dir().join(format!("ivyward-script-{}.txtpb", std::process::id()));
+    for (from, to, told) in
+        [("rate_per_s: 12", "rate: 12", "viewers.rate"), ("servers: 12", "servers: 0", "fleet.servers")]
+    {
+        fs::write(&file, quiet.replace(from, to)).expect("written");
+        for command in ["day", "check"] {
+            let out = lab(&[command, &file.to_string_lossy()]);
+            let error = String::from_utf8_lossy(&out.stderr);
+            assert_eq!(out.status.code(), Some(2), "{command}: {error}");
+            assert!(
+                error.contains(&file.to_string_lossy()[..]) && error.contains(told),
+                "{command}: {error}"
+            );
+        }
+    }
+    fs::remove_file(&file).ok();
+}
