--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod pool;
 pub mod setup;
 
-mod birth;
+pub mod birth;
 mod link;
 mod list;
 
@@ -35,13 +35,14 @@
     if faults.is_empty() { Ok(settings) } else { Err(faults) }
 }
 
-/// Runs one manager until `ended`; then nothing new is taken and each viewing is answered.
+/// Runs one manager until `ended`; then nothing new is taken and each viewing is answered. How often an assertion of a
+/// rule failed.
 ///
 /// # Errors
 /// What kept it from starting, or that viewings were left without an answer.
 pub async fn manage(
     settings: &Part, ready: impl FnOnce(SocketAddr), ended: impl Future<Output = ()>,
-) -> Result<(), String> {
+) -> Result<u64, String> {
     let manager = settings.one("manager");
     let wanted = manager.text("listen");
     let listener = TcpListener::bind(&wanted).await.map_err(|e| format!("{wanted}: {e}"))?;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -25,7 +25,12 @@
 #[derive(Subcommand)]
 enum What {
     /// Run a manager; without a file, one over stand-in servers that it starts itself
-    Run { settings: Option<PathBuf> },
+    Run {
+        settings: Option<PathBuf>,
+        /// Listen here instead of where the settings say
+        #[arg(long)]
+        listen: Option<std::net::SocketAddr>,
+    },
     /// Tell all that is wrong with settings
     Check { settings: PathBuf },
     /// Mint a token for trying
@@ -55,11 +60,16 @@
     })
 }
 
-fn run(file: Option<&Path>) -> Result<(), String> {
-    let settings = match file {
+fn run(file: Option<&Path>, listen: Option<std::net::SocketAddr>) -> Result<(), String> {
+    let mut settings = match file {
         Some(file) => settings(file)?,
         None => embedded::settings(embedded::fleet()?)?,
     };
+    if let Some(listen) = listen {
+        let mut manager = settings.one("manager");
+        manager.put_text("listen", &listen.to_string());
+        settings.put("manager", manager);
+    }
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     runtime.block_on(async {
@@ -78,7 +88,8 @@
                 }
             }
         };
-        manage(&settings, ready, ended).await
+        println!("breaches {}", manage(&settings, ready, ended).await?);
+        Ok(())
     })
 }
 
@@ -98,7 +109,7 @@
         logs.init()
     }
     let done = match line.what {
-        What::Run { settings } => run(settings.as_deref()),
+        What::Run { settings, listen } => run(settings.as_deref(), listen),
         What::Check { settings: file } => {
             settings(&file).map(|_| println!("{}: nothing wrong", file.display()))
         }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -163,11 +163,11 @@
         self.0.gone.borrow().get(&server).copied().unwrap_or(true)
     }
 
-    /// Takes nothing new and answers all that wait.
+    /// Takes nothing new and answers all that wait. How often an assertion of a rule failed.
     ///
     /// # Errors
     /// Some viewing was left without an answer.
-    pub async fn end(&self, within: Duration) -> Result<(), String> {
+    pub async fn end(&self, within: Duration) -> Result<u64, String> {
         let until = Instant::now() + within;
         self.tell(|front, hands, now| front.stop(hands, now));
         let (tell, told) = oneshot::channel();
@@ -178,7 +178,10 @@
         // Answers and releases still have to leave.
         sleep((within / 10).min(until.saturating_duration_since(Instant::now()))).await;
         tracing::info!(waiting, ?breaches, "ended");
-        if waiting > 0 { Err(format!("{waiting} viewings are left without an answer")) } else { Ok(()) }
+        match waiting {
+            0 => Ok(breaches.values().sum()),
+            _ => Err(format!("{waiting} viewings are left without an answer")),
+        }
     }
 }
 
--- a/crates/daemon/src/viewers.rs
+++ b/crates/daemon/src/viewers.rs
@@ -18,6 +18,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -26,6 +27,9 @@
 /// The head of a request must fit into this.
 const LONGEST_HEAD: usize = 16 << 10;
 
+/// For a head that began and never ended (RFC 9110, 15.5.9); an idle connection is closed without a word.
+const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// What requests are answered by.
 struct Desk {
     shell: Shell,
@@ -76,16 +80,19 @@
         spawn_local(async move {
             let answer = |request| {
                 let desk = desk.clone();
-                async move { Ok::<_, Infallible>(desk.answer(request).await) }
+                Box::pin(async move { Ok::<_, Infallible>(desk.answer(request).await) })
             };
-            let served = hyper::server::conn::http1::Builder::new()
+            let mut connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(head)
                 .max_buf_size(LONGEST_HEAD)
-                .serve_connection(TokioIo::new(stream), hyper::service::service_fn(answer))
-                .await;
-            if let Err(error) = served {
+                .serve_connection(TokioIo::new(stream), hyper::service::service_fn(answer));
+            if let Err(error) = (&mut connection).await {
                 tracing::debug!(%error, "a viewer's connection broke");
+                let parts = connection.into_parts();
+                if error.is_timeout() && !parts.read_buf.is_empty() {
+                    parts.io.into_inner().write_all(TOO_SLOW).await.ok();
+                }
             }
             open.set(open.get() - 1);
         });
--- /dev/null
+++ b/crates/daemon/tests/command.rs
@@ -0,0 +1,106 @@
+//! The program as it is called.
+
+use std::io::{BufRead, BufReader, Read};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+use std::{env, fs};
+
+const DEFAULTS: &str = include_str!("../src/default.txtpb");
+
+fn ivyward(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_ivyward")).args(arguments).output().expect("the program runs")
+}
+
+#[test]
+fn without_settings_it_runs_on_its_own_and_its_line_gets_a_manifest() {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_ivyward"));
+    let program =
+        program.args(["run", "--listen", "127.0.0.1:0"]).stdout(Stdio::piped()).stderr(Stdio::null());
+    let mut process = program.spawn().expect("the program runs");
+    let mut lines = BufReader::new(process.stdout.take().expect("its output")).lines();
+    let mut line = || lines.next().expect("a line").expect("text");
+    assert!(line().starts_with("listening 127.0.0.1:"));
+    let told = line();
+    let url = told.split('\'').nth(1).expect("an address in quotes").to_string();
+    let (host, path) = url.strip_prefix("http://").and_then(|rest| rest.split_once('/')).expect("an address");
+    // It may still be without a list in its first moments.
+    let begun = Instant::now();
+    let came = loop {
+        let mut stream = std::net::TcpStream::connect(host).expect("a connection");
+        let head = format!("GET /{path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n\r\n");
+        std::io::Write::write_all(&mut stream, head.as_bytes()).expect("written");
+        let mut came = String::new();
+        stream.read_to_string(&mut came).expect("an answer");
+        if came.starts_with("HTTP/1.1 200") || begun.elapsed() > Duration::from_secs(10) {
+            break came;
+        }
+    };
+    assert!(came.contains("application/dash+xml") && came.contains("<MPD "), "{came}");
+    let id = process.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    assert!(process.wait().expect("it ends").success());
+    assert_eq!(line(), "breaches 0");
+}
+
+#[test]
+fn check_lists_all_that_is_wrong_with_its_place() {
+    let file = env::temp_dir().join(format!("ivyward-settings-{}.txtpb", std::process::id()));
+    let name = file.to_string_lossy().into_owned();
+    let spoilt = DEFAULTS.replace("switch_s", "swich_s").replace("rate_kb: 450", "rate_kb: 50");
+    let spoilt = spoilt.replace("places: 12", "places: 0").replace("floor: ", "flor: ");
+    let servers = "server { address: \"127.0.0.1:1\" }\nserver { address: \"127.0.0.1:1\" kind: 3 }\n";
+    // What can't be read hides what doesn't fit together; each is told all at once.
+    let cases = [
+        (spoilt, vec!["ladder.swich_s", "network.places", ": is 0, under 1"]),
+        (
+            format!("{DEFAULTS}{servers}").replace("rate_kb: 450", "rate_kb: 50"),
+            vec!["ladder.rung[1].rate_kb", "server[1].address", "given twice", "server[1].kind"],
+        ),
+        (DEFAULTS.into(), vec!["list_address: is missing, and no server is given"]),
+    ];
+    for (text, told) in cases {
+        fs::write(&file, &text).expect("written");
+        let out = ivyward(&["check", &name]);
+        let errors = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(1), "{errors}");
+        assert!(told.iter().all(|part| errors.contains(part)), "{told:?}: {errors}");
+        assert!(errors.lines().all(|line| line.starts_with(&format!("{name}:"))), "{errors}");
+        assert_eq!(ivyward(&["run", &name]).status.code(), Some(1));
+    }
+    fs::write(&file, format!("{DEFAULTS}server {{ address: \"127.0.0.1:1\" }}\n")).expect("written");
+    assert_eq!(ivyward(&["check", &name]).status.code(), Some(0));
+    fs::remove_file(&file).ok();
+    assert!(String::from_utf8_lossy(&ivyward(&["check", &name]).stderr).contains(&name));
+}
+
+#[test]
+fn tokens_are_minted_for_what_the_settings_have() {
+    let cases = [
+        (vec!["token", "how-to-charge"], Some(0)),
+        (vec!["token", "how-to-charge", "--package", "ticket", "--life", "5"], Some(0)),
+        (vec!["token", "nothing"], Some(1)),
+        (vec!["token", "how-to-charge", "--package", "nothing"], Some(1)),
+        (vec!["token"], Some(2)),
+        (vec!["--log", "=,=", "version"], Some(2)),
+        (vec!["version"], Some(0)),
+    ];
+    for (arguments, code) in cases {
+        assert_eq!(ivyward(&arguments).status.code(), code, "{arguments:?}");
+    }
+    let token = ivyward(&["token", "how-to-charge"]).stdout;
+    assert_eq!(token.iter().filter(|b| **b == b'.').count(), 2);
+}
+
+#[test]
+fn a_start_is_numbered_above_the_last_whatever_the_clock_says() {
+    let dir = env::temp_dir().join(format!("ivyward-state-{}", std::process::id()));
+    let name = dir.to_string_lossy().into_owned();
+    let ms = Duration::from_millis;
+    for (date, birth) in [(ms(1000), 1000), (ms(500), 1001), (ms(1001), 1002), (ms(5000), 5000)] {
+        assert_eq!(ivyward_daemon::birth::next(&name, date), Ok(birth));
+    }
+    fs::write(dir.join("birth"), "no number").expect("written");
+    assert!(ivyward_daemon::birth::next(&name, ms(1)).is_err_and(|e| e.contains("no number")));
+    fs::remove_dir_all(&dir).ok();
+    assert_eq!(ivyward_daemon::birth::next("", ms(7)), Ok(7));
+}
--- a/crates/daemon/tests/sockets.rs
+++ b/crates/daemon/tests/sockets.rs
@@ -99,6 +99,7 @@
             let read = tokio::io::AsyncReadExt::read_to_end(stream, &mut rest);
             let cut = tokio::time::timeout(ms(1000), read).await;
             assert!(cut.is_ok(), "a connection stays open whose head never came");
+            assert!(rest.starts_with(b"HTTP/1.1 408 "), "{}", String::from_utf8_lossy(&rest));
         }
     });
 }
@@ -322,7 +323,7 @@
         // Probes have failed by then and set-ups are out.
         sleep(ms(500)).await;
         let (came, took) = world.end().await;
-        assert_eq!(came, Ok(()));
+        assert_eq!(came, Ok(0), "no assertion of a rule failed");
         assert!(took < Duration::from_secs(5), "{took:?}");
         let sent: BTreeSet<_> =
             set_ups(&world.records()).into_iter().map(|(_, session, _)| session).collect();
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -34,7 +34,7 @@
     pub address: SocketAddr,
     pub settings: Part,
     end: Option<oneshot::Sender<()>>,
-    ended: mpsc::Receiver<Result<(), String>>,
+    ended: mpsc::Receiver<Result<u64, String>>,
 }
 
 pub struct Page {
@@ -148,7 +148,7 @@
     }
 
     /// Ends the manager: how it ended and how long that took.
-    pub async fn end(&mut self) -> (Result<(), String>, Duration) {
+    pub async fn end(&mut self) -> (Result<u64, String>, Duration) {
         let begun = Instant::now();
         self.end.take().expect("not ended before").send(()).ok();
         loop {
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -133,8 +133,8 @@
                 sleep(REST).await;
             }
             let no = names.iter().find(|(_, name)| **name == manager.name).map(|(no, _)| *no);
-            let ended = manager.end().await;
-            processes.push(Process { no, gaps: manager.gaps.borrow().clone(), ended });
+            let breaches = manager.end().await;
+            processes.push(Process { no, gaps: manager.gaps.borrow().clone(), breaches });
         }
         let records = standins.records().take();
         let mut verdict = judge(&terms(script), &records, &seen.asked, &seen.watched, &processes, &played);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -69,7 +69,9 @@
         let ended = async move {
             term.recv().await;
         };
-        ivyward_daemon::manage(&settings, |address| println!("listening {address}"), ended).await
+        let managed = ivyward_daemon::manage(&settings, |address| println!("listening {address}"), ended);
+        println!("breaches {}", managed.await?);
+        Ok(())
     })
 }
 
--- a/crates/lab/src/managers.rs
+++ b/crates/lab/src/managers.rs
@@ -7,14 +7,17 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, Command};
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::process::{Child, ChildStdout, Command};
 use tokio::time::{Instant, sleep, timeout};
 
 /// A manager must have come up within this, and have ended after being told to.
 const UP: Duration = Duration::from_secs(20);
 const DOWN: Duration = Duration::from_secs(20);
 
+/// A process that runs, and what it says.
+pub type Process = (Child, Lines<BufReader<ChildStdout>>);
+
 /// One manager over its processes.
 pub struct Manager {
     pub name: String,
@@ -22,13 +25,13 @@
     file: PathBuf,
     program: PathBuf,
     log: Option<PathBuf>,
-    process: RefCell<Option<Child>>,
+    process: RefCell<Option<Process>>,
     /// When it was killed, and up again.
     pub gaps: RefCell<Vec<(Duration, Option<Duration>)>>,
     begun: Instant,
 }
 
-async fn start(program: &Path, file: &Path, log: Option<&Path>) -> Result<(Child, SocketAddr), String> {
+async fn start(program: &Path, file: &Path, log: Option<&Path>) -> Result<(Process, SocketAddr), String> {
     let errors = match log {
         Some(log) => {
             let opened = File::options().create(true).append(true).open(log);
@@ -45,7 +48,7 @@
 ///
 /// # Errors
 /// It didn't come up, or said something else.
-pub async fn up(mut command: Command) -> Result<(Child, SocketAddr), String> {
+pub async fn up(mut command: Command) -> Result<(Process, SocketAddr), String> {
     command.stdin(Stdio::null()).stdout(Stdio::piped()).kill_on_drop(true);
     let mut process = command.spawn().map_err(|e| format!("{:?}: {e}", command.as_std().get_program()))?;
     let lines = process.stdout.take().ok_or("no output")?;
@@ -53,7 +56,8 @@
     let line = timeout(UP, lines.next_line()).await.map_err(|_| "a process did not come up".to_string())?;
     let line = line.map_err(|e| e.to_string())?.ok_or("a process ended at its start")?;
     let address = line.strip_prefix("listening ").and_then(|address| address.parse().ok());
-    Ok((process, address.ok_or_else(|| format!("a process said {line:?}"))?))
+    let address = address.ok_or_else(|| format!("a process said {line:?}"))?;
+    Ok(((process, lines), address))
 }
 
 impl Manager {
@@ -99,7 +103,7 @@
 
     /// Its process, while it runs.
     pub fn id(&self) -> Option<u32> {
-        self.process.borrow().as_ref().and_then(Child::id)
+        self.process.borrow().as_ref().and_then(|(process, _)| process.id())
     }
 
     /// Killed outright, and started anew after a span.
@@ -107,7 +111,7 @@
     /// # Errors
     /// It didn't come up again.
     pub async fn kill(&self, down: Duration) -> Result<(), String> {
-        let Some(mut process) = self.process.take() else { return Ok(()) };
+        let Some((mut process, _)) = self.process.take() else { return Ok(()) };
         self.gaps.borrow_mut().push((self.begun.elapsed(), None));
         process.kill().await.map_err(|e| e.to_string())?;
         sleep(down).await;
@@ -119,13 +123,19 @@
         Ok(())
     }
 
-    /// Told to end; whether it did so with nothing left unanswered.
-    pub async fn end(&self) -> bool {
-        let Some(mut process) = self.process.take() else { return false };
-        let Some(id) = process.id() else { return false };
+    /// Told to end: how often an assertion of a rule failed in it, if it ended with nothing left unanswered.
+    pub async fn end(&self) -> Option<u64> {
+        let (mut process, mut lines) = self.process.take()?;
+        let id = process.id()?;
         let told = Command::new("kill").arg("-TERM").arg(id.to_string()).status().await;
         let ended = timeout(DOWN, process.wait()).await;
-        told.is_ok_and(|told| told.success())
-            && ended.is_ok_and(|ended| ended.is_ok_and(|ended| ended.success()))
+        let well = told.is_ok_and(|told| told.success())
+            && ended.is_ok_and(|ended| ended.is_ok_and(|ended| ended.success()));
+        while let Ok(Some(line)) = lines.next_line().await {
+            if let Some(breaches) = line.strip_prefix("breaches ").filter(|_| well) {
+                return breaches.parse().ok();
+            }
+        }
+        None
     }
 }
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,7 +1,7 @@
 //! What the front costs: viewings a second and a core against a bare responder of the same HTTP library that answers
 //! each request with a fixed manifest, side by side in one run, and what its parts cost.
 
-use crate::managers::Manager;
+use crate::managers::{Manager, Process};
 use crate::viewers;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
@@ -23,7 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::process::{Child, Command};
+use tokio::process::Command;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::Instant;
 
@@ -161,7 +161,7 @@
     fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
     let manager =
         Manager::start(&settings, (0, 1), 1, standins.list_address(), &dir, program, None, begun).await?;
-    let (mut other, address) = bare_process(program).await?;
+    let ((mut other, _), address) = bare_process(program).await?;
     let package = settings.list("package")[0].text("name");
     let title = settings.list("title")[0].text("name");
     let keys = keys()?;
@@ -200,7 +200,7 @@
     Ok(())
 }
 
-async fn bare_process(program: &Path) -> Result<(Child, SocketAddr), String> {
+async fn bare_process(program: &Path) -> Result<(Process, SocketAddr), String> {
     let mut command = Command::new(program);
     command.arg("bare").kill_on_drop(true);
     crate::managers::up(command).await
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -73,7 +73,7 @@
 
 fn process(gaps: &[(u64, u64)]) -> Process {
     let gaps = gaps.iter().map(|(from, until)| (ms(*from), Some(ms(*until)))).collect();
-    Process { no: Some(ManagerNo(0)), gaps, ended: true }
+    Process { no: Some(ManagerNo(0)), gaps, breaches: Some(0) }
 }
 
 fn broken(verdict: &Verdict) -> Vec<usize> {
@@ -252,8 +252,10 @@
 
 #[test]
 fn a_manager_that_ends_badly_breaks_the_day_and_troubles_are_counted() {
-    let bad = Process { ended: false, ..process(&[]) };
-    assert!(!judge(&terms(), &[], &[], &[], &[bad], &[]).kept());
+    for (breaches, kept) in [(Some(0), true), (Some(1), false), (None, false)] {
+        let ended = Process { breaches, ..process(&[]) };
+        assert_eq!(judge(&terms(), &[], &[], &[], &[ended], &[]).kept(), kept, "{breaches:?}");
+    }
     let records =
         [set_up(100, 0, 1, 0, CLIP), over(150, 0, 1, 0, SetUpEnd::Broke), set_up(900, 0, 2, 0, CLIP)];
     let played = |kind: &str, servers: &[usize]| {
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -41,8 +41,8 @@
     pub no: Option<ManagerNo>,
     /// When it was killed, and up again.
     pub gaps: Vec<(Duration, Option<Duration>)>,
-    /// Whether it ended as it was told to, with nothing left unanswered.
-    pub ended: bool,
+    /// Assertions of a rule that failed in it; none where it didn't end as told, with nothing left unanswered.
+    pub breaches: Option<u64>,
 }
 
 pub const RULES: [&str; 6] = [
@@ -72,11 +72,13 @@
     /// By trouble: what it took, and how often it was seen to act.
     pub troubles: Vec<(String, u64)>,
     pub unfinished: usize,
+    /// Assertions of rules that failed in managers.
+    pub breaches: u64,
 }
 
 impl Verdict {
     pub fn kept(&self) -> bool {
-        self.rules.iter().all(|(_, broken)| broken.is_empty()) && self.unfinished == 0
+        self.rules.iter().all(|(_, broken)| broken.is_empty()) && self.unfinished == 0 && self.breaches == 0
     }
 }
 
@@ -103,7 +105,8 @@
             .iter()
             .map(|trouble| (trouble.kind.clone(), acted(trouble, records, managers)))
             .collect(),
-        unfinished: managers.iter().filter(|manager| !manager.ended).count(),
+        unfinished: managers.iter().filter(|manager| manager.breaches.is_none()).count(),
+        breaches: managers.iter().filter_map(|manager| manager.breaches).sum(),
         ..Default::default()
     };
     for ask in asked.iter().filter(|ask| ask.new) {
@@ -470,6 +473,9 @@
             "value answered in time over asked {:.3}, played over wanted {:.3}",
             self.in_time, self.played
         )?;
+        if self.breaches > 0 {
+            writeln!(f, "assertions of rules that failed in managers: {}", self.breaches)?;
+        }
         if self.unfinished > 0 {
             writeln!(f, "managers that did not end as told: {}", self.unfinished)?;
         }
