--- /dev/null
+++ b/crates/lab/src/growth.rs
@@ -0,0 +1,159 @@
+//! What a placement and a look at the rungs cost as live viewings grow: one manager, the module called by its interface,
+//! nothing else round it.
+
+use ivyward::front::*;
+use ivyward::policy::Manager;
+use ivyward::state::{Ladder, Limits, Network, Pace, Package};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const SERVERS: u32 = 200;
+const RACKS: u32 = 25;
+const RATES: [f64; 4] = [200.0, 450.0, 900.0, 1800.0];
+/// Placements measured at each size, and looks.
+const PLACED: u32 = 200;
+const LOOKS: u32 = 8;
+/// The module's timer for a look at the rungs.
+const LOOK: u64 = 0;
+
+/// Takes what the module does, and keeps the last tune-in.
+#[derive(Default)]
+struct Hand(Option<ServerId>);
+
+impl Actions for Hand {
+    fn tune_in(&mut self, _: ViewingId, server: ServerId, _: Duration) {
+        self.0 = Some(server);
+    }
+    fn block(&mut self, _: ViewingId, _: Option<Duration>) {}
+    fn abort(&mut self, _: ViewingId) {}
+    fn call_off(&mut self, _: ViewingId, _: u16) {}
+    fn set_rung(&mut self, _: ViewingId, _: usize) {}
+    fn probe(&mut self, _: ServerId) {}
+    fn wake(&mut self, _: Duration, _: u64) {}
+}
+
+struct Crowd {
+    manager: Manager,
+    now: Duration,
+    next: u32,
+}
+
+impl Crowd {
+    /// Links that give `part` of what this many viewings ask at the middle rate.
+    fn new(viewings: u32, part: f64) -> Crowd {
+        let link = f64::from(viewings) * 700.0 * part / f64::from(SERVERS);
+        let package = Package {
+            value: 1.0,
+            target: Duration::from_secs(1),
+            once: false,
+            scale: 1.0,
+            floor: 0,
+            top: RATES.len() - 1,
+            seats: 0,
+        };
+        let network = Network {
+            places: SERVERS,
+            racks: RACKS,
+            links_kb: link * f64::from(SERVERS),
+            weight_kb: link,
+            uplink_kb: link * f64::from(SERVERS / RACKS) * 0.9,
+            told: Duration::from_secs(3),
+            seen: Duration::from_secs(1),
+        };
+        let mut manager = Manager::new(
+            (7, 1, ZoneId(0), 0.0),
+            Ladder { rates: RATES.to_vec(), worths: vec![0.25, 0.55, 0.8, 1.0], switch: 0.6 },
+            network,
+            Pace::new(1, &[1e9], Duration::from_millis(1), 1.0, 1000.0),
+            Limits { tune_ins: 3, call_off: true, probe: false, come_back: None },
+            None,
+            vec![package],
+        );
+        let now = Duration::from_secs(1000);
+        manager.start(&mut Hand::default(), now);
+        let row = |i: u32| Listed {
+            server: ServerId([127, 1, (i / 250) as u8, (i % 250) as u8, 0, 80]),
+            standing: Standing::Ready,
+            born: None,
+            weight: 1.0,
+            zone: ZoneId(0),
+            kind: KindId(0),
+            cell: i,
+        };
+        let list: Vec<_> = (0..SERVERS).map(row).collect();
+        manager.listed(now, &list, Extent::Whole);
+        Crowd { manager, now: now + Duration::from_secs(1), next: 0 }
+    }
+
+    /// A viewing comes and plays; the time that the module took for it.
+    fn places(&mut self) -> Duration {
+        let (vw, mut hand) = (ViewingId(self.next), Hand::default());
+        self.next += 1;
+        self.now += Duration::from_micros(500);
+        let cells = Cells { first: self.next.wrapping_mul(7) % SERVERS, spread: 6 };
+        let (title, ends) = (TitleId(u64::from(cells.first)), self.now + Duration::from_secs(3));
+        let begun = Instant::now();
+        self.manager.asked(&mut hand, self.now, vw, PackageId(0), title, cells, RATES.len() - 1, ends);
+        if let Some(server) = hand.0 {
+            self.manager.plays(self.now, vw, server);
+        }
+        begun.elapsed()
+    }
+
+    fn looks(&mut self) -> Duration {
+        self.now += Duration::from_millis(500);
+        let begun = Instant::now();
+        self.manager.woken(&mut Hand::default(), self.now, LOOK);
+        begun.elapsed()
+    }
+}
+
+/// Microseconds of a placement and milliseconds of a look with so many viewings live: the middle of those measured.
+pub fn cost(live: u32) -> (f64, f64) {
+    let mut crowd = Crowd::new(live, 0.8);
+    for _ in 0..live {
+        crowd.places();
+    }
+    let middle = |mut times: Vec<Duration>| {
+        times.sort();
+        times[times.len() / 2].as_secs_f64()
+    };
+    let looks = middle((0..LOOKS).map(|_| crowd.looks()).collect());
+    let places = middle((0..PLACED).map(|_| crowd.places()).collect());
+    (places * 1e6, looks * 1e3)
+}
+
+/// The table of this build, and of another that knows the same command, side by side in one run.
+///
+/// # Errors
+/// The other build can't be run.
+pub fn table(sizes: &[u32], against: Option<&std::path::Path>) -> Result<String, String> {
+    let mut text = format!(
+        "one manager, {SERVERS} servers in {RACKS} racks; middle of {PLACED} placements, {LOOKS} looks\n"
+    );
+    text += "live viewings   placement us   look ms";
+    text += if against.is_some() { "      before: placement us   look ms   ratios\n" } else { "\n" };
+    for live in sizes {
+        let (placement, look) = cost(*live);
+        text += &format!("{live:>13} {placement:>14.1} {look:>9.2}");
+        if let Some(program) = against {
+            let out = Command::new(program).args(["growth", "--live", &live.to_string()]).output();
+            let out = out.map_err(|e| format!("{}: {e}", program.display()))?;
+            let told = String::from_utf8_lossy(&out.stdout).into_owned();
+            let last: Vec<f64> = told
+                .lines()
+                .last()
+                .into_iter()
+                .flat_map(str::split_whitespace)
+                .filter_map(|x| x.parse().ok())
+                .collect();
+            let [_, before, looked] = last[..] else {
+                return Err(format!("{}: {told:?}", program.display()));
+            };
+            text +=
+                &format!("{before:>27.1} {looked:>9.2}   {:.1}, {:.1}", before / placement, looked / look);
+        }
+        text += "\n";
+    }
+    Ok(text)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! judged from what passed on the sockets.
 
 pub mod day;
+pub mod growth;
 pub mod managers;
 pub mod measure;
 pub mod trouble;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -41,6 +41,15 @@
         #[arg(long, default_value_t = 8)]
         connections: usize,
     },
+    /// Measure what a placement and a look at the rungs cost as live viewings grow
+    Growth {
+        /// Live viewings; may be given several times
+        #[arg(long, default_values_t = [100, 1000, 10_000])]
+        live: Vec<u32>,
+        /// Another build of this laboratory, measured side by side
+        #[arg(long)]
+        against: Option<PathBuf>,
+    },
     /// A responder that answers everything with one manifest
     #[command(hide = true)]
     Bare,
@@ -97,6 +106,12 @@
             true
         }),
         What::Run { settings } => run(&settings).map(|()| true),
+        What::Growth { live, against } => {
+            ivyward_lab::growth::table(&live, against.as_deref()).map(|table| {
+                print!("{table}");
+                true
+            })
+        }
         What::Bare => bare().map(|()| true),
         What::Measure { script, rounds, viewings, connections } => {
             measure(&script, rounds, viewings, connections).map(|()| true)
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -415,7 +415,9 @@
 
 /// How often a trouble was seen to act in the record.
 fn acted(trouble: &Played, records: &[Record], managers: &[Process]) -> u64 {
-    let within = records.iter().filter(|record| trouble.from <= record.at && record.at <= trouble.until);
+    // What ends a trouble is recorded just after its end.
+    let until = trouble.until + Duration::from_millis(500);
+    let within = records.iter().filter(|record| trouble.from <= record.at && record.at <= until);
     let there = |server: &ServerNo| trouble.servers.contains(server);
     let count =
         |fits: &dyn Fn(&What) -> bool| within.clone().filter(|record| fits(&record.what)).count() as u64;
@@ -424,8 +426,8 @@
         count(&|what| matches!(what, What::SetUpOver { server, how, .. } if there(server) && *how == wanted))
     };
     match trouble.kind.as_str() {
-        "FREEZE" | "VANISH" | "SLOW" | "LINK" | "NEIGHBOUR" => set_ups(),
-        "CRASH" => count(&|what| matches!(what, What::Died { server, .. } if there(server))),
+        "FREEZE" | "SLOW" | "LINK" | "NEIGHBOUR" => set_ups(),
+        "CRASH" | "VANISH" => count(&|what| matches!(what, What::Died { server, .. } if there(server))),
         "DEPLOY" => {
             let drained =
                 |what: &What| matches!(what, What::Fault { server, name: "drain", .. } if there(server));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -15,6 +15,7 @@
 use crate::front::*;
 pub use crate::state::Manager;
 use crate::state::*;
+use std::cell::LazyCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -259,6 +260,9 @@
                 server.cold_until = cold_until;
                 server.link.heard.clear();
             }
+            let rack = |listed: Listed| self.network.rack(listed.cell);
+            self.racks[rack(server.listed)].remove(&listed.server);
+            self.racks[rack(listed)].insert(listed.server);
             server.listed = listed;
         }
     }
@@ -270,7 +274,8 @@
     ) {
         self.view.now = now;
         if let Some(v) = self.take(vw, package, title, Cells { first: 0, spread: 0 }, top) {
-            (v.server, v.tune_ins, v.answered, v.playing) = (Some(server), 1, true, true);
+            (v.tune_ins, v.answered, v.playing) = (1, true, true);
+            self.place(vw, Some(server));
             self.mark(server);
         }
     }
@@ -314,11 +319,11 @@
             return;
         };
         let next = viewing.next.take().filter(|_| !terminal && !viewing.answered);
-        viewing.server = None;
+        self.place(vw, None);
         self.mark(server);
         match next {
             Some(next) => next(self, act, vw, ending),
-            None => drop(self.viewings.remove(&vw)),
+            None => self.forget(vw),
         }
     }
 
@@ -329,7 +334,7 @@
         match viewing.server {
             Some(_) if !viewing.playing && self.limits.call_off => act.call_off(vw, viewing.tune_ins - 1),
             Some(_) => {}
-            None => drop(self.viewings.remove(&vw)),
+            None => self.forget(vw),
         }
     }
 
@@ -355,12 +360,11 @@
                 s.warning.share = Some(s.warning.share.unwrap_or(1.0).min(share.max(0.0)));
                 s.short = (share < FULL).then_some(now);
                 let rack = self.network.rack(s.listed.cell);
-                let near = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
-                let peers: BTreeSet<_> = near.filter_map(|v| v.server).collect();
-                let times = peers.iter().filter_map(|id| self.servers[id].short);
+                let peers = self.ours(rack).count();
+                let times = self.ours(rack).filter_map(|id| self.servers[id].short);
                 let short = times.filter(|at| now.saturating_sub(*at) < INTERVAL).count();
                 let link = match self.servers.get_mut(&server) {
-                    Some(s) if short < 2 || short * 2 <= peers.len() => &mut s.link,
+                    Some(s) if short < 2 || short * 2 <= peers => &mut s.link,
                     _ => &mut self.uplinks[rack],
                 };
                 let full = 1.0 / share.max(0.05);
@@ -387,11 +391,13 @@
             self.tried(server, false, true);
         }
         let mut ready = vec![];
-        for (vw, v) in self.viewings.iter_mut().filter(|(_, v)| v.probed.contains(&server)) {
+        for vw in &self.asking {
+            let Some(v) = self.viewings.get_mut(vw).filter(|v| v.probed.contains(&server)) else { continue };
             v.probed.retain(|s| *s != server);
             ready.extend(v.probed.is_empty().then_some(*vw));
         }
         for vw in ready {
+            self.asking.remove(&vw);
             self.tune_in(act, vw, true);
         }
     }
@@ -418,7 +424,7 @@
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
         }
-        let racks: BTreeSet<_> = self.viewings.values().filter_map(|v| self.rack(v)).collect();
+        let racks: Vec<_> = (0..uplinks as usize).filter(|rack| self.ours(*rack).next().is_some()).collect();
         racks.into_iter().for_each(|rack| self.replan(act, rack));
     }
 }
@@ -430,6 +436,7 @@
     ) -> Option<&mut Viewing<Next>> {
         let (p, most) = (self.packages.get(package.0)?, self.ladder.rates.len() - 1);
         let viewing = Viewing::new(package.0, title, cells, (p.floor, top.min(p.top).min(most).max(p.floor)));
+        self.forget(vw);
         Some(self.viewings.entry(vw).insert_entry(viewing).into_mut())
     }
 
@@ -461,7 +468,7 @@
             let gap = self.pace.gaps.get(s.listed.kind.0).copied().unwrap_or(recall);
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
             let shunned = viewing.shunned.contains(&id);
-            let trial = self.viewings.values().any(|v| v.server == Some(id) && !v.playing);
+            let trial = self.there(id).any(|v| !v.playing);
             // Guards against all managers' first set-ups after a start coming together: chance thins them.
             let even = (EVEN * self.servers.len() as f64 / rate.max(1e-9)).max(INTERVAL.as_secs_f64());
             let known = s.health.lost || s.listed.born.is_some_and(|born| now < born + recall);
@@ -504,6 +511,7 @@
             if !probed.is_empty() {
                 probed.iter().for_each(|server| act.probe(*server));
                 self.viewings.entry(vw).and_modify(|v| (v.drawn, v.probed) = (drawn, probed));
+                self.asking.insert(vw);
                 return Err(None);
             }
         }
@@ -549,9 +557,10 @@
             s.warning.admitted += 1.0;
         }
         self.viewings.entry(vw).and_modify(|v| {
-            (v.tune_ins, v.server) = (tune_ins + 1, Some(server));
+            v.tune_ins = tune_ins + 1;
             v.next = Some(Box::new(move |m, act, vw, ending| m.after(act, vw, server, ending)));
         });
+        self.place(vw, Some(server));
         let (luck, rack) = (self.chance.part(), self.network.rack(self.servers[&server].listed.cell));
         let rung = self.ideal(rack, AT_SET_UP, luck).get(&vw).copied().unwrap_or_default();
         self.viewings.entry(vw).and_modify(|v| v.rung = rung);
@@ -566,7 +575,7 @@
         viewing.shunned.push(server);
         if self.packages[viewing.package].once && !ending.never_ran() {
             // Paid, and it may have run: neither sent again nor turned down.
-            self.viewings.remove(&vw);
+            self.forget(vw);
             return act.abort(vw);
         }
         self.tune_in(act, vw, false);
@@ -584,7 +593,7 @@
 
     /// Blocks a viewing of which nothing is out and nothing ran, or which may be set up again.
     fn turn_down(&mut self, act: &mut dyn Actions, vw: ViewingId, wait: Duration) {
-        self.viewings.remove(&vw);
+        self.forget(vw);
         act.block(vw, self.limits.come_back.map(|most| wait.min(most)).filter(|w| !w.is_zero()));
     }
 
@@ -593,24 +602,24 @@
     fn ideal(&self, rack: usize, part: [f64; 2], luck: f64) -> BTreeMap<ViewingId, usize> {
         let mut uplink = self.uplinks[rack].budget(&self.view, part[1]);
         let (mut links, mut rungs, mut steps) = (BTreeMap::new(), BTreeMap::new(), vec![]);
-        for (vw, v) in self.viewings.iter().filter(|(_, v)| self.rack(v) == Some(rack)) {
+        for (vw, v) in self.near(rack) {
             let Some(id) = v.server else { continue };
             let link = links.entry(id).or_insert_with(|| self.servers[&id].link.budget(&self.view, part[0]));
             let floor = self.packages[v.package].floor;
             uplink -= self.kb(v, floor);
             *link -= self.kb(v, floor);
-            rungs.insert(*vw, floor);
+            rungs.insert(vw, floor);
             for rung in floor..v.top {
                 let (kb, value) = self.between(v, rung, rung + 1);
-                steps.push((value / kb, kb, *vw, id, rung + 1));
+                steps.push((value / kb, kb, vw, id, rung + 1));
             }
         }
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let price = self.price();
+        let price = LazyCell::new(|| self.price());
         for (dear, kb, vw, id, rung) in steps {
             let link = links.entry(id).or_default();
             let alone = luck > 0.0 && self.servers[&id].link.held < 2;
-            let dear = if alone { dear / price } else { 1.0 };
+            let dear = if alone { dear / *price } else { 1.0 };
             let luck = if self.servers[&id].link.held > 1 { 1.0 } else { luck };
             if luck * kb <= link.min(uplink) * dear && rungs.get(&vw) == Some(&(rung - 1)) {
                 (*link, uplink) = (*link - kb, uplink - kb);
@@ -630,7 +639,8 @@
         let uplink = &self.uplinks[rack];
         let (mut over_up, mut room_up) = (uplink.over(&self.view), room(uplink));
         let (mut links, mut downs, mut ups) = (BTreeMap::new(), vec![], vec![]);
-        let price = self.price();
+        let alone = self.ours(rack).any(|id| self.servers[id].link.held < 2);
+        let price = if alone { self.price() } else { 1.0 };
         for (vw, ideal) in self.ideal(rack, [part; 2], 0.0) {
             let v = &self.viewings[&vw];
             let Some(server) = v.server else { continue };
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::front::*;
 use crate::policy::{KEPT, Next};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// A permuted congruential generator.
@@ -290,7 +290,12 @@
     pub(crate) looks: u32,
     pub(crate) tune_ins: VecDeque<Duration>,
     pub(crate) viewings: BTreeMap<ViewingId, Viewing<Next>>,
+    /// Viewings by the server that they are at, and those that wait for probes.
+    pub(crate) at: BTreeMap<ServerId, BTreeSet<ViewingId>>,
+    pub(crate) asking: BTreeSet<ViewingId>,
     pub(crate) servers: BTreeMap<ServerId, Server>,
+    /// Servers by rack.
+    pub(crate) racks: Vec<BTreeSet<ServerId>>,
     /// Servers by cell.
     pub(crate) places: Vec<Vec<ServerId>>,
     pub(crate) uplinks: Vec<Link>,
@@ -303,7 +308,8 @@
         limits: Limits, ration: Option<Ration>, packages: Vec<Package>,
     ) -> Self {
         let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
-        let uplinks = (0..network.racks.max(1)).map(|_| Link::new(network.uplink_kb, 1)).collect();
+        let uplinks: Vec<_> = (0..network.racks.max(1)).map(|_| Link::new(network.uplink_kb, 1)).collect();
+        let racks = vec![BTreeSet::new(); uplinks.len()];
         let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
         let places = vec![vec![]; network.places.max(1) as usize];
         let (started, chance, view) = (now, Pcg(seed), View::new(network.told, siblings));
@@ -322,7 +328,10 @@
             looks,
             tune_ins: VecDeque::new(),
             viewings,
+            at: BTreeMap::new(),
+            asking: BTreeSet::new(),
             servers,
+            racks,
             places,
             uplinks,
             view,
@@ -338,9 +347,40 @@
         (0..places.min(cells.spread as usize)).flat_map(move |i| held(cell(i)))
     }
 
-    /// The rack that a viewing is at.
-    pub(crate) fn rack(&self, viewing: &Viewing<Next>) -> Option<usize> {
-        Some(self.network.rack(self.servers.get(&viewing.server?)?.listed.cell))
+    /// Puts a viewing to a server, or takes it off the one that it is at.
+    pub(crate) fn place(&mut self, vw: ViewingId, server: Option<ServerId>) {
+        let Some(viewing) = self.viewings.get_mut(&vw) else { return };
+        let was = std::mem::replace(&mut viewing.server, server);
+        if let Some(there) = was.and_then(|was| self.at.get_mut(&was)) {
+            there.remove(&vw);
+        }
+        if let Some(server) = server {
+            self.at.entry(server).or_default().insert(vw);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, vw: ViewingId) {
+        self.place(vw, None);
+        self.asking.remove(&vw);
+        self.viewings.remove(&vw);
+    }
+
+    /// Our viewings at a server, by their ids.
+    pub(crate) fn there(&self, server: ServerId) -> impl Iterator<Item = &Viewing<Next>> {
+        self.at.get(&server).into_iter().flatten().map(|vw| &self.viewings[vw])
+    }
+
+    /// Our viewings in a rack, by their ids.
+    pub(crate) fn near(&self, rack: usize) -> impl Iterator<Item = (ViewingId, &Viewing<Next>)> {
+        let ids = self.racks[rack].iter().filter_map(|server| self.at.get(server)).flatten();
+        let mut ids: Vec<_> = ids.copied().collect();
+        ids.sort_unstable();
+        ids.into_iter().map(|vw| (vw, &self.viewings[&vw]))
+    }
+
+    /// The servers of a rack that we have viewings at.
+    pub(crate) fn ours(&self, rack: usize) -> impl Iterator<Item = &ServerId> {
+        self.racks[rack].iter().filter(|server| self.at.get(server).is_some_and(|there| !there.is_empty()))
     }
 
     pub(crate) fn kb(&self, viewing: &Viewing<Next>, rung: usize) -> f64 {
@@ -357,10 +397,8 @@
     /// Books what we ask of a server's link and its rack's uplink.
     pub(crate) fn mark(&mut self, server: ServerId) {
         let Some(rack) = self.servers.get(&server).map(|s| self.network.rack(s.listed.cell)) else { return };
-        let at = |v: &Viewing<Next>| (v.server == Some(server)).then(|| self.kb(v, v.rung));
-        let there: Vec<_> = self.viewings.values().filter_map(at).collect();
-        let near = self.viewings.values().filter(|v| self.rack(v) == Some(rack));
-        let kb_up = near.map(|v| self.kb(v, v.rung)).sum();
+        let there: Vec<_> = self.there(server).map(|v| self.kb(v, v.rung)).collect();
+        let kb_up = self.near(rack).map(|(_, v)| self.kb(v, v.rung)).sum();
         if let Some(s) = self.servers.get_mut(&server) {
             s.link.held = there.len();
             s.link.mark(self.view.now, there.iter().sum(), 1.0);
