--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -95,6 +95,11 @@
         self.0.take()
     }
 
+    /// Records so far that fit.
+    pub fn count(&self, fits: impl Fn(&What) -> bool) -> usize {
+        self.0.borrow().iter().filter(|record| fits(&record.what)).count()
+    }
+
     pub fn len(&self) -> usize {
         self.0.borrow().len()
     }
