--- a/src/policy.rs
+++ b/src/policy.rs
@@ -260,10 +260,7 @@
                 server.cold_until = cold_until;
                 server.link.heard.clear();
             }
-            let rack = |listed: Listed| self.network.rack(listed.cell);
-            self.racks[rack(server.listed)].remove(&listed.server);
-            self.racks[rack(listed)].insert(listed.server);
-            server.listed = listed;
+            self.list(listed);
         }
     }
 
@@ -346,8 +343,8 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         match news {
             News::Rung(rung) => {
-                if let Some(viewing) = self.viewings.get_mut(&vw) {
-                    viewing.rung = rung.min(viewing.top);
+                if let Some(top) = self.viewings.get(&vw).map(|v| v.top) {
+                    self.turn(vw, rung.min(top));
                     self.mark(server);
                 }
             }
@@ -562,8 +559,9 @@
         });
         self.place(vw, Some(server));
         let (luck, rack) = (self.chance.part(), self.network.rack(self.servers[&server].listed.cell));
-        let rung = self.ideal(rack, AT_SET_UP, luck).get(&vw).copied().unwrap_or_default();
-        self.viewings.entry(vw).and_modify(|v| v.rung = rung);
+        let ideal = self.ideal(rack, AT_SET_UP, luck);
+        let rung = ideal.binary_search_by_key(&vw, |of| of.0).map_or(0, |i| ideal[i].1);
+        self.turn(vw, rung);
         self.mark(server);
         act.set_rung(vw, rung);
         act.tune_in(vw, server, limit);
@@ -599,31 +597,35 @@
 
     /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings. A step
     /// that fits in part is taken where `luck` of it fits: 0 takes it always.
-    fn ideal(&self, rack: usize, part: [f64; 2], luck: f64) -> BTreeMap<ViewingId, usize> {
+    fn ideal(&self, rack: usize, part: [f64; 2], luck: f64) -> Vec<(ViewingId, usize)> {
         let mut uplink = self.uplinks[rack].budget(&self.view, part[1]);
-        let (mut links, mut rungs, mut steps) = (BTreeMap::new(), BTreeMap::new(), vec![]);
+        let (mut known, mut links, mut rungs, mut steps) = (BTreeMap::new(), vec![], vec![], vec![]);
         for (vw, v) in self.near(rack) {
             let Some(id) = v.server else { continue };
-            let link = links.entry(id).or_insert_with(|| self.servers[&id].link.budget(&self.view, part[0]));
+            let at = *known.entry(id).or_insert_with(|| {
+                let link = &self.servers[&id].link;
+                links.push((link.budget(&self.view, part[0]), link.held));
+                links.len() - 1
+            });
             let floor = self.packages[v.package].floor;
             uplink -= self.kb(v, floor);
-            *link -= self.kb(v, floor);
-            rungs.insert(vw, floor);
+            links[at].0 -= self.kb(v, floor);
             for rung in floor..v.top {
                 let (kb, value) = self.between(v, rung, rung + 1);
-                steps.push((value / kb, kb, vw, id, rung + 1));
+                steps.push((value / kb, kb, rungs.len(), at, rung + 1));
             }
+            rungs.push((vw, floor));
         }
         steps.sort_by(|a, b| b.0.total_cmp(&a.0));
         let price = LazyCell::new(|| self.price());
-        for (dear, kb, vw, id, rung) in steps {
-            let link = links.entry(id).or_default();
-            let alone = luck > 0.0 && self.servers[&id].link.held < 2;
+        for (dear, kb, i, at, rung) in steps {
+            let (link, held) = &mut links[at];
+            let alone = luck > 0.0 && *held < 2;
             let dear = if alone { dear / *price } else { 1.0 };
-            let luck = if self.servers[&id].link.held > 1 { 1.0 } else { luck };
-            if luck * kb <= link.min(uplink) * dear && rungs.get(&vw) == Some(&(rung - 1)) {
+            let luck = if *held > 1 { 1.0 } else { luck };
+            if luck * kb <= link.min(uplink) * dear && rungs[i].1 == rung - 1 {
                 (*link, uplink) = (*link - kb, uplink - kb);
-                rungs.insert(vw, rung);
+                rungs[i].1 = rung;
             }
         }
         rungs
@@ -710,11 +712,11 @@
 
     fn set_rung(&mut self, act: &mut dyn Actions, vw: ViewingId, rung: usize) {
         let Some(viewing) = self.viewings.get_mut(&vw) else { return };
-        (viewing.rung, viewing.changed) = (rung, self.view.now);
+        viewing.changed = self.view.now;
+        let server = viewing.server;
         act.set_rung(vw, rung);
-        if let Some(server) = viewing.server {
-            self.mark(server);
-        }
+        self.turn(vw, rung);
+        server.into_iter().for_each(|server| self.mark(server));
     }
 
     /// The design's interval, for each server. Stuck: its link or uplink is short though our viewings there
--- a/src/state.rs
+++ b/src/state.rs
@@ -274,6 +274,9 @@
     pub(crate) cold_for: Duration,
 }
 
+/// A rack's servers, and what our viewings there ask in kB, by their ids.
+pub(crate) type Rack = (BTreeSet<ServerId>, Vec<(ViewingId, f64)>);
+
 /// A session manager; what it does is in `policy`.
 pub struct Manager {
     pub(crate) started: Duration,
@@ -290,12 +293,12 @@
     pub(crate) looks: u32,
     pub(crate) tune_ins: VecDeque<Duration>,
     pub(crate) viewings: BTreeMap<ViewingId, Viewing<Next>>,
-    /// Viewings by the server that they are at, and those that wait for probes.
-    pub(crate) at: BTreeMap<ServerId, BTreeSet<ViewingId>>,
+    /// What our viewings ask in kB, by the server that they are at and by their ids; those that wait for probes.
+    pub(crate) at: BTreeMap<ServerId, Vec<(ViewingId, f64)>>,
     pub(crate) asking: BTreeSet<ViewingId>,
     pub(crate) servers: BTreeMap<ServerId, Server>,
-    /// Servers by rack.
-    pub(crate) racks: Vec<BTreeSet<ServerId>>,
+    /// By rack its servers, and what our viewings there ask.
+    pub(crate) racks: Vec<Rack>,
     /// Servers by cell.
     pub(crate) places: Vec<Vec<ServerId>>,
     pub(crate) uplinks: Vec<Link>,
@@ -309,7 +312,7 @@
     ) -> Self {
         let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
         let uplinks: Vec<_> = (0..network.racks.max(1)).map(|_| Link::new(network.uplink_kb, 1)).collect();
-        let racks = vec![BTreeSet::new(); uplinks.len()];
+        let racks = vec![Rack::default(); uplinks.len()];
         let (looks, viewings, servers) = (0, BTreeMap::new(), BTreeMap::new());
         let places = vec![vec![]; network.places.max(1) as usize];
         let (started, chance, view) = (now, Pcg(seed), View::new(network.told, siblings));
@@ -347,16 +350,41 @@
         (0..places.min(cells.spread as usize)).flat_map(move |i| held(cell(i)))
     }
 
+    /// The rack of a server that was listed.
+    fn shelf(&self, server: ServerId) -> Option<usize> {
+        Some(self.network.rack(self.servers.get(&server)?.listed.cell))
+    }
+
+    /// Books what a viewing asks at the server that it is at, and in its rack; nothing any more where `there` is false.
+    fn book(&mut self, vw: ViewingId, there: bool) {
+        let Some((server, v)) = self.viewings.get(&vw).and_then(|v| Some((v.server?, v))) else { return };
+        let kb = there.then(|| self.kb(v, v.rung));
+        let rack = self.shelf(server).map(|rack| &mut self.racks[rack].1);
+        for asks in [Some(self.at.entry(server).or_default()), rack].into_iter().flatten() {
+            match (asks.binary_search_by_key(&vw, |ask| ask.0), kb) {
+                (Ok(i), Some(kb)) => asks[i].1 = kb,
+                (Err(i), Some(kb)) => asks.insert(i, (vw, kb)),
+                (Ok(i), None) => drop(asks.remove(i)),
+                (Err(_), None) => {}
+            }
+        }
+    }
+
     /// Puts a viewing to a server, or takes it off the one that it is at.
     pub(crate) fn place(&mut self, vw: ViewingId, server: Option<ServerId>) {
-        let Some(viewing) = self.viewings.get_mut(&vw) else { return };
-        let was = std::mem::replace(&mut viewing.server, server);
-        if let Some(there) = was.and_then(|was| self.at.get_mut(&was)) {
-            there.remove(&vw);
+        self.book(vw, false);
+        if let Some(viewing) = self.viewings.get_mut(&vw) {
+            viewing.server = server;
         }
-        if let Some(server) = server {
-            self.at.entry(server).or_default().insert(vw);
+        self.book(vw, true);
+    }
+
+    /// Puts a viewing to a rung.
+    pub(crate) fn turn(&mut self, vw: ViewingId, rung: usize) {
+        if let Some(viewing) = self.viewings.get_mut(&vw) {
+            viewing.rung = rung;
         }
+        self.book(vw, true);
     }
 
     pub(crate) fn forget(&mut self, vw: ViewingId) {
@@ -365,22 +393,37 @@
         self.viewings.remove(&vw);
     }
 
+    /// Holds a server as the list has it, in its rack with all that is there.
+    pub(crate) fn list(&mut self, listed: Listed) {
+        let (was, server) = (self.shelf(listed.server), listed.server);
+        self.servers.entry(server).and_modify(|s| s.listed = listed);
+        if was.is_some_and(|rack| self.shelf(server) == was && self.racks[rack].0.contains(&server)) {
+            return;
+        }
+        let ids: Vec<_> = self.at.get(&server).into_iter().flatten().map(|ask| ask.0).collect();
+        if let Some((servers, asks)) = was.map(|rack| &mut self.racks[rack]) {
+            servers.remove(&server);
+            asks.retain(|(vw, _)| ids.binary_search(vw).is_err());
+        }
+        if let Some(rack) = self.shelf(server) {
+            self.racks[rack].0.insert(server);
+        }
+        ids.into_iter().for_each(|vw| self.book(vw, true));
+    }
+
     /// Our viewings at a server, by their ids.
     pub(crate) fn there(&self, server: ServerId) -> impl Iterator<Item = &Viewing<Next>> {
-        self.at.get(&server).into_iter().flatten().map(|vw| &self.viewings[vw])
+        self.at.get(&server).into_iter().flatten().map(|(vw, _)| &self.viewings[vw])
     }
 
     /// Our viewings in a rack, by their ids.
     pub(crate) fn near(&self, rack: usize) -> impl Iterator<Item = (ViewingId, &Viewing<Next>)> {
-        let ids = self.racks[rack].iter().filter_map(|server| self.at.get(server)).flatten();
-        let mut ids: Vec<_> = ids.copied().collect();
-        ids.sort_unstable();
-        ids.into_iter().map(|vw| (vw, &self.viewings[&vw]))
+        self.racks[rack].1.iter().map(|(vw, _)| (*vw, &self.viewings[vw]))
     }
 
     /// The servers of a rack that we have viewings at.
     pub(crate) fn ours(&self, rack: usize) -> impl Iterator<Item = &ServerId> {
-        self.racks[rack].iter().filter(|server| self.at.get(server).is_some_and(|there| !there.is_empty()))
+        self.racks[rack].0.iter().filter(|server| self.at.get(server).is_some_and(|asks| !asks.is_empty()))
     }
 
     pub(crate) fn kb(&self, viewing: &Viewing<Next>, rung: usize) -> f64 {
@@ -394,14 +437,16 @@
         ((kb * p.scale).max(1e-6), worth * p.value)
     }
 
-    /// Books what we ask of a server's link and its rack's uplink.
+    /// Marks what we ask of a server's link and its rack's uplink: added up anew each time in the order of ids, so
+    /// that no sum drifts.
     pub(crate) fn mark(&mut self, server: ServerId) {
-        let Some(rack) = self.servers.get(&server).map(|s| self.network.rack(s.listed.cell)) else { return };
-        let there: Vec<_> = self.there(server).map(|v| self.kb(v, v.rung)).collect();
-        let kb_up = self.near(rack).map(|(_, v)| self.kb(v, v.rung)).sum();
+        let Some(rack) = self.shelf(server) else { return };
+        let there = self.at.get(&server).map(Vec::as_slice).unwrap_or_default();
+        let (held, kb) = (there.len(), there.iter().map(|ask| ask.1).sum());
+        let kb_up = self.racks[rack].1.iter().map(|ask| ask.1).sum();
         if let Some(s) = self.servers.get_mut(&server) {
-            s.link.held = there.len();
-            s.link.mark(self.view.now, there.iter().sum(), 1.0);
+            s.link.held = held;
+            s.link.mark(self.view.now, kb, 1.0);
         }
         self.uplinks[rack].mark(self.view.now, kb_up, 1.0);
     }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -541,3 +541,59 @@
         assert!(all >= least && all <= most, "{all} of {managers} with {busy} each");
     }
 }
+
+#[test]
+fn what_is_kept_by_server_and_rack_is_what_a_recount_finds() {
+    for seed in 1..=8 {
+        let (mut desk, mut chance, mut live) = (Desk::new(None), Pcg(seed), vec![]);
+        for vw in 0..400 {
+            desk.now += ms(chance.below(60) as u64);
+            let server = chance.below(5) as u8;
+            match chance.below(9) {
+                0..4 => {
+                    let did = desk.ask(vw, chance.below(3), chance.below(8) as u32, 3);
+                    live.extend(sent_to(&did).map(|server| (vw, 0, server)));
+                }
+                4 if !live.is_empty() => {
+                    let (vw, n, server) = live.swap_remove(chance.below(live.len()));
+                    let did = desk.end(vw, n, server, Ending::Broken, false);
+                    live.extend(sent_to(&did).map(|server| (vw, n + 1, server)));
+                }
+                5 if !live.is_empty() => {
+                    let (vw, _, server) = live[chance.below(live.len())];
+                    desk.play(vw, server);
+                    desk.news(vw, server, News::Rung(chance.below(4)));
+                    desk.news(vw, server, News::Link(2.0 * chance.part()));
+                }
+                6 => drop(desk.pass(1)),
+                7 => desk.list(server, Standing::Ready, None),
+                // A server unknown so far, one that stands elsewhere now, and viewings from before.
+                _ => {
+                    let (package, title, id) = (PackageId(0), TitleId(1), ServerId([server; 6]));
+                    desk.manager.playing(desk.now, ViewingId(vw), id, package, title, 3);
+                    let row = desk.manager.servers.get(&id).map(|s| s.listed);
+                    let moved = row.map(|row| Listed { cell: chance.below(8) as u32, ..row });
+                    moved.into_iter().for_each(|row| desk.manager.listed(desk.now, &[row], Extent::Changes));
+                }
+            }
+            let m = &desk.manager;
+            let asks = |fits: &dyn Fn(&ServerId) -> bool| -> Vec<_> {
+                let there = m.viewings.iter().filter(|(_, v)| v.server.is_some_and(|server| fits(&server)));
+                there.map(|(vw, v)| (*vw, m.kb(v, v.rung))).collect()
+            };
+            for (server, kept) in &m.at {
+                assert_eq!(*kept, asks(&|at| at == server), "seed {seed}, event {vw}, {server:?}");
+            }
+            for (rack, (servers, kept)) in m.racks.iter().enumerate() {
+                let here =
+                    |at: &ServerId| m.servers.get(at).is_some_and(|s| m.network.rack(s.listed.cell) == rack);
+                assert_eq!(*kept, asks(&here), "seed {seed}, event {vw}, rack {rack}");
+                assert!(
+                    servers.iter().all(here)
+                        && m.servers.keys().filter(|at| here(at)).count() == servers.len()
+                );
+            }
+        }
+        assert!(desk.manager.viewings.len() > 20, "{} live", desk.manager.viewings.len());
+    }
+}
