--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -10,7 +10,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use ivyward_dash::token::Refusal;
 use ivyward_fleet::{Fetch, Key, Over, ServerNo, SetUp};
-use rand_like::spread;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::future::pending;
@@ -27,14 +28,10 @@
 /// Bytes of a stand-in segment: what passes is counted by the model, not sent.
 const SEGMENT: usize = 512;
 
-mod rand_like {
-    /// The part by which a title's true rates lie above or below the ladder, the same at each server: between -1 and 1.
-    pub fn spread(seed: u64, title: &str) -> f64 {
-        use rand_pcg::Pcg64Mcg;
-        use rand_pcg::rand_core::{Rng, SeedableRng};
-        let name = title.bytes().fold(seed, |sum, b| sum.wrapping_mul(31).wrapping_add(u64::from(b)));
-        f64::from(Pcg64Mcg::seed_from_u64(name).next_u32()) / f64::from(u32::MAX) * 2.0 - 1.0
-    }
+/// The part by which a title's true rates lie above or below the ladder, the same at each server: between -1 and 1.
+fn spread(seed: u64, title: &str) -> f64 {
+    let name = title.bytes().fold(seed, |sum, b| sum.wrapping_mul(31).wrapping_add(u64::from(b)));
+    f64::from(Pcg64Mcg::seed_from_u64(name).next_u32()) / f64::from(u32::MAX) * 2.0 - 1.0
 }
 
 type Answer = Result<Response<Body>, io::Error>;
