--- a/crates/session/src/tests.rs
+++ b/crates/session/src/tests.rs
@@ -103,6 +103,36 @@
     }
 }
 
+#[test]
+fn patience_due_in_the_turn_of_the_answer_makes_one_answer() {
+    for package in [PLAIN, PAID] {
+        for patience_first in [false, true] {
+            let mut world = World::new();
+            world.asks(1, session(1), package);
+            let (vw, n) = out(&world);
+            assert!(world.sending(vw, n));
+            // The module's timer for a viewer's patience, then the core's own last moment.
+            let patience = |world: &mut World| world.fires(Timer::Module(1 << 32 | u64::from(vw.0)));
+            if patience_first {
+                patience(&mut world);
+                world.happens(vw, n, Happened::Plays);
+            } else {
+                world.happens(vw, n, Happened::Plays);
+                patience(&mut world);
+            }
+            world.fires(Timer::Answer(vw));
+            let wanted = match (patience_first, package) {
+                (false, _) => matches!(answers(&world)[..], [Answer::Plays { .. }]),
+                (true, PAID) => answers(&world) == [&Answer::Aborted { late: false }],
+                (true, _) => matches!(answers(&world)[..], [Answer::Blocked { .. }]),
+            };
+            assert!(wanted, "package {package}, patience first: {patience_first}: {:?}", world.did);
+            assert_eq!(world.released(vw, n), patience_first);
+            assert!(world.front.breaches().is_empty());
+        }
+    }
+}
+
 #[test]
 fn a_limit_before_the_first_byte_proves_that_nothing_ran() {
     for written in [false, true] {
