--- a/crates/daemon/src/embedded.rs
+++ b/crates/daemon/src/embedded.rs
@@ -81,6 +81,6 @@
     // A session of its own each time: the date in nanoseconds over the process.
     let session = now.as_nanos() << 32 | u128::from(std::process::id());
     let (title, package) = (title.to_string(), package.to_string());
-    let pass = Pass { session, title, package, top, tenant: String::new(), tune_in: None };
+    let pass = Pass { session, title, package, top, tenant: String::new(), given: None };
     keys.mint(&pass, now, life)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,10 +15,13 @@
 use ivyward_session::Decides;
 use ivyward_settings::{Fault, Part};
 use shell::Shell;
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::LocalSet;
 
 /// The date, as a span since the Unix epoch; for token dates only.
@@ -26,6 +29,48 @@
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default()
 }
 
+/// What a manager has from outside beside its sockets.
+pub struct Outside {
+    /// The date, as a span since the Unix epoch.
+    pub clock: Rc<dyn Fn() -> Duration>,
+    /// Texts of settings anew, of which the tokens are taken over: keys, which one signs, revoked sessions.
+    pub texts: Option<UnboundedReceiver<String>>,
+}
+
+/// What a manager's run came to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    /// How often an assertion of a rule failed.
+    pub breaches: u64,
+    /// What was still held when it was told to end: viewings, timers, connections to servers, and places or waits for
+    /// one at their doors.
+    pub viewings: usize,
+    pub timers: usize,
+    pub connections: usize,
+    pub places: usize,
+    /// What servers held for nobody and was released, and what was taken over from earlier starts.
+    pub orphans: u64,
+    pub taken_over: u64,
+}
+
+impl fmt::Display for Ended {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "breaches {}", self.breaches)?;
+        writeln!(
+            f,
+            "left viewings {} timers {} connections {} places {}",
+            self.viewings, self.timers, self.connections, self.places
+        )?;
+        write!(f, "found orphans {} taken-over {}", self.orphans, self.taken_over)
+    }
+}
+
+impl Default for Outside {
+    fn default() -> Self {
+        Outside { clock: Rc::new(date), texts: None }
+    }
+}
+
 /// Reads settings and looks at what the schema can't say.
 ///
 /// # Errors
@@ -36,15 +81,14 @@
     if faults.is_empty() { Ok(settings) } else { Err(faults) }
 }
 
-/// Runs one manager until `ended`; then nothing new is taken and each viewing is answered. How often an assertion of a
-/// rule failed.
+/// Runs one manager until `ended`; then nothing new is taken and each viewing is answered.
 ///
 /// # Errors
 /// What kept it from starting, or that viewings were left without an answer.
 pub async fn manage(
-    settings: &Part, ready: impl FnOnce(SocketAddr), ended: impl Future<Output = ()>,
-) -> Result<u64, String> {
-    manage_by(settings, Box::new(setup::module(settings)), ready, ended).await
+    settings: &Part, ready: impl FnOnce(SocketAddr), ended: impl Future<Output = ()>, outside: Outside,
+) -> Result<Ended, String> {
+    manage_by(settings, Box::new(setup::module(settings)), ready, ended, outside).await
 }
 
 /// The same with something else in the module's place, to be compared with it.
@@ -53,19 +97,24 @@
 /// What kept it from starting, or that viewings were left without an answer.
 pub async fn manage_by(
     settings: &Part, module: Box<dyn Decides>, ready: impl FnOnce(SocketAddr),
-    ended: impl Future<Output = ()>,
-) -> Result<u64, String> {
+    ended: impl Future<Output = ()>, outside: Outside,
+) -> Result<Ended, String> {
     let manager = settings.one("manager");
     let wanted = manager.text("listen");
     let listener = TcpListener::bind(&wanted).await.map_err(|e| format!("{wanted}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("{wanted}: {e}"))?;
-    let birth = birth::next(&manager.text("state_dir"), date())?;
+    let birth = birth::next(&manager.text("state_dir"), (outside.clock)())?;
     let local = LocalSet::new();
     local
         .run_until(async {
-            let shell = Shell::start(settings, module, birth, address)?;
+            let shell = Shell::start(settings, module, birth, address, outside.clock)?;
             tracing::info!(manager = manager.text("name"), %address, birth, "takes viewings");
-            let taking = tokio::task::spawn_local(viewers::serve(shell.clone(), listener, settings.clone()));
+            let taking = tokio::task::spawn_local(viewers::serve(
+                shell.clone(),
+                listener,
+                settings.clone(),
+                outside.texts,
+            ));
             ready(address);
             ended.await;
             taking.abort();
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -1,7 +1,7 @@
 //! What passes between the manager and one video server: set-ups, rungs, releases, probes, and its notes.
 
 use crate::pool::{Connection, Failed};
-use crate::setup::server_address;
+use crate::setup::{self, server_address};
 use crate::shell::Shell;
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
@@ -11,12 +11,13 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use ivyward::front::{Load, News, PackageId, ServerId, TitleId, ViewingId};
-use ivyward_session::{Happened, Over, SessionId, TuneIn};
+use ivyward_edge::Errand;
+use ivyward_session::{Birth, Happened, Over, SessionId, TuneIn};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
 use serde_json::{Value, json};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -58,17 +59,30 @@
     Load { link: of("link"), uplink: of("uplink") }
 }
 
+/// The date of an answer, which tells how its server's clock goes (RFC 9110, 6.6.1).
+fn dated(shell: &Shell, server: ServerId, answer: &Response<Incoming>) {
+    let date =
+        answer.headers().get("date").and_then(|date| httpdate::parse_http_date(date.to_str().ok()?).ok());
+    if let Some(date) = date.and_then(|date| date.duration_since(SystemTime::UNIX_EPOCH).ok()) {
+        shell.dated(server, date);
+    }
+}
+
 /// Reads an answer to its end; the connection is then fit to be used again.
 async fn read(answer: Response<Incoming>) -> Option<()> {
     Limited::new(answer.into_body(), LONGEST).collect().await.ok().map(drop)
 }
 
-/// One tune-in on its socket, from the connection to what became of it.
+/// One tune-in on its socket, from the connection to what became of it. `until`: when nobody waits for it any more.
 pub async fn set_up(
-    shell: Shell, session: SessionId, vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
-    (package, title): (PackageId, TitleId),
+    shell: Shell, who: (SessionId, usize), (vw, tune_in): (ViewingId, TuneIn), server: ServerId, rung: usize,
+    about: (PackageId, TitleId), until: Duration,
 ) {
-    let (happened, load) = tried(&shell, session, vw, tune_in, server, rung, (package, title)).await;
+    let (happened, load) = match shell.place(server, Errand::SetUp, until).await {
+        Some(_place) => tried(&shell, who, vw, tune_in, server, rung, about).await,
+        // Guards against a queue at one server that outlasts its viewers.
+        None => (Some(Happened::NotWritten), Load::default()),
+    };
     let Some(happened) = happened else { return };
     tracing::debug!(viewing = vw.0, tune_in = tune_in.0, server = %server_address(server), ?happened, "set-up");
     shell.tell(move |front, hands, now| {
@@ -78,8 +92,8 @@
 }
 
 async fn tried(
-    shell: &Shell, session: SessionId, vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
-    (package, title): (PackageId, TitleId),
+    shell: &Shell, (session, top): (SessionId, usize), vw: ViewingId, tune_in: TuneIn, server: ServerId,
+    rung: usize, (package, title): (PackageId, TitleId),
 ) -> (Option<Happened>, Load) {
     let none = Load::default();
     let address = server_address(server);
@@ -114,7 +128,7 @@
         let body = json!({
             "manager": inner.name, "birth": inner.birth, "vw": vw.0, "n": tune_in.0,
             "session": format!("{:032x}", session.0), "package": package.0,
-            "title": title.map_or("", |title| title.name.as_str()), "rung": rung, "rates": rates,
+            "title": title.map_or("", |title| title.name.as_str()), "rung": rung, "top": top, "rates": rates,
             "lease_ms": inner.lease.as_millis() as u64, "segment_ms": inner.segment.as_millis() as u64,
             "segments": segments,
         });
@@ -125,6 +139,7 @@
             Err(Failed::NotWritten) => return (Some(Happened::NotWritten), none),
             Err(Failed::Broke) => return (Some(Happened::Broke), none),
         };
+        dated(shell, server, &answer);
         let (load, status) = (load(&answer), answer.status());
         let never_ran = answer.headers().contains_key("ivy-never-ran");
         if read(answer).await.is_some() {
@@ -139,10 +154,17 @@
     }
 }
 
-/// One request and its answer, for what may be asked twice.
+/// What came with an answer: the load, and how long ago a player last fetched, where that was asked.
+struct Came {
+    load: Load,
+    quiet: Option<Duration>,
+}
+
+/// One request and its answer, for what may be asked twice; it is of use for `within`.
 async fn ask(
-    shell: &Shell, server: ServerId, method: Method, path: &str, body: &Value,
-) -> Option<(StatusCode, Load)> {
+    shell: &Shell, server: ServerId, method: Method, path: &str, body: &Value, within: Duration,
+) -> Option<Came> {
+    let _place = shell.place(server, Errand::Care, shell.now() + within).await?;
     let address = server_address(server);
     loop {
         let used = shell.0.pool.used(address);
@@ -153,7 +175,10 @@
         };
         match connection.ask(request(method.clone(), server, path, body)).await {
             Ok(answer) => {
-                let came = (answer.status(), load(&answer));
+                dated(shell, server, &answer);
+                let quiet =
+                    answer.headers().get("ivy-quiet-ms").and_then(|ms| ms.to_str().ok()?.parse().ok());
+                let came = Came { load: load(&answer), quiet: quiet.map(Duration::from_millis) };
                 if read(answer).await.is_some() {
                     shell.0.pool.put(address, connection);
                 }
@@ -165,15 +190,15 @@
     }
 }
 
-fn path(shell: &Shell, vw: ViewingId, tune_in: TuneIn) -> String {
-    format!("/viewings/{}/{}/{}/{}", encoded(&shell.0.name), shell.0.birth, vw.0, tune_in.0)
+fn path(shell: &Shell, (birth, vw, tune_in): (Birth, ViewingId, TuneIn)) -> String {
+    format!("/viewings/{}/{}/{}/{}", encoded(&shell.0.name), birth.0, vw.0, tune_in.0)
 }
 
 /// Asks again and again, with growing pauses, until it is answered or no longer matters.
 async fn insist(shell: &Shell, server: ServerId, method: Method, path: &str, body: &Value) {
     let (until, mut pause) = (Instant::now() + shell.0.lease * 2, PAUSES.0);
     while Instant::now() < until && !shell.gone(server) {
-        let asked = ask(shell, server, method.clone(), path, body);
+        let asked = ask(shell, server, method.clone(), path, body, shell.0.lease);
         // One that waits at a server which stands still is heard in the moment in which it goes on.
         if let Ok(Some(_)) = timeout(shell.0.lease, asked).await {
             return;
@@ -183,25 +208,40 @@
     }
 }
 
-pub async fn release(shell: Shell, server: ServerId, vw: ViewingId, tune_in: TuneIn) {
-    insist(&shell, server, Method::DELETE, &path(&shell, vw, tune_in), &Value::Null).await;
+pub async fn release(shell: Shell, server: ServerId, tune_in: (Birth, ViewingId, TuneIn)) {
+    insist(&shell, server, Method::DELETE, &path(&shell, tune_in), &Value::Null).await;
 }
 
-pub async fn rung(shell: Shell, server: ServerId, vw: ViewingId, tune_in: TuneIn, rung: usize) {
-    let path = path(&shell, vw, tune_in);
+pub async fn rung(shell: Shell, server: ServerId, tune_in: (Birth, ViewingId, TuneIn), rung: usize) {
+    let path = path(&shell, tune_in);
     let body = json!({"rung": rung});
-    let asked = ask(&shell, server, Method::PATCH, &path, &body);
+    let asked = ask(&shell, server, Method::PATCH, &path, &body, PAUSES.1);
     if !matches!(timeout(PAUSES.1, asked).await, Ok(Some(_))) {
-        tracing::debug!(viewing = vw.0, rung, "a rung didn't reach its server");
+        tracing::debug!(viewing = tune_in.1.0, rung, "a rung didn't reach its server");
     }
 }
 
 pub async fn probe(shell: Shell, server: ServerId) {
-    let asked = ask(&shell, server, Method::GET, "/load", &Value::Null);
-    let load = timeout(shell.0.connect, asked).await.ok().flatten().map(|(_, load)| load);
+    let asked = ask(&shell, server, Method::GET, "/load", &Value::Null, shell.0.connect);
+    let load = timeout(shell.0.connect, asked).await.ok().flatten().map(|came| came.load);
     shell.tell(move |front, hands, now| front.probed(hands, now, server, load));
 }
 
+/// Asks a server when the player last fetched of a tune-in.
+pub async fn fetched(shell: Shell, server: ServerId, tune_in: (Birth, ViewingId, TuneIn)) {
+    let (path, within) = (path(&shell, tune_in), shell.0.lease);
+    let asked = ask(&shell, server, Method::GET, &path, &Value::Null, within);
+    let came = timeout(within, asked).await.ok().flatten();
+    let quiet = came.and_then(|came| came.quiet);
+    shell.tell(move |front, hands, now| front.fetched(hands, now, server, tune_in, quiet));
+}
+
+/// Asks a server for an answer only to hear its date.
+pub async fn ask_date(shell: Shell, server: ServerId) {
+    let within = shell.0.connect;
+    timeout(within, ask(&shell, server, Method::GET, "/load", &Value::Null, within)).await.ok();
+}
+
 /// Follows a server's notes while it is listed. When the connection breaks, what the server then says it plays is
 /// what is left; when none comes about again, nothing is.
 pub async fn follow(shell: Shell, server: ServerId) {
@@ -209,16 +249,17 @@
     let seed = bytes.iter().fold(shell.0.seed, |sum, b| sum.wrapping_mul(257).wrapping_add(u64::from(*b)));
     let (mut chance, mut pause) = (Pcg64Mcg::seed_from_u64(seed), PAUSES.0);
     loop {
-        if notes(&shell, server).await {
+        let begun = Instant::now();
+        let any = notes(&shell, server).await;
+        // Guards against two managers of one name that put each other off a server as fast as they can.
+        if any && begun.elapsed() > PAUSES.1 {
             pause = PAUSES.0;
-        } else {
-            if shell.gone(server) {
-                return;
-            }
-            // Guards against all managers coming back to one server at once.
-            sleep(pause.mul_f64(0.5 + 0.5 * chance.random::<f64>())).await;
-            pause = (pause * 2).min(PAUSES.1);
+        } else if !any && shell.gone(server) {
+            return;
         }
+        // Guards against all managers coming back to one server at once.
+        sleep(pause.mul_f64(0.5 + 0.5 * chance.random::<f64>())).await;
+        pause = (pause * 2).min(PAUSES.1);
     }
 }
 
@@ -230,7 +271,10 @@
         Err(error) => {
             // Refused: no process listens there, so nothing plays. After silence that isn't known.
             if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                shell.tell(move |front, hands, now| front.still(hands, now, server, &[]));
+                shell.tell(move |front, hands, now| {
+                    front.still(hands, now, server, &[]);
+                    front.heard(hands, now, server);
+                });
             }
             return false;
         }
@@ -238,9 +282,13 @@
     let Ok(answer) = connection.ask(request(Method::GET, server, &path, &Value::Null)).await else {
         return false;
     };
+    if answer.status() == StatusCode::CONFLICT {
+        tracing::error!(server = %server_address(server), "another manager of this name started later");
+    }
     if answer.status() != StatusCode::OK {
         return false;
     }
+    dated(shell, server, &answer);
     let mut events = BodyDataStream::new(answer.into_body()).eventsource();
     let mut any = false;
     while let Some(Ok(event)) = events.next().await {
@@ -255,22 +303,39 @@
 }
 
 fn heard(shell: &Shell, server: ServerId, told: &Value) {
-    let tune_in = |vw: &Value, n: &Value| {
-        let vw = u32::try_from(vw.as_u64()?).ok()?;
-        Some((ViewingId(vw), TuneIn(u16::try_from(n.as_u64()?).ok()?)))
+    let tune_in = |of: &Value| {
+        let vw = u32::try_from(of["vw"].as_u64()?).ok()?;
+        let n = u16::try_from(of["n"].as_u64()?).ok()?;
+        Some((Birth(of["birth"].as_u64()?), ViewingId(vw), TuneIn(n)))
     };
-    if let Some(playing) = told["playing"].as_array() {
-        let playing: Vec<_> = playing.iter().filter_map(|p| tune_in(&p[0], &p[1])).collect();
-        return shell.tell(move |front, hands, now| front.still(hands, now, server, &playing));
+    if let Some(rows) = told["playing"].as_array() {
+        let row = |of: &Value| {
+            let session = setup::session(of["session"].as_str()?)?;
+            let title = of["title"].as_str()?;
+            let title = shell.0.titles.iter().find(|about| about.name == title).map(|about| about.id);
+            let rungs = (of["rung"].as_u64()? as usize, of["top"].as_u64()? as usize);
+            // What is in no settings of ours any more has a package that none is: it is released.
+            let package = title.and(of["package"].as_u64()).map_or(usize::MAX, |package| package as usize);
+            Some((tune_in(of)?, SessionId(session), (PackageId(package), title.unwrap_or(TitleId(0)), rungs)))
+        };
+        let playing: Vec<_> = rows.iter().filter_map(row).collect();
+        return shell.tell(move |front, hands, now| {
+            let ids: Vec<_> = playing.iter().map(|(tune_in, ..)| *tune_in).collect();
+            front.still(hands, now, server, &ids);
+            for (tune_in, session, about) in playing {
+                front.found(hands, now, server, tune_in, session, about);
+            }
+            front.heard(hands, now, server);
+        });
     }
-    let Some((vw, n)) = tune_in(&told["vw"], &told["n"]) else { return };
+    let Some((birth, vw, n)) = tune_in(told) else { return };
     let over = match told["over"].as_str() {
         Some("ended") => Some(Over::Ended),
         Some("left") => Some(Over::Left),
         _ => None,
     };
     if let Some(why) = over {
-        return shell.tell(move |front, hands, now| front.over(hands, now, server, vw, n, why));
+        return shell.tell(move |front, hands, now| front.over(hands, now, server, (birth, vw, n), why));
     }
     let x = told["x"].as_f64().unwrap_or(f64::NAN);
     let news = match told["note"].as_str() {
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -69,7 +69,7 @@
             continue;
         };
         any = true;
-        shell.follow(&list);
+        let list = shell.follow(&list);
         shell.tell(move |front, _, now| front.listed(now, &list, extent));
     }
     any
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,7 @@
 //! `ivyward`: the session front.
 
 use clap::{Parser, Subcommand};
-use ivyward_daemon::{embedded, manage, read};
+use ivyward_daemon::{Outside, embedded, manage, read};
 use ivyward_settings::Part;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -75,8 +75,21 @@
     runtime.block_on(async {
         let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+        let mut hup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+        let (tell, texts) = tokio::sync::mpsc::unbounded_channel();
+        let (again, watched) = (file.map(Path::to_path_buf), tell.clone());
+        let anew = async move {
+            while let (Some(()), Some(file)) = (hup.recv().await, &again) {
+                match fs::read_to_string(file) {
+                    Ok(text) => drop(watched.send(text)),
+                    Err(error) => tracing::error!("{}: {error}", file.display()),
+                }
+            }
+            std::future::pending::<()>().await;
+        };
+        let outside = Outside { texts: Some(texts), ..Default::default() };
         let ended = async move {
-            tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
+            tokio::select! { _ = term.recv() => {}, _ = int.recv() => {}, () = anew => {} }
         };
         let ready = |address| {
             println!("listening {address}");
@@ -88,7 +101,7 @@
                 }
             }
         };
-        println!("breaches {}", manage(&settings, ready, ended).await?);
+        println!("{}", manage(&settings, ready, ended, outside).await?);
         Ok(())
     })
 }
--- a/crates/daemon/src/pool.rs
+++ b/crates/daemon/src/pool.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Connections that stand idle.
+    pub fn count(&self) -> usize {
+        self.0.borrow().values().map(Vec::len).sum()
+    }
+
     /// Closes what has stood idle for too long.
     pub fn sweep(&self) {
         self.0.borrow_mut().retain(|_, waiting| {
--- a/crates/daemon/src/setup.rs
+++ b/crates/daemon/src/setup.rs
@@ -4,6 +4,7 @@
 use ivyward::policy::Manager;
 use ivyward::state::{Ladder, Limits, Network, Pace, Package, Ration};
 use ivyward_dash::token::Keys;
+use ivyward_edge::Refresh;
 use ivyward_session::Fence;
 use ivyward_settings::{Fault, Part, twice};
 use std::net::SocketAddr;
@@ -68,6 +69,18 @@
     if manager.number("head_within_s") < 2.0 * (manifest.number("refresh_s") + manifest.number("segment_s")) {
         faults.push(manager.fault("head_within_s", "is under twice the manifest's refresh_s and segment_s"));
     }
+    // Guards against tokens that end before their players can have asked for the next ones.
+    let (patience, segment) = (patiences(settings), manifest.span("segment_s"));
+    let least = Refresh::margin(segment, patience.1) + segment;
+    if tokens.span("life_s") < least {
+        let least = least.as_secs_f64();
+        faults.push(
+            tokens.fault("life_s", &format!("is under {least} s: two segments and the longest patience")),
+        );
+    }
+    if tokens.texts("revoked").iter().any(|text| session(text).is_none()) {
+        faults.push(tokens.fault("revoked", "is not 32 hexadecimal digits"));
+    }
     if let Err(wrong) = keys(&tokens) {
         faults.extend(wrong);
     }
@@ -98,6 +111,17 @@
     if faults.is_empty() { Ok(keys) } else { Err(faults) }
 }
 
+/// A session as its 32 hexadecimal digits.
+pub fn session(text: &str) -> Option<u128> {
+    u128::from_str_radix(text, 16).ok().filter(|_| text.len() == 32)
+}
+
+/// The shortest and the longest patience of any package.
+pub fn patiences(settings: &Part) -> (Duration, Duration) {
+    let all = || settings.list("package").into_iter().map(|package| package.span("patience_s"));
+    (all().min().unwrap_or_default(), all().max().unwrap_or_default())
+}
+
 /// A server's id is its address.
 pub fn server_id(address: &str) -> Option<ServerId> {
     let SocketAddr::V4(address) = address.parse().ok()? else { return None };
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -1,24 +1,27 @@
 //! The one task that holds the core: its queue, its timers, and the effects that it has.
 
 use crate::pool::Pool;
-use crate::{link, list, setup};
+use crate::{Ended, link, list, setup};
 use ivyward::front::{Extent, Listed, PackageId, ServerId, Standing, TitleId, ViewingId};
-use ivyward_session::{Answer, Breach, Decides, Effects, Front, RequestId, SessionId, Timer, TuneIn};
+use ivyward_edge::{Calendar, Doors, Errand, Gate, Ticket, Turn};
+use ivyward_session::{Answer, Birth, Breach, Decides, Effects, Front, RequestId, SessionId, Timer, TuneIn};
 use ivyward_settings::Part;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// The clock's first moment: what began before this process still has a time above zero.
 const BEGIN: Duration = Duration::from_secs(86_400);
 /// Idle connections are looked through so often.
 const SWEEP: Duration = Duration::from_secs(5);
+/// A server whose date was not heard for so many sweeps is asked for it.
+const SILENT: u32 = 2;
 /// An answer is in time so long after the patience.
 const SLACK: Duration = Duration::from_millis(40);
 
@@ -36,11 +39,20 @@
     pub titles: Vec<setup::Title>,
     pub rates: Vec<(PackageId, String, Vec<f64>)>,
     pub seed: u64,
+    pub gate: RefCell<Gate>,
     begun: Instant,
-    jobs: mpsc::UnboundedSender<Job>,
+    clock: Rc<dyn Fn() -> Duration>,
+    calendar: RefCell<Calendar>,
+    doors: RefCell<Doors>,
+    /// Those that wait for a place at a server.
+    turns: RefCell<BTreeMap<Ticket, oneshot::Sender<()>>>,
+    jobs: mpsc::UnboundedSender<(Duration, Job)>,
     /// Servers whose notes are followed, and those that the list ended.
     links: RefCell<BTreeMap<ServerId, AbortHandle>>,
     gone: RefCell<BTreeMap<ServerId, bool>>,
+    /// The list as it last came, and those of it whose clocks have gone astray.
+    rows: RefCell<BTreeMap<ServerId, Listed>>,
+    astray: RefCell<BTreeSet<ServerId>>,
     requests: Cell<u64>,
     waiting: Cell<usize>,
 }
@@ -54,10 +66,11 @@
     /// The settings don't fit together.
     pub fn start(
         settings: &Part, module: Box<dyn Decides>, birth: u64, address: SocketAddr,
+        clock: Rc<dyn Fn() -> Duration>,
     ) -> Result<Shell, String> {
         let (manager, limits) = (settings.one("manager"), settings.one("limits"));
         let manifest = settings.one("manifest");
-        let (jobs, mut queue) = mpsc::unbounded_channel::<Job>();
+        let (jobs, mut queue) = mpsc::unbounded_channel::<(Duration, Job)>();
         let inner = Inner {
             name: manager.text("name"),
             birth,
@@ -69,10 +82,17 @@
             titles: setup::titles(settings),
             rates: setup::rates(settings),
             seed: manager.whole("seed"),
+            gate: RefCell::new(Gate::new(setup::patiences(settings).0)),
+            clock,
+            calendar: RefCell::new(Calendar::new(settings.one("tokens").span("skew_s"))),
+            doors: RefCell::new(Doors::new(limits.count("connections"))),
+            turns: RefCell::default(),
             begun: Instant::now(),
             jobs,
             links: RefCell::default(),
             gone: RefCell::default(),
+            rows: RefCell::default(),
+            astray: RefCell::default(),
             requests: Cell::new(0),
             waiting: Cell::new(0),
         };
@@ -86,6 +106,7 @@
             setup::terms(settings),
             spans,
             setup::ration(settings),
+            Birth(birth),
         );
         let mut hands = Hands {
             shell: shell.clone(),
@@ -97,7 +118,7 @@
         front.start(&mut hands, shell.now());
         let known = setup::servers(settings);
         if !known.is_empty() {
-            shell.follow(&known);
+            let known = shell.follow(&known);
             let extent = if settings.has("list_address") { Extent::Remembered } else { Extent::Whole };
             front.listed(shell.now(), &known, extent);
         }
@@ -108,7 +129,7 @@
         spawn_local(async move {
             loop {
                 sleep(SWEEP).await;
-                clock.0.pool.sweep();
+                clock.sweep();
             }
         });
         let clock = shell.clone();
@@ -126,7 +147,11 @@
                         }
                     }
                     job = queue.recv() => match job {
-                        Some(job) => job(&mut front, &mut hands, clock.now()),
+                        Some((told, job)) => {
+                            let now = clock.now();
+                            clock.0.gate.borrow_mut().turn(now, now.saturating_sub(told));
+                            job(&mut front, &mut hands, now);
+                        }
                         None => return,
                     },
                 }
@@ -146,7 +171,103 @@
 
     /// Puts something that happened into the queue.
     pub fn tell(&self, job: impl FnOnce(&mut Front, &mut Hands, Duration) + 'static) {
-        self.0.jobs.send(Box::new(job)).ok();
+        self.0.jobs.send((self.now(), Box::new(job))).ok();
+    }
+
+    /// The date to go by: our own clock's, unless most servers say otherwise.
+    pub fn date(&self) -> Duration {
+        let (date, believed) = self.0.calendar.borrow().date(self.now(), (self.0.clock)());
+        if !believed {
+            tracing::debug!("our own clock is not believed");
+        }
+        date
+    }
+
+    /// A server answered with its date.
+    pub fn dated(&self, server: ServerId, date: Duration) {
+        self.0.calendar.borrow_mut().heard(self.now(), server, date);
+        self.judge(server);
+    }
+
+    /// Guards against a server whose clock jumps: its players' tokens are not taken there, so it gets nothing new, and
+    /// what plays there is over.
+    fn judge(&self, server: ServerId) {
+        let off = self.0.calendar.borrow().astray(server);
+        let changed = if off {
+            self.0.astray.borrow_mut().insert(server)
+        } else {
+            self.0.astray.borrow_mut().remove(&server)
+        };
+        let row = self.0.rows.borrow().get(&server).copied();
+        let Some(row) = row.filter(|_| changed) else { return };
+        tracing::warn!(server = %setup::server_address(server), off, "a server's clock");
+        let row = self.seen(row);
+        self.tell(move |front, hands, now| {
+            front.listed(now, &[row], Extent::Changes);
+            if off {
+                front.astray(hands, now, server);
+            }
+        });
+    }
+
+    /// A row of the list as the core is told it.
+    fn seen(&self, mut row: Listed) -> Listed {
+        if row.standing == Standing::Ready && self.0.astray.borrow().contains(&row.server) {
+            row.standing = Standing::Draining;
+        }
+        row
+    }
+
+    fn sweep(&self) {
+        self.0.pool.sweep();
+        let (now, (_, believed)) = (self.now(), self.0.calendar.borrow().date(self.now(), (self.0.clock)()));
+        if !believed {
+            tracing::error!("our clock lies far from the servers' clocks: theirs is gone by");
+        }
+        let silent = self.0.calendar.borrow().silent(now, SWEEP * SILENT);
+        for server in silent {
+            if self.gone(server) {
+                self.0.calendar.borrow_mut().forget(server);
+                self.0.doors.borrow_mut().forget(server);
+                self.0.astray.borrow_mut().remove(&server);
+            } else {
+                spawn_local(link::ask_date(self.clone(), server));
+            }
+        }
+        let all: Vec<_> = self.0.rows.borrow().keys().copied().collect();
+        all.into_iter().for_each(|server| self.judge(server));
+    }
+
+    /// A place for a connection to a server, of use until `until`; none where it would come too late.
+    pub async fn place(&self, server: ServerId, errand: Errand, until: Duration) -> Option<Place> {
+        let (ticket, turn) = self.0.doors.borrow_mut().ask(self.now(), server, errand, until);
+        let mut place = Place { shell: self.clone(), server, errand, ticket, since: None, asked: true };
+        match turn {
+            Turn::Never => {
+                place.asked = false;
+                return None;
+            }
+            Turn::Now => {}
+            Turn::Waits => {
+                let (tell, told) = oneshot::channel();
+                self.0.turns.borrow_mut().insert(ticket, tell);
+                timeout(until.saturating_sub(self.now()), told).await.ok()?.ok()?;
+            }
+        }
+        place.since = Some(self.now());
+        Some(place)
+    }
+
+    /// A place given back passes to the next that still waits for it.
+    fn pass(&self, server: ServerId, errand: Errand, took: Duration) {
+        loop {
+            let next = self.0.doors.borrow_mut().done(self.now(), server, errand, took);
+            let Some(ticket) = next else { return };
+            let told = self.0.turns.borrow_mut().remove(&ticket);
+            if told.is_some_and(|told| told.send(()).is_ok()) {
+                return;
+            }
+        }
     }
 
     pub fn request(&self) -> RequestId {
@@ -154,9 +275,11 @@
         RequestId(self.0.requests.get())
     }
 
-    /// Notes of servers are followed from when they are listed until they are gone and can't be reached.
-    pub fn follow(&self, list: &[Listed]) {
+    /// Notes of servers are followed from when they are listed until they are gone and can't be reached. The rows as
+    /// the core is to be told them.
+    pub fn follow(&self, list: &[Listed]) -> Vec<Listed> {
         for listed in list {
+            self.0.rows.borrow_mut().insert(listed.server, *listed);
             let gone = listed.standing == Standing::Gone;
             self.0.gone.borrow_mut().insert(listed.server, gone);
             let mut links = self.0.links.borrow_mut();
@@ -165,34 +288,68 @@
                 links.insert(listed.server, link.abort_handle());
             }
         }
+        list.iter().map(|row| self.seen(*row)).collect()
     }
 
     pub fn gone(&self, server: ServerId) -> bool {
         self.0.gone.borrow().get(&server).copied().unwrap_or(true)
     }
 
-    /// Takes nothing new and answers all that wait. How often an assertion of a rule failed.
+    /// Takes nothing new and answers all that wait.
     ///
     /// # Errors
     /// Some viewing was left without an answer.
-    pub async fn end(&self, within: Duration) -> Result<u64, String> {
+    pub async fn end(&self, within: Duration) -> Result<Ended, String> {
         let until = Instant::now() + within;
-        self.tell(|front, hands, now| front.stop(hands, now));
+        let (places, tickets) = self.0.doors.borrow().count();
+        let mut ended =
+            Ended { places: places + tickets, connections: self.0.pool.count(), ..Default::default() };
         let (tell, told) = oneshot::channel();
-        self.tell(move |front, _, _| {
-            let _ = tell.send((front.waiting(), front.breaches().clone()));
+        self.tell(move |front, hands, now| {
+            (ended.viewings, ended.timers) = (front.live(), hands.timers.len());
+            (ended.orphans, ended.taken_over) = front.counts();
+            front.stop(hands, now);
+            ended.breaches = front.breaches().values().sum();
+            let _ = tell.send((ended, front.waiting(), front.breaches().clone()));
         });
-        let (waiting, breaches) = told.await.map_err(|_| "the core is gone".to_string())?;
+        let (ended, waiting, breaches) = told.await.map_err(|_| "the core is gone".to_string())?;
         // Answers and releases still have to leave.
         sleep((within / 10).min(until.saturating_duration_since(Instant::now()))).await;
-        tracing::info!(waiting, ?breaches, "ended");
+        tracing::info!(waiting, ?breaches, ?ended, "ended");
         match waiting {
-            0 => Ok(breaches.values().sum()),
+            0 => Ok(ended),
             _ => Err(format!("{waiting} viewings are left without an answer")),
         }
     }
 }
 
+/// A place for one connection to a server, given back when it is dropped.
+pub struct Place {
+    shell: Shell,
+    server: ServerId,
+    errand: Errand,
+    ticket: Ticket,
+    since: Option<Duration>,
+    asked: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let (shell, server, errand) = (&self.shell, self.server, self.errand);
+        match self.since {
+            Some(since) => shell.pass(server, errand, shell.now().saturating_sub(since)),
+            None if !self.asked => {}
+            None => {
+                shell.0.doors.borrow_mut().quit(server, errand, self.ticket);
+                // Guards against a place that was passed on in the moment in which its taker gave up.
+                if shell.0.turns.borrow_mut().remove(&self.ticket).is_none() {
+                    shell.pass(server, errand, Duration::ZERO);
+                }
+            }
+        }
+    }
+}
+
 /// The effects of the core.
 pub struct Hands {
     shell: Shell,
@@ -228,10 +385,11 @@
     }
 
     fn set_up(
-        &mut self, session: SessionId, vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
-        about: (PackageId, TitleId),
+        &mut self, who: (SessionId, usize), vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
+        about: (PackageId, TitleId), limit: Duration,
     ) {
-        let set_up = link::set_up(self.shell.clone(), session, vw, tune_in, server, rung, about);
+        let until = self.shell.now() + limit;
+        let set_up = link::set_up(self.shell.clone(), who, (vw, tune_in), server, rung, about, until);
         self.out.insert((vw, tune_in), spawn_local(set_up).abort_handle());
     }
 
@@ -242,18 +400,22 @@
         }
     }
 
-    fn release(&mut self, server: ServerId, vw: ViewingId, tune_in: TuneIn) {
-        spawn_local(link::release(self.shell.clone(), server, vw, tune_in));
+    fn release(&mut self, server: ServerId, birth: Birth, vw: ViewingId, tune_in: TuneIn) {
+        spawn_local(link::release(self.shell.clone(), server, (birth, vw, tune_in)));
     }
 
-    fn rung(&mut self, server: ServerId, vw: ViewingId, tune_in: TuneIn, rung: usize) {
-        spawn_local(link::rung(self.shell.clone(), server, vw, tune_in, rung));
+    fn rung(&mut self, server: ServerId, birth: Birth, vw: ViewingId, tune_in: TuneIn, rung: usize) {
+        spawn_local(link::rung(self.shell.clone(), server, (birth, vw, tune_in), rung));
     }
 
     fn probe(&mut self, server: ServerId) {
         spawn_local(link::probe(self.shell.clone(), server));
     }
 
+    fn fetched(&mut self, server: ServerId, birth: Birth, vw: ViewingId, tune_in: TuneIn) {
+        spawn_local(link::fetched(self.shell.clone(), server, (birth, vw, tune_in)));
+    }
+
     fn wake(&mut self, after: Duration, timer: Timer) {
         self.order += 1;
         self.timers.push(Reverse((self.shell.now() + after, self.order, timer)));
--- a/crates/daemon/src/viewers.rs
+++ b/crates/daemon/src/viewers.rs
@@ -1,7 +1,7 @@
 //! Where viewers come in: one manifest request is one viewing request, and its HTTP answer is the viewing's answer.
 
+use crate::setup;
 use crate::shell::Shell;
-use crate::{date, setup};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body as _, Incoming};
@@ -10,19 +10,23 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use ivyward::front::PackageId;
 use ivyward_dash::manifest::manifest;
-use ivyward_dash::token::{Keys, Pass, Refusal};
+use ivyward_dash::token::{Given, Keys, Pass, Refusal};
+use ivyward_edge::{Refresh, Shown};
 use ivyward_session::{Answer, RequestId, SessionId};
 use ivyward_settings::Part;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use tokio_io_timeout::TimeoutStream;
 
 /// The head of a request must fit into this.
 const LONGEST_HEAD: usize = 16 << 10;
@@ -33,36 +37,54 @@
 /// What requests are answered by.
 struct Desk {
     shell: Shell,
-    keys: Keys,
+    keys: RefCell<Keys>,
+    revoked: RefCell<BTreeSet<u128>>,
     life: Duration,
     skew: Duration,
-    refresh: Duration,
+    refresh: RefCell<Refresh>,
     titles: BTreeMap<String, setup::Title>,
-    packages: BTreeMap<String, (PackageId, Vec<f64>)>,
+    /// By name: its id, patience, and the rates of its rungs.
+    packages: BTreeMap<String, (PackageId, Duration, Vec<f64>)>,
     /// When sessions that play began, so that all their manifests say the same.
     began: RefCell<BTreeMap<u128, (Duration, Duration)>>,
 }
 
-pub async fn serve(shell: Shell, listener: TcpListener, settings: Part) {
+pub async fn serve(
+    shell: Shell, listener: TcpListener, settings: Part, texts: Option<UnboundedReceiver<String>>,
+) {
     let (tokens, manager) = (settings.one("tokens"), settings.one("manager"));
     let Ok(keys) = setup::keys(&tokens) else { return };
     let titles = setup::titles(&settings).into_iter().map(|title| (title.name.clone(), title)).collect();
-    let packages = setup::rates(&settings).into_iter().map(|(id, name, rates)| (name, (id, rates))).collect();
+    let terms = setup::terms(&settings);
+    let package = |(id, name, rates): (PackageId, _, _)| (name, (id, terms[id.0].0, rates));
+    let packages = setup::rates(&settings).into_iter().map(package).collect();
+    let (manifest, life) = (settings.one("manifest"), tokens.span("life_s"));
+    let margin = Refresh::margin(manifest.span("segment_s"), setup::patiences(&settings).1);
+    let refresh = Refresh::new(manager.whole("seed"), manifest.span("refresh_s"), life, margin);
     let desk = Rc::new(Desk {
         shell,
-        keys,
-        life: tokens.span("life_s"),
+        keys: RefCell::new(keys),
+        revoked: RefCell::new(revoked(&tokens)),
+        life,
         skew: tokens.span("skew_s"),
-        refresh: settings.one("manifest").span("refresh_s"),
+        refresh: RefCell::new(refresh),
         titles,
         packages,
         began: RefCell::default(),
     });
+    if let Some(mut texts) = texts {
+        let desk = desk.clone();
+        spawn_local(async move {
+            while let Some(text) = texts.recv().await {
+                desk.takes_over(&text);
+            }
+        });
+    }
     let (most, head) = (manager.count("most_connections"), manager.span("head_within_s"));
     let open = Rc::new(Cell::new(0_usize));
     loop {
-        // Guards against a flood of connections: the next ones wait in the listener's queue.
-        while open.get() >= most {
+        // Guards against a flood of connections or requests: the next ones wait in the listener's queue.
+        while !desk.shell.0.gate.borrow().opens(desk.shell.now(), open.get(), most) {
             sleep(Duration::from_millis(5)).await;
         }
         let stream = match listener.accept().await {
@@ -75,6 +97,9 @@
             }
         };
         stream.set_nodelay(true).ok();
+        // Guards against readers that ask and ask and never read what they are answered.
+        let mut stream = Box::pin(TimeoutStream::new(stream));
+        stream.as_mut().set_write_timeout_pinned(Some(head));
         open.set(open.get() + 1);
         let (desk, open) = (desk.clone(), open.clone());
         spawn_local(async move {
@@ -115,6 +140,13 @@
     page
 }
 
+fn blocked(come_back: Duration) -> Page {
+    let page = page(StatusCode::SERVICE_UNAVAILABLE, "blocked: nothing plays it now\n");
+    // Whole seconds (RFC 9110, 10.2.3); the span as it is beside them.
+    let page = with(page, "retry-after", &come_back.as_secs_f64().ceil().to_string());
+    with(page, "ivy-come-back-ms", &come_back.as_millis().to_string())
+}
+
 fn refused(refusal: Refusal) -> Page {
     let status =
         if refusal == Refusal::ForeignTitle { StatusCode::FORBIDDEN } else { StatusCode::UNAUTHORIZED };
@@ -143,7 +175,32 @@
     }
 }
 
+fn revoked(tokens: &Part) -> BTreeSet<u128> {
+    tokens.texts("revoked").iter().filter_map(|text| setup::session(text)).collect()
+}
+
 impl Desk {
+    /// Takes the tokens of settings given anew: keys, which one signs, and sessions that are revoked.
+    fn takes_over(&self, text: &str) {
+        let tokens = match crate::read(text) {
+            Ok(settings) => settings.one("tokens"),
+            Err(faults) => {
+                // Guards against a service without keys: what was in force stays.
+                faults.iter().for_each(|fault| tracing::error!(%fault, "new settings are not taken"));
+                return;
+            }
+        };
+        if let Ok(keys) = setup::keys(&tokens) {
+            *self.keys.borrow_mut() = keys;
+        }
+        let before = self.revoked.replace(revoked(&tokens));
+        let new: Vec<_> = self.revoked.borrow().difference(&before).copied().collect();
+        tracing::info!(signs = tokens.text("signs"), revoked = new.len(), "new tokens are in force");
+        for session in new {
+            self.shell.tell(move |front, hands, now| front.revoked(hands, now, SessionId(session)));
+        }
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Page {
         let path = request.uri().path();
         let name = path.strip_prefix("/mpd/").and_then(|rest| rest.strip_suffix(".mpd"));
@@ -160,47 +217,65 @@
         let query = request.uri().query().unwrap_or_default();
         let given = query.split('&').find_map(|pair| pair.strip_prefix("token="));
         let Some(token) = bearer.or(given) else { return refused(Refusal::Malformed) };
-        let now = date();
-        let (pass, until) = match self.keys.check(token, now, self.skew) {
+        let now = self.shell.date();
+        let checked = self.keys.borrow().check(token, now, self.skew);
+        let (pass, (issued, until)) = match checked {
             Ok(taken) => taken,
             Err(refusal) => return refused(refusal),
         };
+        if self.revoked.borrow().contains(&pass.session) {
+            return refused(Refusal::Revoked);
+        }
         let Some(title) = self.titles.get(name) else {
             return page(StatusCode::NOT_FOUND, "no such title\n");
         };
         if pass.title != name {
             return refused(Refusal::ForeignTitle);
         }
-        let Some((package, rates)) = self.packages.get(&pass.package) else {
+        let Some((package, patience, rates)) = self.packages.get(&pass.package) else {
             return page(StatusCode::FORBIDDEN, "no such package\n");
         };
         let (request, session) = (self.shell.request(), SessionId(pass.session));
         let (tell, told) = oneshot::channel();
-        let begun = pass.tune_in.is_some();
+        // A token of another manager is no step of a viewing here: it is as if the app had given it.
+        let given = pass.given.as_ref().filter(|given| given.manager == self.shell.0.name);
+        let shown = given.and_then(|given| {
+            let server = setup::server_id(&given.server.to_string())?;
+            Some(Shown::Manager { birth: given.birth, server, turn: given.turn })
+        });
+        let begun_at = self.shell.now();
+        if pass.given.is_none()
+            && let Err(wait) = self.shell.0.gate.borrow().takes(begun_at, *patience)
+        {
+            return blocked(wait);
+        }
         let about = (*package, title.id, title.cells, pass.top);
         let left = until.saturating_sub(now);
         self.shell.tell(move |front, hands, now| {
             hands.expect(request, tell);
-            front.asked(hands, now, request, session, about, begun, now + left);
+            let shown = shown.unwrap_or(Shown::App { issued });
+            front.asked(hands, now, request, session, about, shown, now + left);
         });
         let waiting = Waiting { shell: self.shell.clone(), session, request, answered: Cell::new(false) };
         let Ok(answer) = told.await else { return page(StatusCode::BAD_GATEWAY, "the manager ends\n") };
         waiting.answered.set(true);
         tracing::debug!(session = %format_args!("{:032x}", pass.session), title = name, ?answer, "answered");
+        if shown.is_none() {
+            let after = self.shell.now().saturating_sub(begun_at);
+            self.shell.0.gate.borrow_mut().answered(after);
+        }
         match answer {
-            Answer::Plays { server, vw, tune_in, rung } => {
-                let (name, birth) = (self.shell.0.name.clone(), self.shell.0.birth);
-                let pass = Pass { tune_in: Some((name, birth, vw.0, tune_in.0)), ..pass };
+            Answer::Plays { server, birth, vw, tune_in, rung, turn } => {
                 let server = setup::server_address(server);
-                self.manifest(title, &server.to_string(), &rates[..=rung.min(rates.len() - 1)], &pass, now)
-            }
-            Answer::Blocked { come_back } => {
-                let page = page(StatusCode::SERVICE_UNAVAILABLE, "blocked: nothing plays it now\n");
-                // Whole seconds (RFC 9110, 10.2.3); the span as it is beside them.
-                let span = come_back.unwrap_or_default();
-                let page = with(page, "retry-after", &span.as_secs_f64().ceil().to_string());
-                with(page, "ivy-come-back-ms", &span.as_millis().to_string())
+                let began = self.began(&pass, title, now);
+                let (manager, birth, vw, n) = (self.shell.0.name.clone(), birth.0, vw.0, tune_in.0);
+                let given = Given { manager, birth, vw, n, server, turn, began };
+                let pass = Pass { given: Some(given), ..pass };
+                self.manifest(title, server, &rates[..=rung.min(rates.len() - 1)], &pass, (began, now))
             }
+            Answer::Replayed => refused(Refusal::Replayed),
+            Answer::Revoked => refused(Refusal::Revoked),
+            Answer::Blocked { come_back } => blocked(come_back.unwrap_or_default()),
             Answer::Aborted { late: false } => {
                 page(StatusCode::BAD_GATEWAY, "aborted: it could not be set up\n")
             }
@@ -209,27 +284,31 @@
         }
     }
 
+    /// When a session's manifests say that it began: what its token says, or this moment.
+    fn began(&self, pass: &Pass, title: &setup::Title, now: Duration) -> Duration {
+        let mut began = self.began.borrow_mut();
+        let forgotten = title.length.max(self.life) * 2;
+        if began.len().is_multiple_of(256) {
+            began.retain(|_, (_, last)| now < *last + forgotten);
+        }
+        let first = pass.given.as_ref().map_or(Duration::from_secs(now.as_secs()), |given| given.began);
+        let entry = began.entry(pass.session).or_insert((first, now));
+        entry.1 = now;
+        entry.0
+    }
+
     fn manifest(
-        &self, title: &setup::Title, server: &str, rates: &[f64], pass: &Pass, now: Duration,
+        &self, title: &setup::Title, server: SocketAddr, rates: &[f64], pass: &Pass,
+        (began, now): (Duration, Duration),
     ) -> Page {
-        let token = match self.keys.mint(pass, now, self.life) {
+        let token = match self.keys.borrow().mint(pass, now, self.life) {
             Ok(token) => token,
             Err(error) => return page(StatusCode::INTERNAL_SERVER_ERROR, format!("no token: {error}\n")),
         };
-        let began = {
-            let mut began = self.began.borrow_mut();
-            let forgotten = title.length.max(self.life) * 2;
-            if began.len().is_multiple_of(256) {
-                began.retain(|_, (_, last)| now < *last + forgotten);
-            }
-            let entry = began.entry(pass.session).or_insert((now, now));
-            entry.1 = now;
-            entry.0
-        };
         let here = self.shell.0.address;
         let base = format!("http://{server}/v/{token}/");
         let again = format!("http://{here}/mpd/{}.mpd?token={token}", title.name);
-        let spans = (title.length, self.shell.0.segment, self.refresh);
+        let spans = (title.length, self.shell.0.segment, self.refresh.borrow_mut().span());
         let text = manifest(&title.name, &base, &again, rates, spans, (began, now));
         with(page(StatusCode::OK, text), "content-type", "application/dash+xml")
     }
--- a/crates/dash/src/manifest.rs
+++ b/crates/dash/src/manifest.rs
@@ -3,7 +3,9 @@
 //! a change of rung or a renewed token reaches them. Why this and not events or a static one: `docs/session-front.md`.
 
 use chrono::DateTime;
-use dash_mpd_core::{AdaptationSet, BaseURL, Location, MPD, Period, Representation, SegmentTemplate};
+use dash_mpd_core::{
+    AdaptationSet, BaseURL, Location, MPD, Period, Representation, SegmentTemplate, UTCTiming,
+};
 use std::time::Duration;
 
 const PROFILE: &str = "urn:mpeg:dash:profile:isoff-live:2011";
@@ -17,6 +19,12 @@
     (length, segment, refresh): (Duration, Duration, Duration), (began, now): (Duration, Duration),
 ) -> String {
     let date = |at: Duration| DateTime::from_timestamp(at.as_secs() as i64, 0);
+    // Guards against a player whose clock is wrong: it goes by ours (5.8.4.11).
+    let clock = UTCTiming {
+        schemeIdUri: "urn:mpeg:dash:utc:direct:2014".into(),
+        value: date(now).map(|now| now.format("%Y-%m-%dT%H:%M:%SZ").to_string()),
+        ..Default::default()
+    };
     let representation = |(rung, kb): (usize, &f64)| Representation {
         id: Some(format!("r{rung}")),
         bandwidth: Some((kb * 8000.0).ceil() as u64),
@@ -63,16 +71,18 @@
         locations: vec![Location { url: again.into() }],
         base_url: vec![BaseURL { base: base.into(), ..Default::default() }],
         periods: vec![period],
+        UTCTiming: vec![clock],
         ..Default::default()
     };
     format!("<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n{mpd}\n")
 }
 
-/// Where a manifest sends its player: the address of the segments, that of the next manifest, and the number of rungs.
+/// What a manifest tells its player: the address of the segments, that of the next manifest, the number of rungs, and
+/// after which span to ask again.
 ///
 /// # Errors
 /// It is no manifest, or one of these is missing.
-pub fn read(text: &str) -> Result<(String, String, usize), String> {
+pub fn read(text: &str) -> Result<(String, String, usize, Duration), String> {
     let mpd = dash_mpd_core::parse(text).map_err(|e| e.to_string())?;
     let base = mpd.base_url.first().ok_or("BaseURL is missing")?.base.clone();
     let again = mpd.locations.first().ok_or("Location is missing")?.url.clone();
@@ -81,5 +91,20 @@
     if rungs == 0 {
         return Err("no Representation".into());
     }
-    Ok((base, again, rungs))
+    let refresh = mpd.minimumUpdatePeriod.ok_or("minimumUpdatePeriod is missing")?;
+    Ok((base, again, rungs, refresh))
+}
+
+/// How far a player's clock lies behind the date that a manifest gives, in milliseconds; none where it gives none.
+pub fn behind(text: &str, own: Duration) -> Option<i64> {
+    let mpd = dash_mpd_core::parse(text).ok()?;
+    let value = mpd.UTCTiming.first()?.value.clone()?;
+    let date = DateTime::parse_from_rfc3339(&value).ok()?.timestamp_millis();
+    Some(date - i64::try_from(own.as_millis()).ok()?)
+}
+
+/// From which date a manifest's first segment may be asked for: all are offered from the presentation's begin on.
+pub fn available(text: &str) -> Option<Duration> {
+    let begin = dash_mpd_core::parse(text).ok()?.availabilityStartTime?.timestamp();
+    u64::try_from(begin).ok().map(Duration::from_secs)
 }
--- a/crates/dash/src/token.rs
+++ b/crates/dash/src/token.rs
@@ -7,6 +7,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// No token of ours is longer; longer ones are not looked at.
@@ -21,6 +22,10 @@
     NotYetValid,
     Expired,
     ForeignTitle,
+    /// Spent before, by a player that went on with the next.
+    Replayed,
+    /// Its session was revoked.
+    Revoked,
 }
 
 impl fmt::Display for Refusal {
@@ -32,6 +37,8 @@
             Refusal::NotYetValid => "not-yet-valid",
             Refusal::Expired => "expired",
             Refusal::ForeignTitle => "foreign-title",
+            Refusal::Replayed => "replayed",
+            Refusal::Revoked => "revoked",
         })
     }
 }
@@ -45,8 +52,30 @@
     pub package: String,
     pub top: usize,
     pub tenant: String,
-    /// The manager, its start, the viewing there and the tune-in that it was given for; none from the app.
-    pub tune_in: Option<(String, u64, u32, u16)>,
+    /// What it was given for; none from the app.
+    pub given: Option<Given>,
+}
+
+/// What a manager's token was given for: the manager and its start, the viewing there and the tune-in, the server that
+/// it plays at, the token's turn among the viewing's tokens, and the date at which its manifests say that it began, in
+/// whole seconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Given {
+    pub manager: String,
+    pub birth: u64,
+    pub vw: u32,
+    pub n: u16,
+    pub server: SocketAddr,
+    pub turn: u32,
+    pub began: Duration,
+}
+
+impl Given {
+    /// Whether both are for one tune-in, whatever their turns.
+    pub fn same_tune_in(&self, other: &Given) -> bool {
+        let of = |given: &Given| (given.birth, given.vw, given.n, given.server);
+        self.manager == other.manager && of(self) == of(other)
+    }
 }
 
 struct Key {
@@ -101,6 +130,16 @@
         self.keys.get(&self.signs).is_some_and(|key| key.signs.is_some())
     }
 
+    /// Another key signs from now on; false where that one is not there or can't sign.
+    pub fn sign_by(&mut self, id: &str) -> bool {
+        let before = std::mem::replace(&mut self.signs, id.into());
+        let can = self.can_sign();
+        if !can {
+            self.signs = before;
+        }
+        can
+    }
+
     /// A signed token, valid from `now` for `life`.
     ///
     /// # Errors
@@ -116,17 +155,19 @@
             "vw": format!("{:032x}", pass.session), "title": pass.title, "pkg": pass.package, "top": pass.top,
             "tenant": pass.tenant, "nbf": now.as_secs(), "exp": ends,
         });
-        if let Some((manager, birth, vw, n)) = &pass.tune_in {
-            claims["tin"] = json!([manager, birth, vw, n]);
+        if let Some(Given { manager, birth, vw, n, server, turn, began }) = &pass.given {
+            claims["tin"] = json!([manager, birth, vw, n, server.to_string(), turn, began.as_secs()]);
         }
         encode(&header, &claims, signs).map_err(|e| e.to_string())
     }
 
-    /// What a token entitles to, and when it ends. `skew`: how far clocks may be apart.
+    /// What a token entitles to, and from when to when. `skew`: how far clocks may be apart.
     ///
     /// # Errors
     /// Why it is not taken. Dates are looked at only of what is signed.
-    pub fn check(&self, token: &str, now: Duration, skew: Duration) -> Result<(Pass, Duration), Refusal> {
+    pub fn check(
+        &self, token: &str, now: Duration, skew: Duration,
+    ) -> Result<(Pass, (Duration, Duration)), Refusal> {
         if token.len() > LONGEST {
             return Err(Refusal::Malformed);
         }
@@ -151,21 +192,24 @@
             return Err(Refusal::Expired);
         }
         let pass = pass(&claims).ok_or(Refusal::Malformed)?;
-        Ok((pass, until))
+        Ok((pass, (from, until)))
     }
 }
 
 fn pass(claims: &Value) -> Option<Pass> {
     let text = |name: &str| claims[name].as_str().map(String::from);
     let session = text("vw").filter(|vw| vw.len() == 32)?;
-    let tune_in = match &claims["tin"] {
+    let given = match &claims["tin"] {
         Value::Null => None,
-        tin => Some((
-            tin[0].as_str()?.to_string(),
-            tin[1].as_u64()?,
-            u32::try_from(tin[2].as_u64()?).ok()?,
-            u16::try_from(tin[3].as_u64()?).ok()?,
-        )),
+        tin => Some(Given {
+            manager: tin[0].as_str()?.to_string(),
+            birth: tin[1].as_u64()?,
+            vw: u32::try_from(tin[2].as_u64()?).ok()?,
+            n: u16::try_from(tin[3].as_u64()?).ok()?,
+            server: tin[4].as_str()?.parse().ok()?,
+            turn: u32::try_from(tin[5].as_u64()?).ok()?,
+            began: Duration::from_secs(tin[6].as_u64()?),
+        }),
     };
     Some(Pass {
         session: u128::from_str_radix(&session, 16).ok()?,
@@ -173,6 +217,6 @@
         package: text("pkg")?,
         top: usize::try_from(claims["top"].as_u64()?).ok()?,
         tenant: text("tenant")?,
-        tune_in,
+        given,
     })
 }
--- /dev/null
+++ b/crates/edge/src/calendar.rs
@@ -0,0 +1,82 @@
+//! What date it is, by our own clock and those of the servers. A clock that jumps is found out by the others: no date is
+//! believed that lies further from theirs than the settings allow.
+
+use crate::{KEPT, middle};
+use ivyward::front::ServerId;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Servers' dates come in whole seconds (RFC 9110, 5.6.7).
+const GRAIN: i64 = 1000;
+/// Fewer servers than this outvote nobody.
+const QUORUM: usize = 3;
+
+/// When a clock would have shown the epoch, in milliseconds from our start: the same for all clocks that go right.
+type Epoch = i64;
+
+fn epoch(now: Duration, date: Duration) -> Epoch {
+    let ms = |span: Duration| i64::try_from(span.as_millis()).unwrap_or(i64::MAX / 4);
+    ms(now) - ms(date)
+}
+
+/// The clocks heard of.
+pub struct Calendar {
+    skew: i64,
+    heard: BTreeMap<ServerId, (Duration, Epoch)>,
+}
+
+impl Calendar {
+    /// `skew`: how far clocks may be apart.
+    pub fn new(skew: Duration) -> Self {
+        Calendar { skew: i64::try_from(skew.as_millis()).unwrap_or(i64::MAX / 4), heard: BTreeMap::new() }
+    }
+
+    /// A server answered with its date.
+    pub fn heard(&mut self, now: Duration, server: ServerId, date: Duration) {
+        self.heard.insert(server, (now, epoch(now, date)));
+    }
+
+    pub fn forget(&mut self, server: ServerId) {
+        self.heard.remove(&server);
+    }
+
+    /// When a server's date was last heard.
+    pub fn last(&self, server: ServerId) -> Option<Duration> {
+        self.heard.get(&server).map(|(at, _)| *at)
+    }
+
+    /// What most servers say. Their whole seconds lag by half of one on average.
+    fn most(&self) -> Option<Epoch> {
+        let epochs = self.heard.values().map(|(_, epoch)| *epoch - GRAIN / 2);
+        middle(epochs).filter(|_| self.heard.len() >= QUORUM)
+    }
+
+    /// The date to go by, where our own clock says `own`; and whether that clock is believed.
+    pub fn date(&self, now: Duration, own: Duration) -> (Duration, bool) {
+        match self.most() {
+            Some(most) if (epoch(now, own) - most).abs() > self.skew + GRAIN => {
+                let ms = i64::try_from(now.as_millis()).unwrap_or_default() - most;
+                (Duration::from_millis(u64::try_from(ms).unwrap_or_default()), false)
+            }
+            _ => (own, true),
+        }
+    }
+
+    /// Whether a server's clock lies too far from the others' for its players' tokens to be taken there.
+    pub fn astray(&self, server: ServerId) -> bool {
+        let Some((most, (_, epoch))) = self.most().zip(self.heard.get(&server)) else { return false };
+        (epoch - GRAIN / 2 - most).abs() > self.skew + GRAIN
+    }
+
+    /// Servers whose dates were not heard for longer than `span`, the longest first, a few at a time.
+    pub fn silent(&self, now: Duration, span: Duration) -> Vec<ServerId> {
+        let mut old: Vec<_> = self
+            .heard
+            .iter()
+            .filter(|(_, (at, _))| *at + span < now)
+            .map(|(id, (at, _))| (*at, *id))
+            .collect();
+        old.sort_unstable();
+        old.into_iter().take(KEPT).map(|(_, id)| id).collect()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/refresh.rs
@@ -0,0 +1,39 @@
+//! When players ask for their manifests again.
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use std::time::Duration;
+
+/// The part of the usual span that chance may take off.
+const SPREAD: f64 = 0.25;
+
+/// Spans between manifests, drawn by chance so that players who came together don't ask together for ever.
+pub struct Refresh {
+    usual: Duration,
+    chance: Pcg64Mcg,
+}
+
+impl Refresh {
+    /// How long a token must still live when its player asks again: a segment that is under way, and a viewing that has
+    /// to be set up anew within its patience.
+    pub fn margin(segment: Duration, patience: Duration) -> Duration {
+        segment + patience
+    }
+
+    /// `usual`: the span of the settings; `life`: that of tokens; `margin`: see there, for the longest patience.
+    pub fn new(seed: u64, usual: Duration, life: Duration, margin: Duration) -> Self {
+        let usual = usual.min(life.saturating_sub(margin)).max(Duration::from_millis(1));
+        Refresh { usual, chance: Pcg64Mcg::seed_from_u64(seed) }
+    }
+
+    pub fn span(&mut self) -> Duration {
+        self.usual.mul_f64(1.0 - SPREAD * self.chance.random::<f64>())
+    }
+
+    /// After so many segments at most a change of rung is in a manifest that its player has: the one under way when it
+    /// changed, those of the longest span, and one while the manifest is fetched.
+    pub fn segments(usual: Duration, segment: Duration) -> u32 {
+        2 + (usual.as_secs_f64() / segment.as_secs_f64().max(1e-3)).ceil() as u32
+    }
+}
--- /dev/null
+++ b/crates/edge/src/tests.rs
@@ -0,0 +1,292 @@
+use crate::{Calendar, Doors, Errand, Gate, Line, Refresh, Shown, Ticket, Turn};
+use ivyward::front::ServerId;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn server(i: u8) -> ServerId {
+    ServerId([127, 0, 0, i, 0, 80])
+}
+
+#[test]
+fn a_door_has_so_many_places_and_each_errand_its_own() {
+    let mut doors = Doors::new(8);
+    for (errand, places) in [(Errand::SetUp, 6), (Errand::Care, 2)] {
+        for _ in 0..places {
+            assert_eq!(doors.ask(ms(0), server(1), errand, ms(500)).1, Turn::Now, "{errand:?}");
+        }
+        assert_eq!(doors.ask(ms(0), server(1), errand, ms(500)).1, Turn::Waits, "{errand:?}");
+        assert_eq!(doors.ask(ms(0), server(2), errand, ms(500)).1, Turn::Now, "another server's door");
+    }
+    assert_eq!(doors.count(), (10, 2));
+}
+
+#[test]
+fn who_would_come_too_late_is_told_so_at_once() {
+    // How long the last few held their place, how many wait before, how long the next can wait, and its turn.
+    let cases = [
+        (100, 0, 101, Turn::Waits),
+        (100, 0, 100, Turn::Never),
+        (100, 2, 250, Turn::Never),
+        (100, 2, 301, Turn::Waits),
+        (0, 3, 1, Turn::Waits),
+        (0, 4, 1000, Turn::Never),
+    ];
+    for (took, before, patience, turn) in cases {
+        let mut doors = Doors::new(2);
+        assert_eq!(doors.ask(ms(0), server(1), Errand::SetUp, ms(9000)).1, Turn::Now);
+        for _ in 0..5 {
+            assert_eq!(doors.done(ms(0), server(1), Errand::SetUp, ms(took)), None);
+            assert_eq!(doors.ask(ms(0), server(1), Errand::SetUp, ms(9000)).1, Turn::Now);
+        }
+        for _ in 0..before {
+            assert_eq!(doors.ask(ms(0), server(1), Errand::SetUp, ms(9000)).1, Turn::Waits);
+        }
+        let (_, came) = doors.ask(ms(0), server(1), Errand::SetUp, ms(patience));
+        assert_eq!(came, turn, "{before} before, each {took} ms, patience {patience} ms");
+    }
+}
+
+#[test]
+fn a_place_passes_in_order_to_those_that_still_wait() {
+    let mut doors = Doors::new(2);
+    let ask = |doors: &mut Doors, until| doors.ask(ms(0), server(1), Errand::SetUp, ms(until)).0;
+    let (_, second, third, fourth) =
+        (ask(&mut doors, 9000), ask(&mut doors, 50), ask(&mut doors, 9000), ask(&mut doors, 9000));
+    doors.quit(server(1), Errand::SetUp, third);
+    // The second's time is over by now, the third gave up.
+    assert_ne!(second, fourth);
+    assert_eq!(doors.done(ms(100), server(1), Errand::SetUp, ms(100)), Some(fourth));
+    assert_eq!(doors.done(ms(200), server(1), Errand::SetUp, ms(100)), None);
+    doors.forget(server(1));
+    assert_eq!(doors.count(), (0, 0));
+}
+
+proptest! {
+    /// Whatever comes in whatever order, no more hold a place than there are, and each that waits is named once or quits.
+    #[test]
+    fn doors_lose_no_place(steps in prop::collection::vec((0_u8..4, 0_u64..400), 0..300)) {
+        let (mut doors, mut now) = (Doors::new(4), ms(0));
+        let (mut held, mut waiting) = (0_usize, BTreeSet::<Ticket>::new());
+        for (what, span) in steps {
+            now += ms(span / 8);
+            match what {
+                0 | 1 => match doors.ask(now, server(1), Errand::SetUp, now + ms(span)) {
+                    (_, Turn::Now) => held += 1,
+                    (ticket, Turn::Waits) => { waiting.insert(ticket); }
+                    (_, Turn::Never) => {}
+                },
+                2 if held > 0 => match doors.done(now, server(1), Errand::SetUp, ms(span)) {
+                    Some(ticket) => prop_assert!(waiting.remove(&ticket)),
+                    None => held -= 1,
+                },
+                _ => if let Some(ticket) = waiting.pop_first() {
+                    doors.quit(server(1), Errand::SetUp, ticket);
+                },
+            }
+            prop_assert!(held <= 3);
+            prop_assert_eq!(doors.count().0, held);
+            prop_assert!(doors.count().1 <= waiting.len());
+        }
+    }
+}
+
+#[test]
+fn a_viewing_is_taken_only_where_it_can_be_answered_in_time() {
+    // How long a turn at the core takes, what answers take, the patience, and whether it is taken.
+    let cases = [
+        (0, 0, 1, true),
+        (10, 4000, 1000, true),
+        (200, 100, 1000, true),
+        (200, 400, 1000, false),
+        (400, 0, 1000, false),
+    ];
+    for (turn, answer, patience, taken) in cases {
+        let mut gate = Gate::new(ms(1000));
+        gate.turn(ms(5000), ms(turn));
+        (0..20).for_each(|_| gate.answered(ms(answer)));
+        let came = gate.takes(ms(5000), ms(patience));
+        assert_eq!(came.is_ok(), taken, "turn {turn} ms, answers {answer} ms, patience {patience} ms");
+        assert!(
+            came.is_ok_and(|()| true) || gate.takes(ms(6001), ms(patience)).is_ok(),
+            "the flood has gone"
+        );
+    }
+}
+
+#[test]
+fn connections_wait_while_the_core_is_behind() {
+    for (turn, open, opens) in [(0, 9, true), (0, 10, false), (124, 9, true), (125, 9, false)] {
+        let mut gate = Gate::new(ms(1000));
+        gate.turn(ms(100), ms(turn));
+        gate.turn(ms(100), ms(0));
+        assert_eq!(gate.opens(ms(200), open, 10), opens, "turn {turn} ms, {open} open");
+    }
+}
+
+fn app(issued: u64) -> Shown {
+    Shown::App { issued: Duration::from_secs(issued) }
+}
+
+fn given(turn: u32) -> Shown {
+    Shown::Manager { birth: 1, server: server(1), turn }
+}
+
+#[test]
+fn tokens_are_spent_by_those_that_follow() {
+    // What begins it, what is shown then and whether that is taken; each that is taken is given the next turn.
+    type Case<'a> = (Shown, &'a [(Shown, bool)]);
+    let cases: [Case; 6] = [
+        // A player that goes on; one whose answer was lost shows the same again.
+        (
+            app(5),
+            &[(given(1), true), (given(2), true), (given(2), true), (given(3), true), (given(2), false)],
+        ),
+        // The app's resend, until the player has gone on.
+        (app(5), &[(app(5), true), (app(5), true), (given(2), true), (app(5), false), (given(1), false)]),
+        // A newer one of the app ends all before it; an older one is none.
+        (app(5), &[(given(1), true), (app(6), true), (given(2), false), (app(5), false), (given(3), true)]),
+        // Of two branches the first to go on stays.
+        (
+            app(5),
+            &[(given(1), true), (given(1), true), (given(3), true), (given(2), false), (given(4), true)],
+        ),
+        // Turns that were never given out.
+        (app(5), &[(given(9), false), (given(0), false), (given(1), true)]),
+        // A viewing that began with a manager's token of another tune-in.
+        (
+            given(7),
+            &[(given(7), true), (given(8), true), (given(6), false), (app(1), true), (given(8), false)],
+        ),
+    ];
+    for (begins, shown) in cases {
+        let mut line = Line::new(begins);
+        line.turn();
+        for (i, (shown, taken)) in shown.iter().enumerate() {
+            assert_eq!(line.shows(*shown), *taken, "{begins:?}, step {i}: {shown:?}");
+            if *taken {
+                line.turn();
+            }
+        }
+    }
+    let mut line = Line::unknown();
+    assert!(line.shows(given(40)) && line.turn() == 41 && line.shows(given(41)) && !line.shows(given(40)));
+}
+
+proptest! {
+    /// Two players with copies of one token: once one has gone on from its next, the other's tokens are dead for good.
+    #[test]
+    fn of_two_players_with_one_token_one_goes_on(turns in prop::collection::vec(any::<bool>(), 2..60)) {
+        let mut line = Line::new(app(5));
+        let first = line.turn();
+        let mut tokens = [first, first];
+        let mut taken = [0, 0];
+        let mut dead = [false, false];
+        for who in turns.into_iter().map(usize::from) {
+            if line.shows(given(tokens[who])) {
+                prop_assert!(!dead[who], "a dead copy came alive");
+                tokens[who] = line.turn();
+                taken[who] += 1;
+            } else {
+                dead[who] = true;
+            }
+        }
+        prop_assert!(!(dead[0] && dead[1]), "both were turned away");
+        prop_assert!(taken[0] < 2 || taken[1] < 2 || dead[0] || dead[1]);
+    }
+}
+
+#[test]
+fn a_clock_that_jumps_is_found_out_by_the_others() {
+    let right = |now: u64| Duration::from_secs(1_000_000) + ms(now);
+    let hour = Duration::from_secs(3600);
+    // Servers heard, of which one is an hour off; whether our own clock is; whether that is believed.
+    let cases = [
+        (5, None, 0, true),
+        (5, Some(true), 0, true),
+        (5, Some(false), 0, true),
+        (5, Some(true), 1, false),
+        (5, None, -1, false),
+        (3, Some(true), 1, false),
+        (2, None, 1, true),
+    ];
+    for (servers, off, own, believed) in cases {
+        let mut calendar = Calendar::new(ms(1000));
+        for i in 0..servers {
+            let now = 700 * u64::from(i);
+            // Whole seconds, as they come.
+            let date = Duration::from_secs(right(now).as_secs());
+            let date = match off.filter(|_| i == 1) {
+                None => date,
+                Some(true) => date + hour,
+                Some(false) => date - hour,
+            };
+            calendar.heard(ms(now), server(i), date);
+        }
+        let now = 60_000;
+        let ours = if own > 0 {
+            right(now) + hour
+        } else if own < 0 {
+            right(now) - hour
+        } else {
+            right(now)
+        };
+        let (date, held) = calendar.date(ms(now), ours);
+        assert_eq!(held, believed, "{servers} servers, {off:?}, own {own}");
+        if servers >= 3 {
+            assert!(date.abs_diff(right(now)) < ms(1000), "{date:?}");
+        }
+        for i in 0..servers {
+            assert_eq!(calendar.astray(server(i)), off.is_some() && i == 1, "server {i} of {servers}");
+        }
+    }
+}
+
+#[test]
+fn servers_not_heard_of_for_long_are_named_oldest_first() {
+    let mut calendar = Calendar::new(ms(1000));
+    for (i, at) in [(1, 4000), (2, 1000), (3, 9000)] {
+        calendar.heard(ms(at), server(i), Duration::from_secs(1_000_000));
+    }
+    assert_eq!(calendar.silent(ms(10_000), ms(5000)), [server(2), server(1)]);
+    calendar.forget(server(2));
+    assert_eq!((calendar.silent(ms(10_000), ms(5000)), calendar.last(server(2))), (vec![server(1)], None));
+}
+
+#[test]
+fn players_that_came_together_dont_ask_together_for_long() {
+    let (usual, step) = (ms(2000), ms(100));
+    let mut refresh = Refresh::new(7, usual, Duration::from_secs(600), ms(7000));
+    let mut asks = vec![0_usize; 400];
+    for _ in 0..1000 {
+        let mut at = Duration::ZERO;
+        while at < step * 400 {
+            asks[(at.as_millis() / step.as_millis()) as usize] += 1;
+            let span = refresh.span();
+            assert!(usual.mul_f64(0.75) <= span && span <= usual, "{span:?}");
+            at += span;
+        }
+    }
+    let highest = |of: &[usize]| of.iter().max().copied().unwrap_or_default() as f64;
+    let mean = asks.iter().sum::<usize>() as f64 / asks.len() as f64;
+    assert!(asks[0] == 1000, "all at once at first");
+    let later = highest(&asks[300..]) / mean;
+    assert!(later < 1.5, "thirty seconds later the fullest moment has {later:.2} times the mean");
+}
+
+#[test]
+fn tokens_are_renewed_in_time() {
+    // Usual span, life, and the longest that a player may wait.
+    for (usual, life, longest) in
+        [(2000, 600_000, 2000), (2000, 8000, 1000), (9000, 10_000, 3000), (2000, 1000, 1)]
+    {
+        let mut refresh = Refresh::new(1, ms(usual), ms(life), Refresh::margin(ms(2000), ms(5000)));
+        let most = (0..500).map(|_| refresh.span()).max().unwrap_or_default();
+        assert!(most <= ms(longest) && most >= ms(longest).mul_f64(0.98), "{most:?} of {longest} ms");
+    }
+    assert_eq!([(2, 2), (2, 1), (4, 2)].map(|(r, s)| Refresh::segments(ms(r), ms(s))), [3, 4, 4]);
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -315,14 +315,28 @@
         Fetch::Given(span.mul_f64(0.25 / share.max(0.05)))
     }
 
+    /// How long ago a player last fetched of a stream that plays.
+    pub fn quiet(&self, now: Duration, at: ServerNo, key: Key) -> Option<Duration> {
+        let stream = self.servers[at.0].streams.get(&key)?;
+        Some((now + stream.lease).saturating_sub(stream.until))
+    }
+
     /// The rung in force.
     pub fn rung_of(&self, at: ServerNo, key: Key) -> Option<usize> {
         self.servers[at.0].streams.get(&key).map(|stream| stream.rung)
     }
 
-    /// What a manager has there.
+    /// A manager's start makes itself known: what an earlier one sent and that has not run yet never will. False where a
+    /// later start is known.
+    pub fn begins(&mut self, at: ServerNo, manager: ManagerNo, birth: u64) -> bool {
+        let last = self.servers[at.0].births.entry(manager).or_insert(birth);
+        *last = birth.max(*last);
+        birth == *last
+    }
+
+    /// What a manager has there, from that start and from those before it.
     pub fn playing(&self, at: ServerNo, manager: ManagerNo, birth: u64) -> Vec<Key> {
-        let ours = |key: &&Key| key.manager == manager && key.birth == birth;
+        let ours = |key: &&Key| key.manager == manager && key.birth <= birth;
         self.servers[at.0].streams.keys().filter(ours).copied().collect()
     }
 
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -119,6 +119,16 @@
         self.viewings.entry(vw).and_modify(|v| v.answered = true);
     }
 
+    fn playing(
+        &mut self, now: Duration, vw: ViewingId, _: ServerId, package: PackageId, _: TitleId,
+        (rung, _): (usize, usize),
+    ) {
+        self.now = now;
+        let (package, cells) = (package.0, Cells { first: 0, spread: 0 });
+        let (ends, tune_ins, idle, answered) = (now, 1, false, true);
+        self.viewings.insert(vw, Viewing { package, cells, rung, ends, tune_ins, idle, answered });
+    }
+
     fn ended(
         &mut self, act: &mut dyn Actions, now: Duration, vw: ViewingId, _: u16, _: ServerId, ending: Ending,
         terminal: bool, _: Load,
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use ivyward_daemon::{date, setup};
 use ivyward_dash::manifest;
-use ivyward_dash::token::{Keys, Pass};
+use ivyward_dash::token::{Given, Keys, Pass};
 use ivyward_settings::Part;
 use ivyward_standin::Standins;
 use std::cell::{Cell, RefCell};
@@ -172,7 +172,7 @@
             session += 1;
             let (title, package) = (title.clone(), package.clone());
             let about = format!("http://{address}/mpd/{title}.mpd?token=");
-            let pass = Pass { session, title, package, top: 3, tenant: "lab".into(), tune_in: None };
+            let pass = Pass { session, title, package, top: 3, tenant: "lab".into(), given: None };
             Ok(about + &keys.mint(&pass, date(), Duration::from_secs(600))?)
         };
         (0..count).map(one).collect()
@@ -215,7 +215,15 @@
         package: "p".into(),
         top: 3,
         tenant: "lab".into(),
-        tune_in: Some(("m1".into(), 1, 1, 0)),
+        given: Some(Given {
+            manager: "m1".into(),
+            birth: 1,
+            vw: 1,
+            n: 0,
+            server: ([127, 0, 0, 1], 80).into(),
+            turn: 1,
+            began: Duration::ZERO,
+        }),
     };
     let token = keys.mint(&pass, date(), Duration::from_secs(600)).unwrap_or_default();
     let time = |name: &str, part: &mut dyn FnMut()| {
--- a/crates/session/src/book.rs
+++ b/crates/session/src/book.rs
@@ -1,7 +1,8 @@
 //! What is held of viewings, and what the module's actions change in it.
 
-use crate::{Answer, Effects, Fence, RequestId, SessionId, Timer, TuneIn};
+use crate::{Answer, Birth, Effects, Fence, RequestId, SessionId, Timer, TuneIn};
 use ivyward::front::{Actions, Ending, PackageId, ServerId, TitleId, ViewingId};
+use ivyward_edge::Line;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -11,21 +12,17 @@
     /// Nothing is out; the module may be waiting for probes.
     Deciding,
     /// A tune-in is out. `written`: its first byte has gone or may have.
-    Out {
-        server: ServerId,
-        tune_in: TuneIn,
-        written: bool,
-    },
-    Plays {
-        server: ServerId,
-        tune_in: TuneIn,
-    },
+    Out { server: ServerId, tune_in: TuneIn, written: bool },
+    /// `birth`: of the manager's start that set it up.
+    Plays { server: ServerId, birth: Birth, tune_in: TuneIn },
 }
 
 pub(crate) struct Viewing {
     pub session: SessionId,
     pub package: usize,
     pub title: TitleId,
+    /// The highest rung that its player can use.
+    pub top: usize,
     pub once: bool,
     /// Those that wait for the answer.
     pub requests: Vec<RequestId>,
@@ -37,6 +34,8 @@
     pub seen: Duration,
     /// A tune-in may have run, for a paid viewing the end of all others.
     pub ran: bool,
+    /// Its tokens.
+    pub line: Line,
     /// Until then the same session may come again, by its tokens or by what is remembered of paid ones.
     pub valid: Duration,
 }
@@ -87,6 +86,15 @@
     pub ration: Option<Ration>,
     pub fence: Fence,
     pub last: u32,
+    pub birth: Birth,
+}
+
+/// An answer for one request: each manifest carries a token of its own turn.
+pub(crate) fn with_turn(mut answer: Answer, line: &mut Line) -> Answer {
+    if let Answer::Plays { turn, .. } = &mut answer {
+        *turn = line.turn();
+    }
+    answer
 }
 
 impl Book {
@@ -104,7 +112,9 @@
     pub fn answer(&mut self, out: &mut dyn Effects, vw: ViewingId, answer: Answer) {
         let Some(viewing) = self.viewings.get_mut(&vw).filter(|viewing| !viewing.answered) else { return };
         viewing.answered = true;
-        std::mem::take(&mut viewing.requests).into_iter().for_each(|request| out.answer(request, answer));
+        for request in std::mem::take(&mut viewing.requests) {
+            out.answer(request, with_turn(answer, &mut viewing.line));
+        }
         if !matches!(answer, Answer::Plays { .. }) && viewing.step == Step::Deciding {
             self.forget(vw);
         }
@@ -153,7 +163,7 @@
         viewing.step = Step::Out { server, tune_in, written: false };
         self.book.fence.holds(viewing.package, viewing.title, true);
         let about = (PackageId(viewing.package), viewing.title);
-        self.out.set_up(viewing.session, vw, tune_in, server, viewing.rung, about);
+        self.out.set_up((viewing.session, viewing.top), vw, tune_in, server, viewing.rung, about, limit);
         self.out.wake(limit, Timer::Limit(vw, tune_in));
     }
 
@@ -171,7 +181,7 @@
         let Some((server, written)) = self.book.take_out(vw, tune_in) else { return };
         self.out.drop_set_up(vw, tune_in);
         if written {
-            self.out.release(server, vw, tune_in);
+            self.out.release(server, self.book.birth, vw, tune_in);
         }
         self.book.ended.push_back(Ended { vw, tune_in, server, ending: Ending::CalledOff });
     }
@@ -179,8 +189,8 @@
     fn set_rung(&mut self, vw: ViewingId, rung: usize) {
         let Some(viewing) = self.book.viewings.get_mut(&vw) else { return };
         viewing.rung = rung;
-        if let Step::Plays { server, tune_in } = viewing.step {
-            self.out.rung(server, vw, tune_in, rung);
+        if let Step::Plays { server, birth, tune_in } = viewing.step {
+            self.out.rung(server, birth, vw, tune_in, rung);
         }
     }
 
--- a/crates/session/src/decides.rs
+++ b/crates/session/src/decides.rs
@@ -14,6 +14,10 @@
         cells: Cells, top: usize, ends: Duration,
     );
     fn plays(&mut self, now: Duration, vw: ViewingId, server: ServerId);
+    fn playing(
+        &mut self, now: Duration, vw: ViewingId, server: ServerId, package: PackageId, title: TitleId,
+        rungs: (usize, usize),
+    );
     fn ended(
         &mut self, act: &mut dyn Actions, now: Duration, vw: ViewingId, n: u16, server: ServerId,
         ending: Ending, terminal: bool, load: Load,
@@ -41,6 +45,12 @@
     fn plays(&mut self, now: Duration, vw: ViewingId, server: ServerId) {
         self.plays(now, vw, server);
     }
+    fn playing(
+        &mut self, now: Duration, vw: ViewingId, server: ServerId, package: PackageId, title: TitleId,
+        rungs: (usize, usize),
+    ) {
+        self.playing(now, vw, server, package, title, rungs);
+    }
     fn ended(
         &mut self, act: &mut dyn Actions, now: Duration, vw: ViewingId, n: u16, server: ServerId,
         ending: Ending, terminal: bool, load: Load,
--- a/crates/session/src/front.rs
+++ b/crates/session/src/front.rs
@@ -1,11 +1,32 @@
 //! What may happen to a manager, and what is told of it to the module.
 
-use crate::book::{Book, Ended, Hand, Ration, Step, Viewing};
-use crate::{Answer, Breach, Decides, Effects, Fence, Happened, Over, RequestId, SessionId, Timer, TuneIn};
+use crate::book::{Book, Ended, Hand, Ration, Step, Viewing, with_turn};
+use crate::{
+    Answer, Birth, Breach, Decides, Effects, Fence, Happened, Over, RequestId, SessionId, Timer, TuneIn,
+};
 use ivyward::front::{Cells, Ending, Extent, Listed, Load, News, PackageId, ServerId, TitleId, ViewingId};
+use ivyward_edge::{Line, Shown};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// The part of its patience that a request may wait for word of what an earlier start of ours left playing.
+const WORD: f64 = 0.25;
+
+/// What a request is about: package, title, where that lies, and the highest rung that its player can use.
+type About = (PackageId, TitleId, Cells, usize);
+
+/// One that waits for a server's word: its session, what it is about, the token that it showed, until when that is
+/// valid, and since when it waits.
+struct Word {
+    request: RequestId,
+    server: ServerId,
+    session: SessionId,
+    about: About,
+    shown: Shown,
+    valid: Duration,
+    since: Duration,
+}
+
 /// A session manager without its sockets.
 pub struct Front {
     module: Box<dyn Decides>,
@@ -16,19 +37,25 @@
     slack: Duration,
     /// A paid session that may have run is remembered for so long, whatever tokens it comes with.
     paid: Duration,
-    /// A player that asks for no manifest for so long has left.
+    /// A player that asks for no manifest and fetches nothing for so long has left.
     idle: Duration,
     stopping: bool,
+    /// Servers that have told what they play of earlier starts of ours, or have nothing.
+    heard: BTreeSet<ServerId>,
+    words: Vec<Word>,
+    /// What servers held for nobody, and what was taken over from earlier starts.
+    counts: (u64, u64),
 }
 
 impl Front {
     /// `terms`: by package, the viewer's patience and whether it is paid at set-up; `slack`: how long after the patience
-    /// an answer is still in time; `idle`: a player that asks for no manifest for so long has left; `paid`: how long a
+    /// an answer is still in time; `idle`: a player that neither asks nor fetches for so long has left; `paid`: how long a
     /// paid session that may have run is remembered at least; `ration`: span, free and share of further
-    /// tune-ins.
+    /// tune-ins; `birth`: this start, above all before.
     pub fn new(
         module: Box<dyn Decides>, fence: Fence, terms: Vec<(Duration, bool)>,
         (slack, idle, paid): (Duration, Duration, Duration), ration: Option<(Duration, f64, f64)>,
+        birth: Birth,
     ) -> Self {
         let book = Book {
             viewings: BTreeMap::new(),
@@ -37,9 +64,12 @@
             ended: Default::default(),
             ration: ration.map(Ration::new),
             fence,
-            last: 0,
+            // Ids of different starts lie apart, so that what an earlier one left keeps its own.
+            last: (birth.0 as u32).wrapping_mul(0x9E37_79B9),
+            birth,
         };
-        Front { module, book, terms, slack, paid, idle, stopping: false }
+        let (heard, words) = (BTreeSet::new(), vec![]);
+        Front { module, book, terms, slack, paid, idle, stopping: false, heard, words, counts: (0, 0) }
     }
 
     pub fn start(&mut self, out: &mut dyn Effects, now: Duration) {
@@ -55,19 +85,40 @@
         self.module.listed(now, list, extent);
     }
 
-    /// A viewer asks for a manifest. `begun`: its token names a tune-in, so that it was set up before; `valid`: when
-    /// its token ends.
+    /// A viewer asks for a manifest. `shown`: what its token is; `valid`: when that ends.
     pub fn asked(
         &mut self, out: &mut dyn Effects, now: Duration, request: RequestId, session: SessionId,
-        (package, title, cells, top): (PackageId, TitleId, Cells, usize), begun: bool, valid: Duration,
+        about: About, shown: Shown, valid: Duration,
+    ) {
+        let Some(&(patience, _)) = self.terms.get(about.0.0) else {
+            return out.answer(request, Answer::Conflict);
+        };
+        if let Shown::Manager { birth, server, .. } = shown
+            && birth < self.book.birth.0
+            && !self.stopping
+            && !self.heard.contains(&server)
+            && !self.book.sessions.contains_key(&session)
+        {
+            // Guards against a second set-up of what plays on from before our start.
+            out.wake(patience.mul_f64(WORD), Timer::Word(request));
+            return self.words.push(Word { request, server, session, about, shown, valid, since: now });
+        }
+        self.taken(out, now, request, session, about, shown, valid, now);
+    }
+
+    /// The same once nothing has to be waited for. `since`: when it was asked.
+    fn taken(
+        &mut self, out: &mut dyn Effects, now: Duration, request: RequestId, session: SessionId,
+        (package, title, cells, top): About, shown: Shown, valid: Duration, since: Duration,
     ) {
         let Some(&(patience, once)) = self.terms.get(package.0) else {
             return out.answer(request, Answer::Conflict);
         };
         if let Some(&vw) = self.book.sessions.get(&session) {
-            return self.asked_again(out, now, request, vw, title, valid);
+            return self.asked_again(out, now, request, vw, title, shown, valid);
         }
         self.book.spent.retain(|_, until| *until > now);
+        let begun = matches!(shown, Shown::Manager { .. });
         // Guards against a paid viewing set up again by a resend after its end, or after this manager's restart.
         if once && (begun || self.book.spent.contains_key(&session)) {
             return out.answer(request, Answer::Aborted { late: false });
@@ -80,6 +131,7 @@
             session,
             package: package.0,
             title,
+            top,
             once,
             requests: vec![request],
             answered: false,
@@ -88,31 +140,40 @@
             tune_ins: 0,
             seen: now,
             ran: false,
+            line: Line::new(shown),
             valid: valid.max(now + self.paid),
         };
         self.book.viewings.insert(vw, viewing);
         self.book.sessions.insert(session, vw);
         self.book.fence.taken(now);
         self.book.ration.iter_mut().for_each(|ration| ration.taken(now));
-        out.wake(patience + self.slack, Timer::Answer(vw));
+        let ends = since + patience;
+        out.wake((ends + self.slack).saturating_sub(now), Timer::Answer(vw));
         let hand = &mut Hand { book: &mut self.book, out };
-        self.module.asked(hand, now, vw, package, title, cells, top, now + patience);
+        self.module.asked(hand, now, vw, package, title, cells, top, ends);
         self.settle(out, now);
     }
 
     /// A refresh, a resend, or two requests that cross: one viewing, never a second set-up.
     fn asked_again(
         &mut self, out: &mut dyn Effects, now: Duration, request: RequestId, vw: ViewingId, title: TitleId,
-        valid: Duration,
+        shown: Shown, valid: Duration,
     ) {
         let Some(viewing) = self.book.viewings.get_mut(&vw) else { return };
+        if viewing.title != title {
+            return out.answer(request, Answer::Conflict);
+        }
+        // Guards against two players with copies of one token.
+        if !viewing.line.shows(shown) {
+            return out.answer(request, Answer::Replayed);
+        }
         viewing.seen = now;
         viewing.valid = viewing.valid.max(valid).max(now + self.paid);
         let (rung, answered) = (viewing.rung, viewing.answered);
         match viewing.step {
-            _ if viewing.title != title => out.answer(request, Answer::Conflict),
-            Step::Plays { server, tune_in } => {
-                out.answer(request, Answer::Plays { server, vw, tune_in, rung })
+            Step::Plays { server, birth, tune_in } => {
+                let answer = Answer::Plays { server, birth, vw, tune_in, rung, turn: 0 };
+                out.answer(request, with_turn(answer, &mut viewing.line));
             }
             // Guards against a second tune-in beside one that was given up but can't be called off.
             _ if answered => out.answer(request, Answer::Blocked { come_back: None }),
@@ -120,8 +181,102 @@
         }
     }
 
+    /// A server has told all that it plays of ours, or is known to have nothing: those that waited for that go on.
+    pub fn heard(&mut self, out: &mut dyn Effects, now: Duration, server: ServerId) {
+        self.heard.insert(server);
+        let (go, stay) = std::mem::take(&mut self.words).into_iter().partition(|word| word.server == server);
+        self.words = stay;
+        self.go_on(out, now, go);
+    }
+
+    fn go_on(&mut self, out: &mut dyn Effects, now: Duration, words: Vec<Word>) {
+        for Word { request, session, about, shown, valid, since, .. } in words {
+            self.taken(out, now, request, session, about, shown, valid, since);
+        }
+    }
+
+    /// A server plays this for us. One that an earlier start set up is taken over as it is; what nobody of ours has any
+    /// more is released, so that it holds no place. `rungs`: the one in force, and the highest of its player.
+    pub fn found(
+        &mut self, out: &mut dyn Effects, now: Duration, server: ServerId,
+        (birth, vw, tune_in): (Birth, ViewingId, TuneIn), session: SessionId,
+        (package, title, (rung, top)): (PackageId, TitleId, (usize, usize)),
+    ) {
+        let ours = self.book.viewings.get(&vw);
+        if ours.is_some_and(|viewing| match viewing.step {
+            // Its answer may still be on the way.
+            Step::Out { server: at, tune_in: n, .. } => (birth, server, tune_in) == (self.book.birth, at, n),
+            Step::Plays { server: at, birth: of, tune_in: n } => (birth, server, tune_in) == (of, at, n),
+            Step::Deciding => false,
+        }) {
+            return;
+        }
+        let known = ours.is_some() || self.book.sessions.contains_key(&session);
+        let terms = self.terms.get(package.0).filter(|_| !known && !self.stopping && birth < self.book.birth);
+        let Some(&(_, once)) = terms else {
+            self.counts.0 += 1;
+            return out.release(server, birth, vw, tune_in);
+        };
+        self.counts.1 += 1;
+        let viewing = Viewing {
+            session,
+            package: package.0,
+            title,
+            top,
+            once,
+            requests: vec![],
+            answered: true,
+            step: Step::Plays { server, birth, tune_in },
+            rung,
+            tune_ins: 0,
+            seen: now,
+            ran: true,
+            line: Line::unknown(),
+            valid: now + self.paid,
+        };
+        self.book.viewings.insert(vw, viewing);
+        self.book.sessions.insert(session, vw);
+        self.book.fence.holds(package.0, title, true);
+        out.wake(self.idle, Timer::Seen(vw));
+        self.module.playing(now, vw, server, package, title, (rung, top));
+    }
+
+    /// A session's tokens are taken no more: what it has ends now.
+    pub fn revoked(&mut self, out: &mut dyn Effects, now: Duration, session: SessionId) {
+        let (gone, stay): (Vec<_>, _) =
+            std::mem::take(&mut self.words).into_iter().partition(|word| word.session == session);
+        self.words = stay;
+        gone.into_iter().for_each(|word| out.answer(word.request, Answer::Revoked));
+        let Some(&vw) = self.book.sessions.get(&session) else { return };
+        let Some(viewing) = self.book.viewings.get_mut(&vw) else { return };
+        if let Step::Plays { server, birth, tune_in } = viewing.step {
+            out.release(server, birth, vw, tune_in);
+            return self.over(out, now, server, (birth, vw, tune_in), Over::Left);
+        }
+        viewing.answered = true;
+        std::mem::take(&mut viewing.requests).into_iter().for_each(|r| out.answer(r, Answer::Revoked));
+        self.leaves(out, now, vw);
+    }
+
+    /// A server's clock has gone astray: players' tokens are not taken there, so what plays there is over.
+    pub fn astray(&mut self, out: &mut dyn Effects, now: Duration, server: ServerId) {
+        for (birth, vw, tune_in) in self.playing_at(server) {
+            out.release(server, birth, vw, tune_in);
+            self.over(out, now, server, (birth, vw, tune_in), Over::Lost);
+        }
+    }
+
+    fn playing_at(&self, server: ServerId) -> Vec<(Birth, ViewingId, TuneIn)> {
+        let there = |(vw, viewing): (&ViewingId, &Viewing)| match viewing.step {
+            Step::Plays { server: at, birth, tune_in } if at == server => Some((birth, *vw, tune_in)),
+            _ => None,
+        };
+        self.book.viewings.iter().filter_map(there).collect()
+    }
+
     /// The viewer closed a request before its answer.
     pub fn closed(&mut self, out: &mut dyn Effects, now: Duration, session: SessionId, request: RequestId) {
+        self.words.retain(|word| word.request != request);
         let Some(&vw) = self.book.sessions.get(&session) else { return };
         let Some(viewing) = self.book.viewings.get_mut(&vw) else { return };
         let before = viewing.requests.len();
@@ -130,7 +285,12 @@
             return;
         }
         viewing.answered = true;
-        let deciding = viewing.step == Step::Deciding;
+        self.leaves(out, now, vw);
+    }
+
+    /// Nobody waits for a viewing's answer any more.
+    fn leaves(&mut self, out: &mut dyn Effects, now: Duration, vw: ViewingId) {
+        let deciding = self.book.viewings.get(&vw).is_some_and(|viewing| viewing.step == Step::Deciding);
         self.module.left(&mut Hand { book: &mut self.book, out }, vw);
         if deciding {
             self.book.forget(vw);
@@ -179,7 +339,7 @@
         }
         // What may have run there is not left to its lease.
         if !ending.never_ran() {
-            out.release(server, vw, tune_in);
+            out.release(server, self.book.birth, vw, tune_in);
         }
         self.ended(out, now, Ended { vw, tune_in, server, ending }, load);
         self.settle(out, now);
@@ -191,26 +351,27 @@
         if current != tune_in {
             return;
         }
-        viewing.step = Step::Plays { server, tune_in };
+        let birth = self.book.birth;
+        viewing.step = Step::Plays { server, birth, tune_in };
         let (rung, answered) = (viewing.rung, viewing.answered);
         self.book.fence.ended(viewing.session, vw);
         self.module.reported(now, server, load);
         self.module.plays(now, vw, server);
         if answered {
             // The viewer left while it was set up.
-            out.release(server, vw, tune_in);
-            return self.over(out, now, server, vw, tune_in, Over::Left);
+            out.release(server, birth, vw, tune_in);
+            return self.over(out, now, server, (birth, vw, tune_in), Over::Left);
         }
         out.wake(self.idle, Timer::Seen(vw));
-        self.book.answer(out, vw, Answer::Plays { server, vw, tune_in, rung });
+        self.book.answer(out, vw, Answer::Plays { server, birth, vw, tune_in, rung, turn: 0 });
     }
 
     /// A viewing that played is over.
     pub fn over(
-        &mut self, out: &mut dyn Effects, now: Duration, server: ServerId, vw: ViewingId, tune_in: TuneIn,
-        why: Over,
+        &mut self, out: &mut dyn Effects, now: Duration, server: ServerId,
+        (birth, vw, tune_in): (Birth, ViewingId, TuneIn), why: Over,
     ) {
-        let plays = Step::Plays { server, tune_in };
+        let plays = Step::Plays { server, birth, tune_in };
         if self.book.viewings.get(&vw).is_none_or(|viewing| viewing.step != plays) {
             return;
         }
@@ -221,22 +382,40 @@
             Over::Lost => Ending::Broken,
         };
         let hand = &mut Hand { book: &mut self.book, out };
-        self.module.ended(hand, now, vw, tune_in.0, server, ending, true, Load::default());
+        // The module counts the tune-ins of its own start only; what it found playing is its first.
+        let n = if birth == hand.book.birth { tune_in.0 } else { 0 };
+        self.module.ended(hand, now, vw, n, server, ending, true, Load::default());
         self.settle(out, now);
     }
 
     /// A server's connection is lost, or stands again and it says what it plays for us: the others there are over.
     pub fn still(
-        &mut self, out: &mut dyn Effects, now: Duration, server: ServerId, playing: &[(ViewingId, TuneIn)],
+        &mut self, out: &mut dyn Effects, now: Duration, server: ServerId,
+        playing: &[(Birth, ViewingId, TuneIn)],
     ) {
-        let lost = |(vw, viewing): (&ViewingId, &Viewing)| match viewing.step {
-            Step::Plays { server: at, tune_in } if at == server => Some((*vw, tune_in)),
-            _ => None,
+        for held in self.playing_at(server).into_iter().filter(|held| !playing.contains(held)) {
+            self.over(out, now, server, held, Over::Lost);
+        }
+    }
+
+    /// A player has asked for no manifest for long: how long ago it last fetched a segment, as its server says; none
+    /// where that says nothing, or plays it no more.
+    pub fn fetched(
+        &mut self, out: &mut dyn Effects, now: Duration, server: ServerId,
+        (birth, vw, tune_in): (Birth, ViewingId, TuneIn), quiet: Option<Duration>,
+    ) {
+        let plays = Step::Plays { server, birth, tune_in };
+        let Some(viewing) = self.book.viewings.get_mut(&vw).filter(|viewing| viewing.step == plays) else {
+            return;
         };
-        let held: Vec<_> = self.book.viewings.iter().filter_map(lost).collect();
-        for (vw, tune_in) in held.into_iter().filter(|held| !playing.contains(held)) {
-            self.over(out, now, server, vw, tune_in, Over::Lost);
+        viewing.seen = viewing.seen.max(now.saturating_sub(quiet.unwrap_or(now)));
+        let quiet = now.saturating_sub(viewing.seen);
+        if quiet < self.idle {
+            return out.wake(self.idle - quiet, Timer::Seen(vw));
         }
+        // Guards against a place held for nobody where the server itself stands still and says nothing.
+        out.release(server, birth, vw, tune_in);
+        self.over(out, now, server, (birth, vw, tune_in), Over::Left);
     }
 
     pub fn news(&mut self, now: Duration, server: ServerId, vw: ViewingId, news: News) {
@@ -261,21 +440,25 @@
                 // Without a byte written it can't have run.
                 let ending = if written { Ending::Unanswered } else { Ending::Unreachable };
                 if written {
-                    out.release(server, vw, tune_in);
+                    out.release(server, self.book.birth, vw, tune_in);
                 }
                 self.ended(out, now, Ended { vw, tune_in, server, ending }, Load::default());
                 self.settle(out, now);
             }
             Timer::Seen(vw) => {
                 let Some(viewing) = self.book.viewings.get(&vw) else { return };
-                let Step::Plays { server, tune_in } = viewing.step else { return };
+                let Step::Plays { server, birth, tune_in } = viewing.step else { return };
                 let quiet = now.saturating_sub(viewing.seen);
                 if quiet < self.idle {
                     return out.wake(self.idle - quiet, Timer::Seen(vw));
                 }
-                // Guards against a place held for nobody where the server itself stands still and says nothing.
-                out.release(server, vw, tune_in);
-                self.over(out, now, server, vw, tune_in, Over::Left);
+                out.fetched(server, birth, vw, tune_in);
+            }
+            Timer::Word(request) => {
+                let (go, stay) =
+                    std::mem::take(&mut self.words).into_iter().partition(|word| word.request == request);
+                self.words = stay;
+                self.go_on(out, now, go);
             }
             Timer::Answer(vw) => {
                 // Guards against any answer forgotten: the viewer's patience is over.
@@ -291,6 +474,8 @@
     /// Nothing new is taken; each viewing without an answer gets one now.
     pub fn stop(&mut self, out: &mut dyn Effects, now: Duration) {
         self.stopping = true;
+        let words = std::mem::take(&mut self.words);
+        self.go_on(out, now, words);
         let waiting: Vec<_> =
             self.book.viewings.iter().filter(|(_, v)| !v.answered).map(|(vw, _)| *vw).collect();
         for vw in waiting {
@@ -300,7 +485,7 @@
                 self.book.take_out(vw, tune_in);
                 out.drop_set_up(vw, tune_in);
                 if written {
-                    out.release(server, vw, tune_in);
+                    out.release(server, self.book.birth, vw, tune_in);
                 }
                 self.book.ended.push_back(Ended { vw, tune_in, server, ending: Ending::CalledOff });
             }
@@ -334,7 +519,12 @@
 
     /// Viewings without an answer yet.
     pub fn waiting(&self) -> usize {
-        self.book.viewings.values().filter(|viewing| !viewing.answered).count()
+        self.words.len() + self.book.viewings.values().filter(|viewing| !viewing.answered).count()
+    }
+
+    /// What servers held for nobody and was released, and what was taken over from earlier starts.
+    pub fn counts(&self) -> (u64, u64) {
+        self.counts
     }
 
     pub fn breaches(&self) -> &BTreeMap<Breach, u64> {
@@ -343,6 +533,9 @@
 
     /// Whether any id, set-up or session is left of viewings.
     pub fn is_empty(&self) -> bool {
-        self.book.viewings.is_empty() && self.book.sessions.is_empty() && self.book.fence.out() == 0
+        self.book.viewings.is_empty()
+            && self.book.sessions.is_empty()
+            && self.words.is_empty()
+            && self.book.fence.out() == 0
     }
 }
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -26,6 +26,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TuneIn(pub u16);
 
+/// A start of a manager: servers turn away what an earlier one sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Birth(pub u64);
+
 /// What provably happened to a set-up on its socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Happened {
@@ -56,12 +60,14 @@
 /// The one answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
-    /// It plays there, up to that rung.
+    /// It plays there, up to that rung; `birth`: of the start that set it up, `turn`: of the token that goes with it.
     Plays {
         server: ServerId,
+        birth: Birth,
         vw: ViewingId,
         tune_in: TuneIn,
         rung: usize,
+        turn: u32,
     },
     Blocked {
         come_back: Option<Duration>,
@@ -72,6 +78,10 @@
     },
     /// The session is watching something else.
     Conflict,
+    /// The token was spent before, by a player that went on.
+    Replayed,
+    /// The session's tokens are taken no more.
+    Revoked,
 }
 
 /// What waits for its time.
@@ -85,22 +95,27 @@
     Answer(ViewingId),
     /// Whether its player still asks for manifests.
     Seen(ViewingId),
+    /// What a server plays of an earlier start is waited for no longer, for this request.
+    Word(RequestId),
 }
 
 /// What the core has done by whoever drives it.
 pub trait Effects {
     fn answer(&mut self, request: RequestId, answer: Answer);
-    /// Connects to the server and, if `Front::sending` then allows it, sends the set-up.
+    /// Connects to the server and, if `Front::sending` then allows it, sends the set-up. `who`: the session, and the
+    /// highest rung that its player can use; `limit`: after which nobody waits for it.
     fn set_up(
-        &mut self, session: SessionId, vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
-        about: (PackageId, TitleId),
+        &mut self, who: (SessionId, usize), vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
+        about: (PackageId, TitleId), limit: Duration,
     );
     /// Nobody waits for this set-up any more: its connection is closed.
     fn drop_set_up(&mut self, vw: ViewingId, tune_in: TuneIn);
     /// Whatever the server has of this tune-in ends, now or when it comes to it.
-    fn release(&mut self, server: ServerId, vw: ViewingId, tune_in: TuneIn);
-    fn rung(&mut self, server: ServerId, vw: ViewingId, tune_in: TuneIn, rung: usize);
+    fn release(&mut self, server: ServerId, birth: Birth, vw: ViewingId, tune_in: TuneIn);
+    fn rung(&mut self, server: ServerId, birth: Birth, vw: ViewingId, tune_in: TuneIn, rung: usize);
     fn probe(&mut self, server: ServerId);
+    /// Asks a server when the player last fetched of that; `Front::fetched` is told.
+    fn fetched(&mut self, server: ServerId, birth: Birth, vw: ViewingId, tune_in: TuneIn);
     fn wake(&mut self, after: Duration, timer: Timer);
     /// An assertion failed; it has changed nothing.
     fn breach(&mut self, breach: Breach, vw: ViewingId);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -259,6 +259,19 @@
         value.as_list().into_iter().flatten().filter_map(number).collect()
     }
 
+    /// Keeps only some of the parts under a name.
+    pub fn retain(&mut self, name: &str, keep: impl Fn(&Part) -> bool) {
+        let kept: Vec<_> = self.list(name).into_iter().filter(|part| keep(part)).collect();
+        let values = kept.into_iter().map(|part| Value::Message(part.message)).collect();
+        self.message.set_field(&self.field(name), Value::List(values));
+    }
+
+    /// The texts under a name.
+    pub fn texts(&self, name: &str) -> Vec<String> {
+        let value = self.message.get_field(&self.field(name)).into_owned();
+        value.as_list().into_iter().flatten().filter_map(Value::as_str).map(String::from).collect()
+    }
+
     /// The part as text again.
     pub fn to_text(&self) -> String {
         self.message
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -167,7 +167,8 @@
                 ServerId(r.server(17, "server")?),
                 PackageId(usize::from(r.u8(16, "type")?)),
                 TitleId(r.u64(48, "title")?),
-                count(44, "ceiling-rung")? as usize,
+                // The caller tells no rung: the lowest is taken.
+                (0, count(44, "ceiling-rung")? as usize),
             ),
             2 => {
                 let load = load(r, 14, report)?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -264,14 +264,15 @@
         }
     }
 
-    /// A viewing that played before we started.
+    /// A viewing that played before we started, up to that rung.
     pub fn playing(
         &mut self, now: Duration, vw: ViewingId, server: ServerId, package: PackageId, title: TitleId,
-        top: usize,
+        (rung, top): (usize, usize),
     ) {
         self.view.now = now;
         if let Some(v) = self.take(vw, package, title, Cells { first: 0, spread: 0 }, top) {
             (v.tune_ins, v.answered, v.playing) = (1, true, true);
+            v.rung = rung.clamp(v.rung, v.top);
             self.place(vw, Some(server));
             self.mark(server);
         }
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -570,7 +570,7 @@
                 // A server unknown so far, one that stands elsewhere now, and viewings from before.
                 _ => {
                     let (package, title, id) = (PackageId(0), TitleId(1), ServerId([server; 6]));
-                    desk.manager.playing(desk.now, ViewingId(vw), id, package, title, 3);
+                    desk.manager.playing(desk.now, ViewingId(vw), id, package, title, (0, 3));
                     let row = desk.manager.servers.get(&id).map(|s| s.listed);
                     let moved = row.map(|row| Listed { cell: chance.below(8) as u32, ..row });
                     moved.into_iter().for_each(|row| desk.manager.listed(desk.now, &[row], Extent::Changes));
