--- a/src/policy.rs
+++ b/src/policy.rs
@@ -206,10 +206,10 @@
     }
 
     /// A suspect gets nothing for a while that doubles with each bad ending, then one trial at a time.
-    fn suspect(&self, now: Duration, pause: Duration, recall: Duration, trial: bool) -> bool {
+    fn suspect(&self, now: Duration, pause: Duration, recall: Duration, trial: impl Fn() -> bool) -> bool {
         let bad = self.bad(now, recall);
         let last = self.tries.iter().rev().find(|t| !t.1).map_or(Duration::ZERO, |t| t.0);
-        bad > 0 && (trial || now < last + pause * (1 << (bad - 1).min(2)))
+        bad > 0 && (trial() || now < last + pause * (1 << (bad - 1).min(2)))
     }
 }
 
@@ -466,7 +466,7 @@
             let gap = self.pace.gaps.get(s.listed.kind.0).copied().unwrap_or(recall);
             let next = s.sent.map_or(Duration::ZERO, |sent| sent + gap);
             let shunned = viewing.shunned.contains(&id);
-            let trial = self.there(id).any(|v| !v.playing);
+            let trial = || self.there(id).any(|v| !v.playing);
             // Guards against all managers' first set-ups after a start coming together: chance thins them.
             let even = (EVEN * self.servers.len() as f64 / rate.max(1e-9)).max(INTERVAL.as_secs_f64());
             let known = s.health.lost || s.listed.born.is_some_and(|born| now < born + recall);
@@ -533,8 +533,8 @@
         let (now, viewing) = (self.view.now, &self.viewings[&vw]);
         let (package, title, tune_ins) = (viewing.package, viewing.title, viewing.tune_ins);
         let p = &self.packages[package];
-        let alike = |v: &&Viewing<Next>| v.server.is_some() && v.package == package && v.title == title;
-        let seats = p.seats == 0 || self.viewings.values().filter(alike).count() < p.seats;
+        let alike = self.held.get(&(package, title)).copied().unwrap_or_default();
+        let seats = p.seats == 0 || alike < p.seats;
         let left = viewing.ends.saturating_sub(now);
         let rationed = !first && self.ration.as_mut().is_some_and(|r| !r.allows(now));
         if !seats || left.is_zero() || tune_ins >= self.limits.tune_ins || rationed {
@@ -599,37 +599,31 @@
     /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings. A step
     /// that fits in part is taken where `luck` of it fits: 0 takes it always.
     fn ideal(&self, rack: usize, part: [f64; 2], luck: f64) -> Vec<(ViewingId, usize)> {
-        let mut uplink = self.uplinks[rack].budget(&self.view, part[1]);
-        let (mut known, mut links, mut rungs, mut steps) = (BTreeMap::new(), vec![], vec![], vec![]);
-        for (vw, v) in self.near(rack) {
-            let Some(id) = v.server else { continue };
-            let at = *known.entry(id).or_insert_with(|| {
-                let link = &self.servers[&id].link;
-                links.push((link.budget(&self.view, part[0]), link.held));
-                links.len() - 1
-            });
-            let floor = self.packages[v.package].floor;
-            uplink -= self.kb(v, floor);
-            links[at].0 -= self.kb(v, floor);
-            for rung in floor..v.top {
-                let (kb, value) = self.between(v, rung, rung + 1);
-                steps.push((value / kb, kb, rungs.len(), at, rung + 1));
-            }
-            rungs.push((vw, floor));
+        let (mut uplink, rack) = (self.uplinks[rack].budget(&self.view, part[1]), &self.racks[rack]);
+        // Those of the rack's servers that have none of ours are not asked for.
+        let budget = |id: &ServerId| match self.there(*id).next() {
+            Some(_) => (self.servers[id].link.budget(&self.view, part[0]), self.servers[id].link.held),
+            None => (0.0, 0),
+        };
+        let mut links: Vec<_> = rack.stands.iter().map(budget).collect();
+        let mut rungs = vec![0; rack.slots()];
+        for ask in &rack.asks {
+            uplink -= ask.floor_kb;
+            links[ask.stand].0 -= ask.floor_kb;
+            rungs[ask.slot] = ask.floor;
         }
-        steps.sort_by(|a, b| b.0.total_cmp(&a.0));
         let price = LazyCell::new(|| self.price());
-        for (dear, kb, i, at, rung) in steps {
-            let (link, held) = &mut links[at];
+        for &Step { dear, kb, rung, stand, slot, .. } in &rack.steps {
+            let (link, held) = &mut links[stand];
             let alone = luck > 0.0 && *held < 2;
             let dear = if alone { dear / *price } else { 1.0 };
             let luck = if *held > 1 { 1.0 } else { luck };
-            if luck * kb <= link.min(uplink) * dear && rungs[i].1 == rung - 1 {
+            if luck * kb <= link.min(uplink) * dear && rungs[slot] == rung - 1 {
                 (*link, uplink) = (*link - kb, uplink - kb);
-                rungs[i].1 = rung;
+                rungs[slot] = rung;
             }
         }
-        rungs
+        rack.asks.iter().map(|ask| (ask.vw, rungs[ask.slot])).collect()
     }
 
     /// Mechanism 1: lowers rungs where too much is asked, raises them where there is room. Chance decides of
--- a/src/state.rs
+++ b/src/state.rs
@@ -274,8 +274,89 @@
     pub(crate) cold_for: Duration,
 }
 
-/// A rack's servers, and what our viewings there ask in kB, by their ids.
-pub(crate) type Rack = (BTreeSet<ServerId>, Vec<(ViewingId, f64)>);
+/// What a viewing asks in its rack: now, at its floor, and which of the rack's stands and slots are its.
+#[derive(Clone, Copy)]
+pub(crate) struct Ask {
+    pub vw: ViewingId,
+    pub kb: f64,
+    pub floor: usize,
+    pub floor_kb: f64,
+    pub stand: usize,
+    pub slot: usize,
+}
+
+/// A step up to a rung: its value a kB, its kB, and the viewing whose it is.
+#[derive(Clone, Copy)]
+pub(crate) struct Step {
+    pub dear: f64,
+    pub kb: f64,
+    pub vw: ViewingId,
+    pub rung: usize,
+    pub stand: usize,
+    pub slot: usize,
+}
+
+/// A rack's servers, and our viewings there. What all of them could rise by is kept in the order of its worth, so that
+/// nothing is sorted while rungs are reckoned.
+#[derive(Clone, Default)]
+pub(crate) struct Rack {
+    pub servers: BTreeSet<ServerId>,
+    /// By the viewings' ids.
+    pub asks: Vec<Ask>,
+    /// The dearest first, equals by viewing and rung.
+    pub steps: Vec<Step>,
+    /// Servers that have or had viewings of ours, each at its place for good; and slots given back.
+    pub stands: Vec<ServerId>,
+    free: Vec<usize>,
+    slots: usize,
+}
+
+impl Rack {
+    fn order(step: &Step) -> impl Fn(&Step) -> std::cmp::Ordering {
+        let Step { dear, vw, rung, .. } = *step;
+        move |other| dear.total_cmp(&other.dear).then(other.vw.cmp(&vw)).then(other.rung.cmp(&rung))
+    }
+
+    /// Slots that are or were in use.
+    pub fn slots(&self) -> usize {
+        self.slots
+    }
+
+    fn stand(&mut self, server: ServerId) -> usize {
+        self.stands.iter().position(|id| *id == server).unwrap_or_else(|| {
+            self.stands.push(server);
+            self.stands.len() - 1
+        })
+    }
+
+    /// `steps`: worth a kB and kB of each rung above the floor.
+    fn add(
+        &mut self, at: usize, vw: ViewingId, server: ServerId, floor: (usize, f64), kb: f64,
+        steps: &[(f64, f64)],
+    ) {
+        let stand = self.stand(server);
+        let slot = self.free.pop().unwrap_or(self.slots);
+        self.slots = self.slots.max(slot + 1);
+        self.asks.insert(at, Ask { vw, kb, floor: floor.0, floor_kb: floor.1, stand, slot });
+        for (i, (dear, kb)) in steps.iter().enumerate() {
+            let step = Step { dear: *dear, kb: *kb, vw, rung: floor.0 + i + 1, stand, slot };
+            let (Ok(at) | Err(at)) = self.steps.binary_search_by(Rack::order(&step));
+            self.steps.insert(at, step);
+        }
+    }
+
+    fn remove(&mut self, vw: ViewingId, steps: &[(f64, f64)]) {
+        let Ok(at) = self.asks.binary_search_by_key(&vw, |ask| ask.vw) else { return };
+        let Ask { floor, stand, slot, .. } = self.asks.remove(at);
+        self.free.push(slot);
+        for (i, (dear, kb)) in steps.iter().enumerate() {
+            let step = Step { dear: *dear, kb: *kb, vw, rung: floor + i + 1, stand, slot };
+            if let Ok(at) = self.steps.binary_search_by(Rack::order(&step)) {
+                self.steps.remove(at);
+            }
+        }
+    }
+}
 
 /// A session manager; what it does is in `policy`.
 pub struct Manager {
@@ -296,6 +377,8 @@
     /// What our viewings ask in kB, by the server that they are at and by their ids; those that wait for probes.
     pub(crate) at: BTreeMap<ServerId, Vec<(ViewingId, f64)>>,
     pub(crate) asking: BTreeSet<ViewingId>,
+    /// Our viewings that are at a server, by package and title.
+    pub(crate) held: BTreeMap<(usize, TitleId), usize>,
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// By rack its servers, and what our viewings there ask.
     pub(crate) racks: Vec<Rack>,
@@ -333,6 +416,7 @@
             viewings,
             at: BTreeMap::new(),
             asking: BTreeSet::new(),
+            held: BTreeMap::new(),
             servers,
             racks,
             places,
@@ -355,18 +439,36 @@
         Some(self.network.rack(self.servers.get(&server)?.listed.cell))
     }
 
+    /// Worth a kB and kB of each step above a viewing's floor.
+    fn steps(&self, v: &Viewing<Next>) -> Vec<(f64, f64)> {
+        let floor = self.packages[v.package].floor;
+        let step = |rung| self.between(v, rung, rung + 1);
+        (floor..v.top).map(step).map(|(kb, value)| (value / kb, kb)).collect()
+    }
+
     /// Books what a viewing asks at the server that it is at, and in its rack; nothing any more where `there` is false.
     fn book(&mut self, vw: ViewingId, there: bool) {
         let Some((server, v)) = self.viewings.get(&vw).and_then(|v| Some((v.server?, v))) else { return };
-        let kb = there.then(|| self.kb(v, v.rung));
-        let rack = self.shelf(server).map(|rack| &mut self.racks[rack].1);
-        for asks in [Some(self.at.entry(server).or_default()), rack].into_iter().flatten() {
-            match (asks.binary_search_by_key(&vw, |ask| ask.0), kb) {
-                (Ok(i), Some(kb)) => asks[i].1 = kb,
-                (Err(i), Some(kb)) => asks.insert(i, (vw, kb)),
-                (Ok(i), None) => drop(asks.remove(i)),
-                (Err(_), None) => {}
+        let (kb, floor) = (self.kb(v, v.rung), self.packages[v.package].floor);
+        let asks = self.at.entry(server).or_default();
+        match (asks.binary_search_by_key(&vw, |ask| ask.0), there) {
+            (Ok(i), true) => asks[i].1 = kb,
+            (Err(i), true) => asks.insert(i, (vw, kb)),
+            (Ok(i), false) => drop(asks.remove(i)),
+            (Err(_), false) => {}
+        }
+        let Some(rack) = self.shelf(server) else { return };
+        match (self.racks[rack].asks.binary_search_by_key(&vw, |ask| ask.vw), there) {
+            (Ok(i), true) => self.racks[rack].asks[i].kb = kb,
+            (Err(i), true) => {
+                let (steps, floor) = (self.steps(v), (floor, self.kb(v, floor)));
+                self.racks[rack].add(i, vw, server, floor, kb, &steps);
+            }
+            (Ok(_), false) => {
+                let steps = self.steps(v);
+                self.racks[rack].remove(vw, &steps);
             }
+            (Err(_), false) => {}
         }
     }
 
@@ -374,7 +476,13 @@
     pub(crate) fn place(&mut self, vw: ViewingId, server: Option<ServerId>) {
         self.book(vw, false);
         if let Some(viewing) = self.viewings.get_mut(&vw) {
+            let (was, about) = (viewing.server.is_some(), (viewing.package, viewing.title));
             viewing.server = server;
+            let held = self.held.entry(about).or_default();
+            *held = *held + usize::from(server.is_some()) - usize::from(was);
+            if *held == 0 {
+                self.held.remove(&about);
+            }
         }
         self.book(vw, true);
     }
@@ -397,16 +505,19 @@
     pub(crate) fn list(&mut self, listed: Listed) {
         let (was, server) = (self.shelf(listed.server), listed.server);
         self.servers.entry(server).and_modify(|s| s.listed = listed);
-        if was.is_some_and(|rack| self.shelf(server) == was && self.racks[rack].0.contains(&server)) {
+        if was.is_some_and(|rack| self.shelf(server) == was && self.racks[rack].servers.contains(&server)) {
             return;
         }
         let ids: Vec<_> = self.at.get(&server).into_iter().flatten().map(|ask| ask.0).collect();
-        if let Some((servers, asks)) = was.map(|rack| &mut self.racks[rack]) {
-            servers.remove(&server);
-            asks.retain(|(vw, _)| ids.binary_search(vw).is_err());
+        if let Some(rack) = was {
+            self.racks[rack].servers.remove(&server);
+            for vw in &ids {
+                let steps = self.steps(&self.viewings[vw]);
+                self.racks[rack].remove(*vw, &steps);
+            }
         }
         if let Some(rack) = self.shelf(server) {
-            self.racks[rack].0.insert(server);
+            self.racks[rack].servers.insert(server);
         }
         ids.into_iter().for_each(|vw| self.book(vw, true));
     }
@@ -416,14 +527,12 @@
         self.at.get(&server).into_iter().flatten().map(|(vw, _)| &self.viewings[vw])
     }
 
-    /// Our viewings in a rack, by their ids.
-    pub(crate) fn near(&self, rack: usize) -> impl Iterator<Item = (ViewingId, &Viewing<Next>)> {
-        self.racks[rack].1.iter().map(|(vw, _)| (*vw, &self.viewings[vw]))
-    }
-
     /// The servers of a rack that we have viewings at.
     pub(crate) fn ours(&self, rack: usize) -> impl Iterator<Item = &ServerId> {
-        self.racks[rack].0.iter().filter(|server| self.at.get(server).is_some_and(|asks| !asks.is_empty()))
+        self.racks[rack]
+            .servers
+            .iter()
+            .filter(|server| self.at.get(server).is_some_and(|asks| !asks.is_empty()))
     }
 
     pub(crate) fn kb(&self, viewing: &Viewing<Next>, rung: usize) -> f64 {
@@ -443,7 +552,7 @@
         let Some(rack) = self.shelf(server) else { return };
         let there = self.at.get(&server).map(Vec::as_slice).unwrap_or_default();
         let (held, kb) = (there.len(), there.iter().map(|ask| ask.1).sum());
-        let kb_up = self.racks[rack].1.iter().map(|ask| ask.1).sum();
+        let kb_up = self.racks[rack].asks.iter().map(|ask| ask.kb).sum();
         if let Some(s) = self.servers.get_mut(&server) {
             s.link.held = held;
             s.link.mark(self.view.now, kb, 1.0);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -3,6 +3,7 @@
 use crate::front::*;
 use crate::policy::*;
 use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 fn ms(ms: u64) -> Duration {
@@ -584,15 +585,36 @@
             for (server, kept) in &m.at {
                 assert_eq!(*kept, asks(&|at| at == server), "seed {seed}, event {vw}, {server:?}");
             }
-            for (rack, (servers, kept)) in m.racks.iter().enumerate() {
+            for (rack, kept) in m.racks.iter().enumerate() {
                 let here =
                     |at: &ServerId| m.servers.get(at).is_some_and(|s| m.network.rack(s.listed.cell) == rack);
-                assert_eq!(*kept, asks(&here), "seed {seed}, event {vw}, rack {rack}");
+                let kb: Vec<_> = kept.asks.iter().map(|ask| (ask.vw, ask.kb)).collect();
+                assert_eq!(kb, asks(&here), "seed {seed}, event {vw}, rack {rack}");
                 assert!(
-                    servers.iter().all(here)
-                        && m.servers.keys().filter(|at| here(at)).count() == servers.len()
+                    kept.servers.iter().all(here)
+                        && m.servers.keys().filter(|at| here(at)).count() == kept.servers.len()
                 );
+                // The steps up, sorted anew: the dearest first, equals by viewing and rung.
+                let mut steps = vec![];
+                for ask in &kept.asks {
+                    let v = &m.viewings[&ask.vw];
+                    assert_eq!((Some(kept.stands[ask.stand]), ask.floor_kb), (v.server, m.kb(v, ask.floor)));
+                    for rung in ask.floor..v.top {
+                        let (kb, value) = m.between(v, rung, rung + 1);
+                        steps.push((value / kb, kb, ask.vw, rung + 1, ask.stand, ask.slot));
+                    }
+                }
+                steps.sort_by(|a, b| b.0.total_cmp(&a.0));
+                let told = kept.steps.iter().map(|s| (s.dear, s.kb, s.vw, s.rung, s.stand, s.slot));
+                assert!(told.eq(steps), "seed {seed}, event {vw}, steps of rack {rack}");
+                let slots: BTreeSet<_> = kept.asks.iter().map(|ask| ask.slot).collect();
+                assert!(slots.len() == kept.asks.len() && slots.iter().all(|slot| *slot < kept.slots()));
+            }
+            let mut held = BTreeMap::new();
+            for v in m.viewings.values().filter(|v| v.server.is_some()) {
+                *held.entry((v.package, v.title)).or_insert(0_usize) += 1;
             }
+            assert_eq!(m.held, held, "seed {seed}, event {vw}");
         }
         assert!(desk.manager.viewings.len() > 20, "{} live", desk.manager.viewings.len());
     }
