Paid sessions on disk before their set-up, one begin over restarts, fuzzed requests and answers

Change: each paid session is on disk in `state_dir` before a byte of its set-up goes out, and taken off again where that provably never ran; a later start makes such a session wait for its server's word and never sets it up again. A set-up tells its server when its manifests say that it began, and the server tells a later start.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod birth;
 mod link;
 mod list;
+mod paid;
 
 mod shell;
 mod viewers;
@@ -104,10 +105,11 @@
     let listener = TcpListener::bind(&wanted).await.map_err(|e| format!("{wanted}: {e}"))?;
     let address = listener.local_addr().map_err(|e| format!("{wanted}: {e}"))?;
     let birth = birth::next(&manager.text("state_dir"), (outside.clock)())?;
+    let paid = paid::Paid::open(&manager.text("state_dir"), (outside.clock)())?;
     let local = LocalSet::new();
     local
         .run_until(async {
-            let shell = Shell::start(settings, module, birth, address, outside.clock)?;
+            let shell = Shell::start(settings, module, (birth, paid), address, outside.clock)?;
             tracing::info!(manager = manager.text("name"), %address, birth, "takes viewings");
             let taking = tokio::task::spawn_local(viewers::serve(
                 shell.clone(),
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -83,6 +83,12 @@
         // Guards against a queue at one server that outlasts its viewers.
         None => (Some(Happened::NotWritten), Load::default()),
     };
+    if shell.0.once.get(about.0.0) == Some(&true)
+        && matches!(happened, None | Some(Happened::NotWritten | Happened::Refused))
+    {
+        // It provably never ran: a later start may set it up. Without this line that is only refused for longer.
+        shell.0.paid.add((who.0, server, Duration::ZERO)).await.ok();
+    }
     let Some(happened) = happened else { return };
     tracing::debug!(viewing = vw.0, tune_in = tune_in.0, server = %server_address(server), ?happened, "set-up");
     shell.tell(move |front, hands, now| {
@@ -110,6 +116,14 @@
             },
         };
         if !allowed {
+            if shell.0.once.get(package.0) == Some(&true) {
+                let until = shell.date() + shell.0.paid_for;
+                // Guards against a paid session set up again by a later start: what isn't on disk isn't sent.
+                if let Err(error) = shell.0.paid.add((session, server, until)).await {
+                    tracing::error!(%error, "the record of paid sessions can't be written");
+                    return (Some(Happened::NotWritten), none);
+                }
+            }
             let (tell, told) = oneshot::channel();
             shell.tell(move |front, hands, now| {
                 let _ = tell.send(front.sending(hands, now, vw, tune_in));
@@ -130,7 +144,7 @@
             "session": format!("{:032x}", session.0), "package": package.0,
             "title": title.map_or("", |title| title.name.as_str()), "rung": rung, "top": top, "rates": rates,
             "lease_ms": inner.lease.as_millis() as u64, "segment_ms": inner.segment.as_millis() as u64,
-            "segments": segments,
+            "segments": segments, "began": shell.began(session, None).as_secs(),
         });
         let answer = match connection.ask(request(Method::POST, server, "/viewings", &body)).await {
             Ok(answer) => answer,
@@ -316,6 +330,8 @@
             let rungs = (of["rung"].as_u64()? as usize, of["top"].as_u64()? as usize);
             // What is in no settings of ours any more has a package that none is: it is released.
             let package = title.and(of["package"].as_u64()).map_or(usize::MAX, |package| package as usize);
+            // Guards against a timeline that jumps when a player comes with a token of the app's.
+            shell.began(SessionId(session), of["began"].as_u64().map(Duration::from_secs));
             Some((tune_in(of)?, SessionId(session), (PackageId(package), title.unwrap_or(TitleId(0)), rungs)))
         };
         let playing: Vec<_> = rows.iter().filter_map(row).collect();
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -1,5 +1,6 @@
 //! The one task that holds the core: its queue, its timers, and the effects that it has.
 
+use crate::paid::{self, Paid};
 use crate::pool::Pool;
 use crate::{Ended, link, list, setup};
 use ivyward::front::{Extent, Listed, PackageId, ServerId, Standing, TitleId, ViewingId};
@@ -39,6 +40,10 @@
     pub titles: Vec<setup::Title>,
     pub rates: Vec<(PackageId, String, Vec<f64>)>,
     pub seed: u64,
+    /// By package: whether it is paid at set-up; the record of paid sessions, and how long each stays in it.
+    pub once: Vec<bool>,
+    pub paid: Paid,
+    pub paid_for: Duration,
     pub gate: RefCell<Gate>,
     begun: Instant,
     clock: Rc<dyn Fn() -> Duration>,
@@ -53,6 +58,10 @@
     /// The list as it last came, and those of it whose clocks have gone astray.
     rows: RefCell<BTreeMap<ServerId, Listed>>,
     astray: RefCell<BTreeSet<ServerId>>,
+    /// When sessions that play began, so that all their manifests say the same; and when that was last asked.
+    began: RefCell<BTreeMap<SessionId, (Duration, Duration)>>,
+    /// After so long it is forgotten.
+    forgotten: Duration,
     requests: Cell<u64>,
     waiting: Cell<usize>,
 }
@@ -65,8 +74,8 @@
     /// # Errors
     /// The settings don't fit together.
     pub fn start(
-        settings: &Part, module: Box<dyn Decides>, birth: u64, address: SocketAddr,
-        clock: Rc<dyn Fn() -> Duration>,
+        settings: &Part, module: Box<dyn Decides>, (birth, (paid, spent)): (u64, (Paid, Vec<paid::Row>)),
+        address: SocketAddr, clock: Rc<dyn Fn() -> Duration>,
     ) -> Result<Shell, String> {
         let (manager, limits) = (settings.one("manager"), settings.one("limits"));
         let manifest = settings.one("manifest");
@@ -82,6 +91,9 @@
             titles: setup::titles(settings),
             rates: setup::rates(settings),
             seed: manager.whole("seed"),
+            once: setup::terms(settings).iter().map(|(_, once)| *once).collect(),
+            paid,
+            paid_for: limits.span("paid_for_s"),
             gate: RefCell::new(Gate::new(setup::patiences(settings).0)),
             clock,
             calendar: RefCell::new(Calendar::new(settings.one("tokens").span("skew_s"))),
@@ -93,6 +105,11 @@
             gone: RefCell::default(),
             rows: RefCell::default(),
             astray: RefCell::default(),
+            began: RefCell::default(),
+            forgotten: {
+                let longest = settings.list("title").iter().map(|title| title.span("length_s")).max();
+                longest.unwrap_or_default().max(settings.one("tokens").span("life_s")) * 2
+            },
             requests: Cell::new(0),
             waiting: Cell::new(0),
         };
@@ -116,6 +133,10 @@
             out: BTreeMap::new(),
         };
         front.start(&mut hands, shell.now());
+        let date = shell.date();
+        for (session, server, until) in spent {
+            front.spent(session, server, shell.now() + until.saturating_sub(date));
+        }
         let known = setup::servers(settings);
         if !known.is_empty() {
             let known = shell.follow(&known);
@@ -183,6 +204,19 @@
         date
     }
 
+    /// When a session's manifests say that it began, in whole seconds: what was said before, here or by an earlier start
+    /// of ours (`told`), or this moment.
+    pub fn began(&self, session: SessionId, told: Option<Duration>) -> Duration {
+        let (mut began, now, date) = (self.0.began.borrow_mut(), self.now(), self.date());
+        if began.len().is_multiple_of(256) {
+            began.retain(|_, (_, last)| now < *last + self.0.forgotten);
+        }
+        let first = told.unwrap_or(Duration::from_secs(date.as_secs()));
+        let entry = began.entry(session).or_insert((first, now));
+        entry.1 = now;
+        entry.0
+    }
+
     /// A server answered with its date.
     pub fn dated(&self, server: ServerId, date: Duration) {
         self.0.calendar.borrow_mut().heard(self.now(), server, date);
--- a/crates/daemon/src/viewers.rs
+++ b/crates/daemon/src/viewers.rs
@@ -45,8 +45,6 @@
     titles: BTreeMap<String, setup::Title>,
     /// By name: its id, patience, and the rates of its rungs.
     packages: BTreeMap<String, (PackageId, Duration, Vec<f64>)>,
-    /// When sessions that play began, so that all their manifests say the same.
-    began: RefCell<BTreeMap<u128, (Duration, Duration)>>,
 }
 
 pub async fn serve(
@@ -70,7 +68,6 @@
         refresh: RefCell::new(refresh),
         titles,
         packages,
-        began: RefCell::default(),
     });
     if let Some(mut texts) = texts {
         let desk = desk.clone();
@@ -267,7 +264,8 @@
         match answer {
             Answer::Plays { server, birth, vw, tune_in, rung, turn } => {
                 let server = setup::server_address(server);
-                let began = self.began(&pass, title, now);
+                let told = pass.given.as_ref().map(|given| given.began);
+                let began = self.shell.began(session, told);
                 let (manager, birth, vw, n) = (self.shell.0.name.clone(), birth.0, vw.0, tune_in.0);
                 let given = Given { manager, birth, vw, n, server, turn, began };
                 let pass = Pass { given: Some(given), ..pass };
@@ -284,19 +282,6 @@
         }
     }
 
-    /// When a session's manifests say that it began: what its token says, or this moment.
-    fn began(&self, pass: &Pass, title: &setup::Title, now: Duration) -> Duration {
-        let mut began = self.began.borrow_mut();
-        let forgotten = title.length.max(self.life) * 2;
-        if began.len().is_multiple_of(256) {
-            began.retain(|_, (_, last)| now < *last + forgotten);
-        }
-        let first = pass.given.as_ref().map_or(Duration::from_secs(now.as_secs()), |given| given.began);
-        let entry = began.entry(pass.session).or_insert((first, now));
-        entry.1 = now;
-        entry.0
-    }
-
     fn manifest(
         &self, title: &setup::Title, server: SocketAddr, rates: &[f64], pass: &Pass,
         (began, now): (Duration, Duration),
--- a/crates/daemon/tests/path.rs
+++ b/crates/daemon/tests/path.rs
@@ -197,11 +197,17 @@
             again.push(places(&page).1);
             pages.push(page);
         }
+        // Dates are whole seconds: a begin that moved is seen.
+        sleep(ms(1100)).await;
         let old = world.address.to_string();
         let (address, end, ended) = world.again().await;
         world.records();
         // Players ask the new start at once, some before it has heard from their servers.
-        for (url, before) in again.iter().zip(&pages) {
+        for (session, (url, before)) in again.iter().zip(&pages).enumerate() {
+            // Some come with a new token of the app's instead.
+            let new =
+                world.url(&world.token(session as u128, if session % 3 == 0 { "ticket" } else { "clip" }));
+            let url = if session % 4 == 3 { &new } else { url };
             let page = get(&url.replace(&old, &address.to_string())).await;
             assert_eq!(page.status, StatusCode::OK, "{:?}", page.refused);
             looked_through(&page, Some(before));
@@ -220,6 +226,47 @@
     });
 }
 
+#[test]
+fn a_paid_session_is_not_set_up_again_by_a_later_start() {
+    let dir = std::env::temp_dir().join(format!("ivyward-path-{}", std::process::id()));
+    let kept = dir.to_string_lossy().into_owned();
+    let tweak = move |text: String| {
+        text.replace("lease_s: 1", "lease_s: 30")
+            .replace("listen:", &format!("state_dir: \"{kept}\" listen:"))
+    };
+    with(tweak, |mut world| async move {
+        // One plays on, one is frozen with its server, one is over: all three come again with new tokens of the app's.
+        let mut at = vec![];
+        for session in 1..=3 {
+            let page = world.ask(session, "ticket").await;
+            assert_eq!(page.status, StatusCode::OK);
+            let sent = world.records();
+            at.extend(set_ups(&sent).first().map(|(at, ..)| *at));
+            if session == 3 {
+                let (base, _) = places(&page);
+                assert_eq!(get(&format!("{base}r0/10.m4s")).await.status, StatusCode::OK);
+                world.until("its end", |w| w.streams() == 2).await;
+            }
+        }
+        world.standins.freeze(at[1]);
+        let old = world.address.to_string();
+        world.end().await.0.expect("a good end");
+        let (address, end, _) = world.again().await;
+        world.records();
+        for session in 1..=3 {
+            let url = world.url(&world.token(session, "ticket")).replace(&old, &address.to_string());
+            let page = timeout(ms(9000), get(&url)).await.expect("an answer in time");
+            let wanted = if at[session as usize - 1] != at[1] && session == 1 { 200 } else { 502 };
+            assert_eq!(page.status.as_u16(), wanted, "session {session}");
+        }
+        assert_eq!(set_ups(&world.records()), [], "nothing paid was set up again");
+        let url = world.url(&world.token(9, "ticket")).replace(&old, &address.to_string());
+        assert_eq!(get(&url).await.status, StatusCode::OK, "a new one is");
+        end.send(()).ok();
+    });
+    std::fs::remove_dir_all(&dir).ok();
+}
+
 #[test]
 fn what_a_killed_manager_left_at_a_frozen_server_never_runs() {
     with(plain, |world| async move {
--- a/crates/dash/src/tests.rs
+++ b/crates/dash/src/tests.rs
@@ -1,6 +1,7 @@
-use crate::manifest;
 use crate::token::{Given, Keys, Pass, Refusal};
+use crate::{check, manifest};
 use base64::prelude::{BASE64_URL_SAFE_NO_PAD, Engine as _};
+use proptest::prelude::*;
 use std::time::Duration;
 
 const OLD: &str = "a secret of thirty-two bytes or more";
@@ -138,3 +139,91 @@
         assert!(manifest::read(text).is_err(), "{text}");
     }
 }
+
+proptest! {
+    /// Whatever is shown for a token: no panic, and nothing is taken but what was signed.
+    #[test]
+    fn no_token_is_taken_that_was_not_minted(at in any::<prop::sample::Index>(), to in any::<u8>(), text in ".{0,300}") {
+        let keys = keys("new");
+        let token = keys.mint(&pass(None), s(100), s(10)).expect("signed");
+        let mut spoilt = token.clone().into_bytes();
+        let at = at.index(spoilt.len());
+        spoilt[at] = to;
+        let whole = spoilt == token.as_bytes();
+        let spoilt = String::from_utf8_lossy(&spoilt).into_owned();
+        // The last character of a signature has bits that say nothing (RFC 4648, 3.5): those aside, all counts.
+        if !whole && at + 1 < token.len() {
+            prop_assert!(keys.check(&spoilt, s(105), s(1)).is_err(), "{}", spoilt);
+        }
+        prop_assert!(keys.check(&text, s(105), s(1)).is_err());
+    }
+
+    /// Whatever is read for a manifest: an error or faults, no panic.
+    #[test]
+    fn no_text_breaks_the_reader_of_manifests(at in any::<prop::sample::Index>(), len in 0_usize..40, text in ".{0,200}") {
+        let spans = (s(31), s(2), s(3));
+        let right = manifest::manifest("a", "http://1.2.3.4:5/v/t/", "http://m/", &[100.0, 200.0], spans, (s(1000), s(1001)));
+        prop_assert_eq!(check::faults(&right, "1.2.3.4:5", 1, Some(&right)), Vec::<String>::new());
+        let at = at.index(right.len());
+        let cut: String = right.chars().take(at).chain(text.chars()).chain(right.chars().skip(at + len)).collect();
+        manifest::read(&cut).ok();
+        check::faults(&cut, "1.2.3.4:5", 1, Some(&right));
+        check::faults(&right, "1.2.3.4:5", 1, Some(&cut));
+    }
+}
+
+#[test]
+fn the_check_finds_what_is_wrong_with_a_manifest() {
+    let spans = (s(31), s(2), s(3));
+    let rates = [100.0, 250.5, 900.0];
+    let of = |began, now, rates: &[f64]| {
+        manifest::manifest("a", "http://1.2.3.4:5/v/t/", "http://m/", rates, spans, (s(began), s(now)))
+    };
+    let right = of(1000, 1001, &rates);
+    // What is changed in the text, and what the check says of it.
+    let spoilt = [
+        ("type=\"dynamic\"", "", "MPD@type"),
+        ("minBufferTime=", "x=", "minBufferTime"),
+        ("availabilityStartTime=", "x=", "availabilityStartTime"),
+        ("publishTime=", "x=", "publishTime"),
+        ("minimumUpdatePeriod=", "x=", "minimumUpdatePeriod"),
+        ("mediaPresentationDuration=", "x=", "mediaPresentationDuration"),
+        ("http://1.2.3.4:5/", "http://1.2.3.4:6/", "BaseURL is not the server's"),
+        ("<Location>http://m/</Location>", "", "Location"),
+        ("id=\"r1\"", "id=\"r7\"", "Representation's id"),
+        ("$Number$", "$Time$", "SegmentTemplate@media"),
+        ("startNumber=\"1\"", "startNumber=\"2\"", "startNumber"),
+        ("utc:direct", "utc:direct", ""),
+    ];
+    for (from, to, told) in spoilt {
+        assert!(right.contains(from), "{from}: {right}");
+        let faults = check::faults(&right.replace(from, to), "1.2.3.4:5", 2, None);
+        assert_eq!(faults.is_empty(), told.is_empty(), "{from}: {faults:?}");
+        assert!(told.is_empty() || faults.iter().any(|fault| fault.contains(told)), "{from}: {faults:?}");
+    }
+    let over = check::faults(&right, "1.2.3.4:5", 1, None);
+    assert_eq!(over, ["a Representation over the rung in force"]);
+    let after = [
+        (of(1000, 1005, &rates[..1]), ""),
+        (of(1001, 1005, &rates), "the begin moved"),
+        (of(1000, 1000, &rates), "publishTime went back"),
+        (of(1000, 1005, &[100.0, 300.0]), "a Representation changed"),
+    ];
+    for (next, told) in after {
+        let faults = check::faults(&next, "1.2.3.4:5", 2, Some(&right));
+        assert!(
+            if told.is_empty() { faults.is_empty() } else { faults[0].contains(told) },
+            "{told}: {faults:?}"
+        );
+    }
+}
+
+#[test]
+fn a_player_goes_by_the_date_that_its_manifest_gives() {
+    let text =
+        manifest::manifest("a", "http://s/", "http://m/", &[100.0], (s(31), s(2), s(3)), (s(1000), s(1009)));
+    assert_eq!(manifest::available(&text), Some(s(1000)));
+    for (own, behind) in [(1009, 0), (4609, -3_600_000), (9, 1_000_000)] {
+        assert_eq!(manifest::behind(&text, s(own)), Some(behind));
+    }
+}
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -519,6 +519,13 @@
         if orphans + taken_over > 0 {
             writeln!(f, "found at servers: {orphans} released as nobody's, {taken_over} taken over")?;
         }
+        if let Some(first) = self.held.first() {
+            writeln!(
+                f,
+                "held, at first: {} viewings, {} kB, {} open files",
+                first.streams, first.kb, first.files
+            )?;
+        }
         for (name, part) in [("second quarter", 1), ("third quarter", 2), ("last quarter", 3)] {
             // The last viewers leave after the last quarter begins to empty: its second half is left out.
             let size = self.held.len() / 4;
--- a/crates/session/src/book.rs
+++ b/crates/session/src/book.rs
@@ -80,8 +80,8 @@
 pub(crate) struct Book {
     pub viewings: BTreeMap<ViewingId, Viewing>,
     pub sessions: BTreeMap<SessionId, ViewingId>,
-    /// Paid sessions that may have run, until their tokens end.
-    pub spent: BTreeMap<SessionId, Duration>,
+    /// Paid sessions that may have run, until their tokens end; and where, if an earlier start of ours set them up.
+    pub spent: BTreeMap<SessionId, (Duration, Option<ServerId>)>,
     pub ended: VecDeque<Ended>,
     pub ration: Option<Ration>,
     pub fence: Fence,
@@ -131,7 +131,7 @@
             self.sessions.remove(&viewing.session);
         }
         if viewing.once && viewing.ran {
-            self.spent.insert(viewing.session, viewing.valid);
+            self.spent.insert(viewing.session, (viewing.valid, None));
         }
     }
 
--- a/crates/session/src/front.rs
+++ b/crates/session/src/front.rs
@@ -93,10 +93,12 @@
         let Some(&(patience, _)) = self.terms.get(about.0.0) else {
             return out.answer(request, Answer::Conflict);
         };
-        if let Shown::Manager { birth, server, .. } = shown
-            && birth < self.book.birth.0
+        let left_at = match shown {
+            Shown::Manager { birth, server, .. } => Some(server).filter(|_| birth < self.book.birth.0),
+            Shown::App { .. } => self.book.spent.get(&session).and_then(|(_, server)| *server),
+        };
+        if let Some(server) = left_at.filter(|server| !self.heard.contains(server))
             && !self.stopping
-            && !self.heard.contains(&server)
             && !self.book.sessions.contains_key(&session)
         {
             // Guards against a second set-up of what plays on from before our start.
@@ -117,7 +119,7 @@
         if let Some(&vw) = self.book.sessions.get(&session) {
             return self.asked_again(out, now, request, vw, title, shown, valid);
         }
-        self.book.spent.retain(|_, until| *until > now);
+        self.book.spent.retain(|_, (until, _)| *until > now);
         let begun = matches!(shown, Shown::Manager { .. });
         // Guards against a paid viewing set up again by a resend after its end, or after this manager's restart.
         if once && (begun || self.book.spent.contains_key(&session)) {
@@ -181,6 +183,11 @@
         }
     }
 
+    /// An earlier start set a paid session up there, as the last that it sent of it; it may have run.
+    pub fn spent(&mut self, session: SessionId, server: ServerId, until: Duration) {
+        self.book.spent.insert(session, (until, Some(server)));
+    }
+
     /// A server has told all that it plays of ours, or is known to have nothing: those that waited for that go on.
     pub fn heard(&mut self, out: &mut dyn Effects, now: Duration, server: ServerId) {
         self.heard.insert(server);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -52,6 +52,8 @@
     /// How many segments it has, and how long each is.
     segments: u64,
     span: Duration,
+    /// When its manifests say that it began, in seconds.
+    began: u64,
 }
 
 /// One server's sockets.
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -160,7 +160,8 @@
         let package = whole("package").unwrap_or_default() as usize;
         let top = whole("top").unwrap_or_default() as usize;
         let span = Duration::from_millis(span);
-        let about = About { session, package, title: title.into(), top, segments, span };
+        let began = whole("began").unwrap_or_default();
+        let about = About { session, package, title: title.into(), top, segments, span, began };
         let rung = rung as usize;
         self.record(What::SetUp { server: at, key, session, package, title: title.into(), rung });
         let watch = Watch { standins: &self, server: at, key, how: Cell::new(SetUpEnd::Closed) };
@@ -269,6 +270,7 @@
             Some(json!({
                 "birth": key.birth, "vw": key.vw, "n": key.n, "session": format!("{:032x}", about.session),
                 "package": about.package, "title": about.title, "rung": rung, "top": about.top,
+                "began": about.began,
             }))
         };
         let playing: Vec<_> = playing.iter().filter_map(row).collect();
