--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -83,6 +83,8 @@
     pub breaks: usize,
     pub switches: usize,
     pub renewals: usize,
+    /// The most segments that any viewer began between two manifests.
+    pub between: usize,
     /// By trouble: what it took, and how often it was seen to act.
     pub troubles: Vec<(String, u64)>,
     pub unfinished: usize,
@@ -129,6 +131,7 @@
         breaks: watched.iter().map(|w| w.breaks).sum(),
         switches: watched.iter().map(|w| w.switches).sum(),
         renewals: watched.iter().map(|w| w.renewals).sum(),
+        between: watched.iter().map(|w| w.between).max().unwrap_or_default(),
         troubles: played
             .iter()
             .map(|trouble| (trouble.kind.clone(), acted(trouble, records, managers)))
@@ -513,7 +516,12 @@
             self.in_time, self.played
         )?;
         let (looked, wrong) = &self.manifests;
-        writeln!(f, "manifests checked {looked}, wrong {}", wrong.len())?;
+        let between = self.between;
+        writeln!(
+            f,
+            "manifests checked {looked}, wrong {}, segments between two {between} at most",
+            wrong.len()
+        )?;
         wrong.iter().take(5).try_for_each(|what| writeln!(f, "        {what}"))?;
         let (orphans, taken_over) = self.found;
         if orphans + taken_over > 0 {
--- a/crates/lab/src/viewers.rs
+++ b/crates/lab/src/viewers.rs
@@ -70,6 +70,8 @@
     pub switches: usize,
     /// Expired tokens that were replaced in mid-play.
     pub renewals: usize,
+    /// The most segments that it began between two manifests, where it asked for them in time.
+    pub between: usize,
     pub tries: usize,
 }
 
@@ -485,7 +487,9 @@
         }
         let (mut fetches, mut number) = (Line::default(), 1_u64);
         let (mut refreshed, mut last_rung) = (self.now(), None);
+        let mut begun = 0;
         while !left.is_zero() {
+            begun += 1;
             let step = self.segment.min(*left);
             let segment_begins = self.now();
             let mut rung = rungs - 1;
@@ -545,7 +549,8 @@
                 refreshed = self.now();
                 match self.ask(line, &again, viewer, manager, Some((&base, &text)), Duration::MAX).await {
                     Got::Manifest { base: b, again: a, rungs: r, refresh: f, text: t } => {
-                        (base, again, rungs, refresh, text) = (b, a, r, f, t)
+                        (base, again, rungs, refresh, text) = (b, a, r, f, t);
+                        watched.between = watched.between.max(std::mem::take(&mut begun));
                     }
                     // Its manager may be gone for a moment; what plays plays on.
                     Got::Lost => {}
