Players' reports heard, and what is to blame for stutter named by strata

Change: crates/hints reads CMCD in its four forms, crates/quality keeps the last few reports of each session and names what explains an excess of bad sessions, the daemon takes reports on a session's token and serves what it found at manager.console (ivyward quality).

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod embedded;
 pub mod pool;
+pub mod quality;
 pub mod setup;
 
 pub mod birth;
@@ -111,11 +112,19 @@
         .run_until(async {
             let shell = Shell::start(settings, module, (birth, paid), address, outside.clock)?;
             tracing::info!(manager = manager.text("name"), %address, birth, "takes viewings");
+            let quality = quality::Quality::start(shell.clone(), settings);
+            if manager.has("console") {
+                let wanted = manager.text("console");
+                let console = TcpListener::bind(&wanted).await.map_err(|e| format!("{wanted}: {e}"))?;
+                tracing::info!(console = %console.local_addr().map_err(|e| e.to_string())?, "the operators' pages");
+                tokio::task::spawn_local(viewers::console(console, quality.clone()));
+            }
             let taking = tokio::task::spawn_local(viewers::serve(
                 shell.clone(),
                 listener,
                 settings.clone(),
                 outside.texts,
+                quality,
             ));
             ready(address);
             ended.await;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -48,6 +48,14 @@
         #[arg(long)]
         settings: Option<PathBuf>,
     },
+    /// Tell how players fare, and what is to blame where they stutter
+    Quality {
+        /// A manager's console, as `manager.console` of its settings says
+        console: std::net::SocketAddr,
+        /// As it is, for machines
+        #[arg(long)]
+        raw: bool,
+    },
     /// Tell the version
     Version,
 }
@@ -106,6 +114,19 @@
     })
 }
 
+fn quality(console: std::net::SocketAddr, raw: bool) -> Result<(), String> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let asked = ivyward_daemon::quality::ask(console);
+    let page = tokio::task::LocalSet::new().block_on(&runtime, asked)?;
+    if raw {
+        println!("{page}");
+    } else {
+        print!("{}", ivyward_daemon::quality::table(&page));
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let line = Line::parse();
     let filter = match tracing_subscriber::EnvFilter::try_new(&line.log) {
@@ -136,6 +157,7 @@
                 .and_then(|given| embedded::token(&given, &title, &package, top, life))
                 .map(|t| println!("{t}"))
         }
+        What::Quality { console, raw } => quality(console, raw),
         What::Version => {
             println!("ivyward {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- /dev/null
+++ b/crates/daemon/src/quality.rs
@@ -0,0 +1,248 @@
+//! Players' reports at the daemon: taken on a session's token, bounded, and worked out beside the core, never in its way.
+
+use crate::shell::Shell;
+use ivyward::front::ServerId;
+use ivyward_dash::token::Pass;
+use ivyward_hints::{Said, Skipped};
+use ivyward_quality::{Blame, ClientId, Factor, Figures, Intake, Level, SessionId, Taken, Window, blame};
+use ivyward_settings::Part;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Windows whose figures are kept.
+const KEPT: usize = 20;
+/// Lines of one request that are read.
+const LINES: usize = 32;
+
+/// Names of levels, numbered as they came.
+#[derive(Default)]
+struct Names {
+    numbers: BTreeMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    fn number(&mut self, name: &str) -> u32 {
+        if let Some(number) = self.numbers.get(name) {
+            return *number;
+        }
+        let number = self.names.len() as u32;
+        self.numbers.insert(name.into(), number);
+        self.names.push(name.into());
+        number
+    }
+
+    fn name(&self, level: Level) -> String {
+        self.names.get(level.0 as usize).cloned().unwrap_or_default()
+    }
+}
+
+struct Inner {
+    intake: RefCell<Intake>,
+    names: RefCell<[Names; 5]>,
+    skipped: RefCell<BTreeMap<Skipped, u64>>,
+    windows: RefCell<VecDeque<Value>>,
+    racks: u32,
+}
+
+/// What players say of themselves.
+#[derive(Clone)]
+pub struct Quality(Rc<Inner>);
+
+/// The network that a player's address lies in: three bytes of an IPv4 address, three groups of an IPv6 one.
+fn network(address: IpAddr) -> String {
+    match address {
+        IpAddr::V4(address) => {
+            let [a, b, c, _] = address.octets();
+            format!("{a}.{b}.{c}.0/24")
+        }
+        IpAddr::V6(address) => {
+            let [a, b, c, ..] = address.segments();
+            format!("{a:x}:{b:x}:{c:x}::/48")
+        }
+    }
+}
+
+/// A place among sorted delays, in milliseconds.
+fn at(delays: &[Duration], part: f64) -> u64 {
+    let i = ((delays.len() as f64 - 1.0) * part).round().max(0.0) as usize;
+    delays.get(i).map_or(0, |delay| delay.as_millis() as u64)
+}
+
+impl Quality {
+    pub fn start(shell: Shell, settings: &Part) -> Quality {
+        let (part, racks) = (settings.one("quality"), settings.one("network").count("racks") as u32);
+        let spans = (part.span("window_s"), part.span("late_s"));
+        let intake = Intake::new(shell.now(), spans, part.count("reports"), part.count("sessions"));
+        let quality = Quality(Rc::new(Inner {
+            intake: RefCell::new(intake),
+            names: RefCell::default(),
+            skipped: RefCell::default(),
+            windows: RefCell::default(),
+            racks: racks.max(1),
+        }));
+        let (closing, step) = (quality.clone(), (spans.0 / 8).max(Duration::from_millis(50)));
+        spawn_local(async move {
+            loop {
+                sleep(step).await;
+                while let Some(window) = closed(&closing, shell.now()) {
+                    closing.keep(window).await;
+                }
+            }
+        });
+        quality
+    }
+
+    /// Reports of a session: lines of keys, or one JSON object. `server`: where it plays, and its cell. What became of the
+    /// worst of them.
+    pub fn hear(
+        &self, now: Duration, pass: &Pass, server: Option<(ServerId, u32)>, from: IpAddr, text: &str,
+    ) -> Taken {
+        let session = SessionId(pass.session);
+        // A session's reports come from its player: who floods by one session is its client.
+        let client = ClientId(pass.session as u64);
+        let levels = {
+            let names = &mut self.0.names.borrow_mut();
+            let (rack, server) = match server {
+                Some((server, cell)) => {
+                    (format!("{}", cell % self.0.racks), crate::setup::server_address(server).to_string())
+                }
+                None => ("none".into(), "none".into()),
+            };
+            let of = [rack, server, pass.title.clone(), pass.tenant.clone(), network(from)];
+            let mut numbers = of.iter().zip(names.iter_mut()).map(|(name, names)| Level(names.number(name)));
+            std::array::from_fn(|_| numbers.next().unwrap_or(Level(0)))
+        };
+        let json = text.trim_start().starts_with('{');
+        let lines: Vec<_> = if json { vec![text] } else { text.lines().take(LINES).collect() };
+        let mut worst = Taken::Kept;
+        for line in lines {
+            let mut figures = Figures::default();
+            let mut hear = |said: Said| match said {
+                Said::Sequence(sequence) => figures.sequence = Some(sequence),
+                Said::Sent(sent) => figures.sent = Some(sent),
+                Said::StartUp(span) => figures.start_up = Some(span),
+                Said::Stalled(span) => figures.stalled = Some(span),
+                Said::StalledInAll(span) => figures.stalled_in_all = Some(span),
+                Said::Rate(rate) => figures.rate = Some(rate),
+                _ => {}
+            };
+            let mut skip = |why| *self.0.skipped.borrow_mut().entry(why).or_default() += 1;
+            if json {
+                ivyward_hints::read_json(line, &mut hear, &mut skip);
+            } else {
+                ivyward_hints::read(line, &mut hear, &mut skip);
+            }
+            worst = worst.max(self.0.intake.borrow_mut().report(now, session, client, levels, figures));
+        }
+        worst
+    }
+
+    /// A window's figures. What is to blame is worked out beside this thread: it takes a while.
+    async fn keep(&self, window: Window) {
+        let Window { from, table, mut starts, switches, sessions } = window;
+        let all = table.whole();
+        let named = tokio::task::spawn_blocking(move || blame(&table)).await.unwrap_or_default();
+        starts.sort_unstable();
+        let named: Vec<_> = named.iter().map(|blame| self.told(blame)).collect();
+        for of in &named {
+            tracing::warn!(%of, "sessions stutter");
+        }
+        let kept = json!({
+            "from_s": from.as_secs(), "sessions": sessions, "bad": all.mean(), "switches": switches,
+            "start_ms": {"p50": at(&starts, 0.5), "p95": at(&starts, 0.95)}, "named": named,
+        });
+        let mut windows = self.0.windows.borrow_mut();
+        if windows.len() == KEPT {
+            windows.pop_front();
+        }
+        windows.push_back(kept);
+    }
+
+    fn told(&self, blame: &Blame) -> Value {
+        let names = self.0.names.borrow();
+        let name = |factor: Factor, level| {
+            json!([format!("{factor:?}").to_lowercase(), names[factor as usize].name(level)])
+        };
+        let or: Vec<_> = blame.or.iter().map(|(factor, level)| name(*factor, *level)).collect();
+        json!({
+            "what": name(blame.factor, blame.level), "or": or, "excess": blame.excess,
+            "errors": blame.plain, "sessions": blame.sessions,
+        })
+    }
+
+    /// All that is known, for the operators: the last windows, and what became of reports and keys.
+    pub fn page(&self) -> Value {
+        let taken: BTreeMap<_, _> = self
+            .0
+            .intake
+            .borrow()
+            .counts()
+            .iter()
+            .map(|(taken, n)| (format!("{taken:?}").to_lowercase(), *n))
+            .collect();
+        let skipped: BTreeMap<_, _> =
+            self.0.skipped.borrow().iter().map(|(why, n)| (format!("{why:?}").to_lowercase(), *n)).collect();
+        let windows: Vec<_> = self.0.windows.borrow().iter().cloned().collect();
+        json!({
+            "windows": windows, "reports": taken, "keys_skipped": skipped,
+            "sessions": self.0.intake.borrow().len(),
+        })
+    }
+}
+
+fn closed(quality: &Quality, now: Duration) -> Option<Window> {
+    quality.0.intake.borrow_mut().close(now)
+}
+
+/// A page as a table, for `ivyward quality`.
+pub fn table(page: &Value) -> String {
+    let mut text = String::from("from s  sessions  bad    start p50, p95 ms  switches  named\n");
+    for window in page["windows"].as_array().into_iter().flatten() {
+        let whole = |value: &Value| value.as_u64().unwrap_or_default();
+        let one = |of: &Value| format!("{} {}", of[0].as_str().unwrap_or(""), of[1].as_str().unwrap_or(""));
+        let named = window["named"].as_array().into_iter().flatten().map(|named| {
+            let or: Vec<_> = named["or"].as_array().into_iter().flatten().map(one).collect();
+            let or = if or.is_empty() { String::new() } else { format!(" or {}", or.join(" or ")) };
+            let excess = named["excess"].as_f64().unwrap_or_default();
+            format!("{}{or} (+{excess:.2})", one(&named["what"]))
+        });
+        let named: Vec<_> = named.collect();
+        text += &format!(
+            "{:>6} {:>9}  {:.3} {:>11}, {:>6} {:>9}  {}\n",
+            whole(&window["from_s"]),
+            whole(&window["sessions"]),
+            window["bad"].as_f64().unwrap_or_default(),
+            whole(&window["start_ms"]["p50"]),
+            whole(&window["start_ms"]["p95"]),
+            whole(&window["switches"]),
+            if named.is_empty() { "nobody".into() } else { named.join("; ") },
+        );
+    }
+    text + &format!("reports {}, keys skipped {}\n", page["reports"], page["keys_skipped"])
+}
+
+/// Asks a manager's console for its page of quality.
+///
+/// # Errors
+/// It can't be reached, or answers something else.
+pub async fn ask(console: SocketAddr) -> Result<Value, String> {
+    use http_body_util::{BodyExt, Full, Limited};
+    let told = |e: String| format!("{console}: {e}");
+    let mut connection = crate::pool::Connection::open(console, Duration::from_secs(5))
+        .await
+        .map_err(|e| told(e.to_string()))?;
+    let mut request = hyper::Request::new(Full::<bytes::Bytes>::default());
+    *request.uri_mut() = "/quality".parse().unwrap_or_default();
+    let host = hyper::header::HeaderValue::from_str(&console.to_string()).map_err(|e| told(e.to_string()))?;
+    request.headers_mut().insert("host", host);
+    let answer = connection.ask(request).await.map_err(|e| told(format!("{e:?}")))?;
+    let body = Limited::new(answer.into_body(), 4 << 20).collect().await.map_err(|e| told(e.to_string()))?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|e| told(e.to_string()))
+}
--- a/crates/daemon/src/setup.rs
+++ b/crates/daemon/src/setup.rs
@@ -59,7 +59,11 @@
     if !settings.has("list_address") && servers.is_empty() {
         faults.push(settings.fault("list_address", "is missing, and no server is given"));
     }
-    for (part, name) in [(settings, "list_address"), (&settings.one("manager"), "listen")] {
+    for (part, name) in [
+        (settings, "list_address"),
+        (&settings.one("manager"), "listen"),
+        (&settings.one("manager"), "console"),
+    ] {
         if part.has(name) && part.text(name).parse::<SocketAddr>().is_err() {
             faults.push(part.fault(name, "is no address with a port"));
         }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -197,7 +197,7 @@
 
     /// The date to go by: our own clock's, unless most servers say otherwise.
     pub fn date(&self) -> Duration {
-        let (date, believed) = self.0.calendar.borrow().date(self.now(), (self.0.clock)());
+        let (date, believed) = self.0.calendar.borrow_mut().date(self.now(), (self.0.clock)());
         if !believed {
             tracing::debug!("our own clock is not believed");
         }
@@ -254,7 +254,8 @@
 
     fn sweep(&self) {
         self.0.pool.sweep();
-        let (now, (_, believed)) = (self.now(), self.0.calendar.borrow().date(self.now(), (self.0.clock)()));
+        let (now, (_, believed)) =
+            (self.now(), self.0.calendar.borrow_mut().date(self.now(), (self.0.clock)()));
         if !believed {
             tracing::error!("our clock lies far from the servers' clocks: theirs is gone by");
         }
@@ -325,6 +326,11 @@
         list.iter().map(|row| self.seen(*row)).collect()
     }
 
+    /// The cell that a server was listed at.
+    pub fn cell(&self, server: ServerId) -> Option<u32> {
+        self.0.rows.borrow().get(&server).map(|row| row.cell)
+    }
+
     pub fn gone(&self, server: ServerId) -> bool {
         self.0.gone.borrow().get(&server).copied().unwrap_or(true)
     }
--- a/crates/daemon/src/viewers.rs
+++ b/crates/daemon/src/viewers.rs
@@ -1,9 +1,10 @@
 //! Where viewers come in: one manifest request is one viewing request, and its HTTP answer is the viewing's answer.
 
+use crate::quality::Quality;
 use crate::setup;
 use crate::shell::Shell;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -12,12 +13,15 @@
 use ivyward_dash::manifest::manifest;
 use ivyward_dash::token::{Given, Keys, Pass, Refusal};
 use ivyward_edge::{Refresh, Shown};
+use ivyward_hints::HEADERS;
+use ivyward_quality::Taken;
 use ivyward_session::{Answer, RequestId, SessionId};
 use ivyward_settings::Part;
+use percent_encoding::percent_decode_str;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -25,18 +29,23 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_io_timeout::TimeoutStream;
 
 /// The head of a request must fit into this.
 const LONGEST_HEAD: usize = 16 << 10;
 
+/// Reports of one request fit into this, and come within so long.
+const LONGEST_REPORTS: usize = 64 << 10;
+const REPORTED_WITHIN: Duration = Duration::from_secs(5);
+
 /// For a head that began and never ended (RFC 9110, 15.5.9); an idle connection is closed without a word.
 const TOO_SLOW: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// What requests are answered by.
 struct Desk {
     shell: Shell,
+    quality: Quality,
     keys: RefCell<Keys>,
     revoked: RefCell<BTreeSet<u128>>,
     life: Duration,
@@ -49,6 +58,7 @@
 
 pub async fn serve(
     shell: Shell, listener: TcpListener, settings: Part, texts: Option<UnboundedReceiver<String>>,
+    quality: Quality,
 ) {
     let (tokens, manager) = (settings.one("tokens"), settings.one("manager"));
     let Ok(keys) = setup::keys(&tokens) else { return };
@@ -61,6 +71,7 @@
     let refresh = Refresh::new(manager.whole("seed"), manifest.span("refresh_s"), life, margin);
     let desk = Rc::new(Desk {
         shell,
+        quality,
         keys: RefCell::new(keys),
         revoked: RefCell::new(revoked(&tokens)),
         life,
@@ -84,8 +95,8 @@
         while !desk.shell.0.gate.borrow().opens(desk.shell.now(), open.get(), most) {
             sleep(Duration::from_millis(5)).await;
         }
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, from) = match listener.accept().await {
+            Ok((stream, from)) => (stream, from.ip()),
             Err(error) => {
                 // Out of file handles, most likely: a pause, or this would spin.
                 tracing::warn!(%error, "no connection can be taken");
@@ -102,7 +113,7 @@
         spawn_local(async move {
             let answer = |request| {
                 let desk = desk.clone();
-                Box::pin(async move { Ok::<_, Infallible>(desk.answer(request).await) })
+                Box::pin(async move { Ok::<_, Infallible>(desk.answer(request, from).await) })
             };
             let mut connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -137,6 +148,45 @@
     page
 }
 
+/// The token of a request: a bearer's (RFC 6750, 2.1), or the query's.
+fn given(request: &Request<Incoming>) -> Option<&str> {
+    let bearer = request.headers().get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let bearer = bearer.and_then(|value| value.strip_prefix("Bearer "));
+    let query = request.uri().query().unwrap_or_default();
+    bearer.or(query.split('&').find_map(|pair| pair.strip_prefix("token=")))
+}
+
+/// The operators' pages.
+pub async fn console(listener: TcpListener, quality: Quality) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let quality = quality.clone();
+        spawn_local(async move {
+            let answer = |request: Request<Incoming>| {
+                let found = match (request.method(), request.uri().path()) {
+                    (&Method::GET, "/quality") => with(
+                        page(StatusCode::OK, quality.page().to_string()),
+                        "content-type",
+                        "application/json",
+                    ),
+                    _ => page(StatusCode::NOT_FOUND, "no such page\n"),
+                };
+                std::future::ready(Ok::<_, Infallible>(found))
+            };
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), hyper::service::service_fn(answer))
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(%error, "an operator's connection broke");
+            }
+        });
+    }
+}
+
 fn blocked(come_back: Duration) -> Page {
     let page = page(StatusCode::SERVICE_UNAVAILABLE, "blocked: nothing plays it now\n");
     // Whole seconds (RFC 9110, 10.2.3); the span as it is beside them.
@@ -198,8 +248,44 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Page {
+    /// A player's reports (CMCD's report mode), on its session's token.
+    async fn reported(&self, request: Request<Incoming>, from: IpAddr) -> Page {
+        if request.method() != Method::POST {
+            return with(
+                page(StatusCode::METHOD_NOT_ALLOWED, "only POST is answered here\n"),
+                "allow",
+                "POST",
+            );
+        }
+        let token = given(&request).map(String::from).unwrap_or_default();
+        let checked = self.keys.borrow().check(&token, self.shell.date(), self.skew);
+        let pass = match checked {
+            Ok((pass, _)) => pass,
+            Err(refusal) => return refused(refusal),
+        };
+        let body = Limited::new(request.into_body(), LONGEST_REPORTS).collect();
+        let Ok(Ok(body)) = timeout(REPORTED_WITHIN, body).await else {
+            let page = page(StatusCode::PAYLOAD_TOO_LARGE, "reports are shorter, and sent at once\n");
+            return with(page, "connection", "close");
+        };
+        let body = body.to_bytes();
+        match self.hears(&pass, from, &String::from_utf8_lossy(&body)) {
+            Taken::Flood | Taken::Full => page(StatusCode::TOO_MANY_REQUESTS, "too many reports\n"),
+            _ => page(StatusCode::NO_CONTENT, ""),
+        }
+    }
+
+    fn hears(&self, pass: &Pass, from: IpAddr, text: &str) -> Taken {
+        let server = pass.given.as_ref().and_then(|given| setup::server_id(&given.server.to_string()));
+        let server = server.and_then(|server| Some((server, self.shell.cell(server)?)));
+        self.quality.hear(self.shell.now(), pass, server, from, text)
+    }
+
+    async fn answer(&self, request: Request<Incoming>, from: IpAddr) -> Page {
         let path = request.uri().path();
+        if path == "/cmcd" {
+            return self.reported(request, from).await;
+        }
         let name = path.strip_prefix("/mpd/").and_then(|rest| rest.strip_suffix(".mpd"));
         let Some(name) = name else { return page(StatusCode::NOT_FOUND, "no such page\n") };
         if request.method() != Method::GET {
@@ -209,11 +295,7 @@
             let page = page(StatusCode::BAD_REQUEST, "no body belongs here\n");
             return with(page, "connection", "close");
         }
-        let bearer = request.headers().get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
-        let bearer = bearer.and_then(|value| value.strip_prefix("Bearer "));
-        let query = request.uri().query().unwrap_or_default();
-        let given = query.split('&').find_map(|pair| pair.strip_prefix("token="));
-        let Some(token) = bearer.or(given) else { return refused(Refusal::Malformed) };
+        let Some(token) = given(&request) else { return refused(Refusal::Malformed) };
         let now = self.shell.date();
         let checked = self.keys.borrow().check(token, now, self.skew);
         let (pass, (issued, until)) = match checked {
@@ -232,6 +314,17 @@
         let Some((package, patience, rates)) = self.packages.get(&pass.package) else {
             return page(StatusCode::FORBIDDEN, "no such package\n");
         };
+        // What a player says of itself with a request (CMCD's request mode) is heard as a report.
+        if pass.given.is_some() {
+            let headers = HEADERS.iter().filter_map(|name| request.headers().get(*name)?.to_str().ok());
+            let mut said: Vec<_> = headers.map(String::from).collect();
+            let query = request.uri().query().unwrap_or_default();
+            let coded = query.split('&').find_map(|pair| pair.strip_prefix("CMCD="));
+            said.extend(coded.and_then(|text| percent_decode_str(text).decode_utf8().ok()).map(String::from));
+            if !said.is_empty() {
+                self.hears(&pass, from, &said.join(","));
+            }
+        }
         let (request, session) = (self.shell.request(), SessionId(pass.session));
         let (tell, told) = oneshot::channel();
         // A token of another manager is no step of a viewing here: it is as if the app had given it.
@@ -264,6 +357,8 @@
         match answer {
             Answer::Plays { server, birth, vw, tune_in, rung, turn } => {
                 let server = setup::server_address(server);
+                // The answer may have taken a while: what is said now is dated now.
+                let now = self.shell.date();
                 let told = pass.given.as_ref().map(|given| given.began);
                 let began = self.shell.began(session, told);
                 let (manager, birth, vw, n) = (self.shell.0.name.clone(), birth.0, vw.0, tune_in.0);
--- a/crates/edge/src/calendar.rs
+++ b/crates/edge/src/calendar.rs
@@ -23,12 +23,18 @@
 pub struct Calendar {
     skew: i64,
     heard: BTreeMap<ServerId, (Duration, Epoch)>,
+    /// The last date told.
+    last: Duration,
 }
 
 impl Calendar {
     /// `skew`: how far clocks may be apart.
     pub fn new(skew: Duration) -> Self {
-        Calendar { skew: i64::try_from(skew.as_millis()).unwrap_or(i64::MAX / 4), heard: BTreeMap::new() }
+        Calendar {
+            skew: i64::try_from(skew.as_millis()).unwrap_or(i64::MAX / 4),
+            heard: BTreeMap::new(),
+            last: Duration::ZERO,
+        }
     }
 
     /// A server answered with its date.
@@ -51,15 +57,21 @@
         middle(epochs).filter(|_| self.heard.len() >= QUORUM)
     }
 
-    /// The date to go by, where our own clock says `own`; and whether that clock is believed.
-    pub fn date(&self, now: Duration, own: Duration) -> (Duration, bool) {
-        match self.most() {
+    /// The date to go by, where our own clock says `own`; and whether that clock is believed. It goes back only where it
+    /// has to by more than clocks may differ: the servers' dates and ours take turns within that.
+    pub fn date(&mut self, now: Duration, own: Duration) -> (Duration, bool) {
+        let (date, believed) = match self.most() {
             Some(most) if (epoch(now, own) - most).abs() > self.skew + GRAIN => {
                 let ms = i64::try_from(now.as_millis()).unwrap_or_default() - most;
                 (Duration::from_millis(u64::try_from(ms).unwrap_or_default()), false)
             }
             _ => (own, true),
+        };
+        let apart = Duration::from_millis((self.skew + GRAIN).unsigned_abs());
+        if date + apart < self.last || date > self.last {
+            self.last = date;
         }
+        (self.last, believed)
     }
 
     /// Whether a server's clock lies too far from the others' for its players' tokens to be taken there.
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -246,6 +246,19 @@
     }
 }
 
+#[test]
+fn the_date_goes_back_only_by_more_than_clocks_may_differ() {
+    let mut calendar = Calendar::new(ms(1000));
+    let date = Duration::from_secs(1_000_000);
+    // What our clock says next, in milliseconds from the first, and what is gone by.
+    for (own, gone_by) in
+        [(0, 0), (500, 500), (400, 500), (-1400, 500), (600, 600), (-1500, -1500), (-1000, -1000)]
+    {
+        let at = |ms: i64| date + Duration::from_millis((ms + 5000) as u64);
+        assert_eq!(calendar.date(ms(10_000), at(own)).0, at(gone_by), "{own}");
+    }
+}
+
 #[test]
 fn servers_not_heard_of_for_long_are_named_oldest_first() {
     let mut calendar = Calendar::new(ms(1000));
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod growth;
 pub mod managers;
 pub mod measure;
+pub mod quality;
 pub mod trouble;
 pub mod verdict;
 pub mod viewers;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -59,6 +59,18 @@
         #[arg(long)]
         against: Option<PathBuf>,
     },
+    /// What is named for faults planted in worlds of sessions, by three ways
+    Quality {
+        /// Worlds of each kind
+        #[arg(long, default_value_t = 200)]
+        worlds: u64,
+        /// Sessions in a window
+        #[arg(long, default_value_t = 4000)]
+        sessions: u32,
+        /// The part of sessions that a fault makes stutter; may be given several times
+        #[arg(long, default_values_t = [0.1, 0.2, 0.4])]
+        size: Vec<f64>,
+    },
     /// A responder that answers everything with one manifest
     #[command(hide = true)]
     Bare,
@@ -148,6 +160,10 @@
                 true
             })
         }
+        What::Quality { worlds, sessions, size } => {
+            print!("{}", ivyward_lab::quality::table(worlds, sessions, &size));
+            Ok(true)
+        }
         What::Bare => bare().map(|()| true),
         What::Measure { script, rounds, viewings, connections } => {
             measure(&script, rounds, viewings, connections).map(|()| true)
--- /dev/null
+++ b/crates/lab/src/quality.rs
@@ -0,0 +1,153 @@
+//! Worlds with planted faults, to see what is named for them: sessions drawn by a seed, over racks, servers, titles, tenants
+//! and networks as a fleet has them. Nothing of a manager runs here.
+
+use ivyward_quality::{Factor, Level, Table, additive, blame, lift};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use std::fmt::Write;
+use std::time::Instant;
+
+const RACKS: u32 = 25;
+const SERVERS: u32 = 200;
+const TITLES: u32 = 120;
+const TENANTS: u32 = 20;
+const NETWORKS: u32 = 300;
+/// Cells that hold a title.
+const SPREAD: u32 = 6;
+/// The part of sessions that stutter whatever happens, and of a network whose players always do.
+const USUAL: f64 = 0.06;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    None,
+    Rack,
+    Server,
+    Title,
+    Both,
+    /// A popular title that lies on the bad rack only.
+    Exclusive,
+    Tenant,
+}
+
+pub const KINDS: [Kind; 7] =
+    [Kind::None, Kind::Rack, Kind::Server, Kind::Title, Kind::Both, Kind::Exclusive, Kind::Tenant];
+
+type Named = Vec<(Factor, Level, Vec<(Factor, Level)>)>;
+
+type Faults = Vec<(Factor, Level)>;
+
+/// A world's sessions, what was planted in it, and the networks whose players stutter in every world: whoever names one of
+/// those is right, but that isn't what is looked for.
+pub fn world(kind: Kind, seed: u64, sessions: u32, size: f64) -> (Table, Faults, Faults) {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(7919).wrapping_add(kind as u64));
+    let popular = chance.random_range(0..10);
+    let rack = chance.random_range(0..RACKS);
+    // A title of the first third, so that it is seen often enough; for the one rack only, one that lies there.
+    let title = if kind == Kind::Exclusive { popular } else { chance.random_range(0..TITLES / 3) };
+    let server = chance.random_range(0..SERVERS);
+    let tenant = chance.random_range(0..TENANTS / 2);
+    let planted: Vec<_> = match kind {
+        Kind::None => vec![],
+        Kind::Rack | Kind::Exclusive => vec![(Factor::Rack, Level(rack))],
+        Kind::Server => vec![(Factor::Server, Level(server))],
+        Kind::Title => vec![(Factor::Title, Level(title))],
+        Kind::Both => vec![(Factor::Rack, Level(rack)), (Factor::Title, Level(title))],
+        Kind::Tenant => vec![(Factor::Tenant, Level(tenant))],
+    };
+    // How likely each is to be drawn, added up.
+    let zipf = |n: u32| {
+        let mut sum = 0.0;
+        let sums: Vec<f64> = (1..=n)
+            .map(|rank| {
+                sum += f64::from(rank).powf(-0.8);
+                sum
+            })
+            .collect();
+        sums
+    };
+    let (titles, tenants) = (zipf(TITLES), zipf(TENANTS));
+    let draw = |sums: &[f64], chance: &mut Pcg64Mcg| {
+        let at = chance.random::<f64>() * sums.last().copied().unwrap_or_default();
+        sums.partition_point(|sum| *sum <= at).min(sums.len() - 1) as u32
+    };
+    let poor: Vec<bool> = (0..NETWORKS).map(|_| chance.random::<f64>() < USUAL / 2.0).collect();
+    let mut table = Table::default();
+    for _ in 0..sessions {
+        let of = draw(&titles, &mut chance);
+        let cell = match kind {
+            Kind::Exclusive if of == title => rack + RACKS * chance.random_range(0..SERVERS / RACKS),
+            _ => (of * 7 + chance.random_range(0..SPREAD)) % SERVERS,
+        };
+        let (network, group) = (chance.random_range(0..NETWORKS), draw(&tenants, &mut chance));
+        let levels = [cell % RACKS, cell, of, group, network].map(Level);
+        let hit = planted.iter().any(|(factor, level)| levels[*factor as usize] == *level);
+        let stutters = chance.random::<f64>() < USUAL
+            || poor[network as usize] && chance.random::<f64>() < 0.5
+            || hit && chance.random::<f64>() < size;
+        // Stalled for a part of its time.
+        table.add(levels, if stutters { 0.1 + 0.5 * chance.random::<f64>() } else { 0.0 });
+    }
+    let poor = (0..NETWORKS).filter(|network| poor[*network as usize]);
+    (table, planted, poor.map(|network| (Factor::Network, Level(network))).collect())
+}
+
+/// What became of one world: planted and named, planted and missed, named in vain.
+fn judged(planted: &Faults, poor: &Faults, named: &Named) -> (u32, u32, u32) {
+    let is = |of: &(Factor, Level), named: &(Factor, Level, Vec<(Factor, Level)>)| {
+        (named.0, named.1) == *of || named.2.contains(of)
+    };
+    let right = planted.iter().filter(|of| named.iter().any(|named| is(of, named))).count() as u32;
+    let vain =
+        named.iter().filter(|named| !planted.iter().chain(poor).any(|of| is(of, named))).count() as u32;
+    (right, planted.len() as u32 - right, vain)
+}
+
+type Way = (&'static str, fn(&Table) -> Named);
+
+fn ways() -> [Way; 3] {
+    fn plain(named: Vec<(Factor, Level)>) -> Named {
+        named.into_iter().map(|(factor, level)| (factor, level, vec![])).collect()
+    }
+    [
+        ("lift", |table| plain(lift(table))),
+        ("additive", |table| plain(additive(table))),
+        ("strata", |table| blame(table).into_iter().map(|b| (b.factor, b.level, b.or)).collect()),
+    ]
+}
+
+/// A table over worlds of each kind: faults named, missed, and names in vain, by each way; and what a way costs.
+pub fn table(worlds: u64, sessions: u32, sizes: &[f64]) -> String {
+    let mut text =
+        format!("{worlds} worlds of each kind, {sessions} sessions, {RACKS} racks, {TITLES} titles\n");
+    text += "kind        size   way        named  missed  in vain  worlds with any in vain\n";
+    let mut costs = [0.0; 3];
+    let mut looked = 0_u64;
+    for kind in KINDS {
+        for size in sizes.iter().take(if kind == Kind::None { 1 } else { sizes.len() }) {
+            let mut sums = [(0, 0, 0, 0); 3];
+            for seed in 0..worlds {
+                let (table, planted, poor) = world(kind, seed, sessions, *size);
+                looked += 1;
+                for (i, (_, way)) in ways().iter().enumerate() {
+                    let begun = Instant::now();
+                    let named = way(&table);
+                    costs[i] += begun.elapsed().as_secs_f64();
+                    let (right, missed, vain) = judged(&planted, &poor, &named);
+                    let sum = &mut sums[i];
+                    *sum = (sum.0 + right, sum.1 + missed, sum.2 + vain, sum.3 + u32::from(vain > 0));
+                }
+            }
+            for ((name, _), (right, missed, vain, any)) in ways().iter().zip(sums) {
+                let size = if kind == Kind::None { "-".into() } else { format!("{size}") };
+                let kind = format!("{kind:?}");
+                writeln!(text, "{kind:<11} {size:<6} {name:<9} {right:>6} {missed:>7} {vain:>8} {any:>8}")
+                    .ok();
+            }
+        }
+    }
+    for ((name, _), cost) in ways().iter().zip(costs) {
+        writeln!(text, "{name}: {:.1} ms a window", cost / looked.max(1) as f64 * 1000.0).ok();
+    }
+    text
+}
