--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -250,10 +250,17 @@
     shell.tell(move |front, hands, now| front.fetched(hands, now, server, tune_in, quiet));
 }
 
-/// Asks a server for an answer only to hear its date.
+/// Asks a server for an answer only to hear its date, on a connection of its own: none is kept for that.
 pub async fn ask_date(shell: Shell, server: ServerId) {
     let within = shell.0.connect;
-    timeout(within, ask(&shell, server, Method::GET, "/load", &Value::Null, within)).await.ok();
+    let Some(_place) = shell.place(server, Errand::Care, shell.now() + within).await else { return };
+    let asked = async {
+        let mut connection = Connection::open(server_address(server), within).await.ok()?;
+        connection.ask(request(Method::GET, server, "/load", &Value::Null)).await.ok()
+    };
+    if let Ok(Some(answer)) = timeout(within, asked).await {
+        dated(&shell, server, &answer);
+    }
 }
 
 /// Follows a server's notes while it is listed. When the connection breaks, what the server then says it plays is
--- a/crates/daemon/src/quality.rs
+++ b/crates/daemon/src/quality.rs
@@ -146,16 +146,19 @@
 
     /// A window's figures. What is to blame is worked out beside this thread: it takes a while.
     async fn keep(&self, window: Window) {
-        let Window { from, table, mut starts, switches, sessions } = window;
-        let all = table.whole();
-        let named = tokio::task::spawn_blocking(move || blame(&table)).await.unwrap_or_default();
+        let Window { from, stalls, slow, mut starts, switches, sessions } = window;
+        let (all, slowly) = (stalls.whole(), slow.whole());
+        let named =
+            tokio::task::spawn_blocking(move || (blame(&stalls), blame(&slow))).await.unwrap_or_default();
         starts.sort_unstable();
-        let named: Vec<_> = named.iter().map(|blame| self.told(blame)).collect();
+        let told = |of: &'static str| move |blame: &Blame| self.told(of, blame);
+        let named: Vec<_> =
+            named.0.iter().map(told("stalls")).chain(named.1.iter().map(told("starts"))).collect();
         for of in &named {
             tracing::warn!(%of, "sessions stutter");
         }
         let kept = json!({
-            "from_s": from.as_secs(), "sessions": sessions, "bad": all.mean(), "switches": switches,
+            "from_s": from.as_secs(), "sessions": sessions, "stalled": all.mean(), "slow": slowly.mean(), "switches": switches,
             "start_ms": {"p50": at(&starts, 0.5), "p95": at(&starts, 0.95)}, "named": named,
         });
         let mut windows = self.0.windows.borrow_mut();
@@ -165,14 +168,14 @@
         windows.push_back(kept);
     }
 
-    fn told(&self, blame: &Blame) -> Value {
+    fn told(&self, of: &str, blame: &Blame) -> Value {
         let names = self.0.names.borrow();
         let name = |factor: Factor, level| {
             json!([format!("{factor:?}").to_lowercase(), names[factor as usize].name(level)])
         };
         let or: Vec<_> = blame.or.iter().map(|(factor, level)| name(*factor, *level)).collect();
         json!({
-            "what": name(blame.factor, blame.level), "or": or, "excess": blame.excess,
+            "of": of, "what": name(blame.factor, blame.level), "or": or, "excess": blame.excess,
             "errors": blame.plain, "sessions": blame.sessions,
         })
     }
@@ -203,7 +206,7 @@
 
 /// A page as a table, for `ivyward quality`.
 pub fn table(page: &Value) -> String {
-    let mut text = String::from("from s  sessions  bad    start p50, p95 ms  switches  named\n");
+    let mut text = String::from("from s  sessions  stalled  slow   start p50, p95 ms  switches  named\n");
     for window in page["windows"].as_array().into_iter().flatten() {
         let whole = |value: &Value| value.as_u64().unwrap_or_default();
         let one = |of: &Value| format!("{} {}", of[0].as_str().unwrap_or(""), of[1].as_str().unwrap_or(""));
@@ -211,14 +214,15 @@
             let or: Vec<_> = named["or"].as_array().into_iter().flatten().map(one).collect();
             let or = if or.is_empty() { String::new() } else { format!(" or {}", or.join(" or ")) };
             let excess = named["excess"].as_f64().unwrap_or_default();
-            format!("{}{or} (+{excess:.2})", one(&named["what"]))
+            format!("{}{or} ({} +{excess:.2})", one(&named["what"]), named["of"].as_str().unwrap_or(""))
         });
         let named: Vec<_> = named.collect();
         text += &format!(
-            "{:>6} {:>9}  {:.3} {:>11}, {:>6} {:>9}  {}\n",
+            "{:>6} {:>9}    {:.3}  {:.3} {:>11}, {:>6} {:>9}  {}\n",
             whole(&window["from_s"]),
             whole(&window["sessions"]),
-            window["bad"].as_f64().unwrap_or_default(),
+            window["stalled"].as_f64().unwrap_or_default(),
+            window["slow"].as_f64().unwrap_or_default(),
             whole(&window["start_ms"]["p50"]),
             whole(&window["start_ms"]["p95"]),
             whole(&window["switches"]),
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -182,7 +182,7 @@
         sleep_until(begun + last).await;
         sleep(REST.max(script.span("rest_s"))).await;
         drop(watch);
-        let mut processes = vec![];
+        let (mut processes, mut quality) = (vec![], String::new());
         let names = standins.manager_names();
         for manager in managers.iter() {
             while manager.gaps.borrow().iter().any(|gap| gap.1.is_none())
@@ -191,12 +191,18 @@
                 sleep(REST).await;
             }
             let no = names.iter().find(|(_, name)| **name == manager.name).map(|(no, _)| *no);
+            if script.one("viewers").truth("reports")
+                && let Ok(page) = ivyward_daemon::quality::ask(manager.console).await
+            {
+                quality.push_str(&ivyward_daemon::quality::table(&page));
+            }
             let ended = manager.end().await;
             processes.push(Process { no, gaps: manager.gaps.borrow().clone(), ended });
         }
         let records = standins.records().take();
         let streams = standins.model(|fleet| fleet.boxes().map(|at| fleet.streams(at)).sum());
         let mut verdict = judge(&terms(script), &records, &seen.asked, &seen.watched, &processes, &played);
+        verdict.quality = quality;
         verdict.manifests = seen.manifests;
         verdict.held = held.take();
         if !script.span("rest_s").is_zero() {
--- a/crates/lab/src/managers.rs
+++ b/crates/lab/src/managers.rs
@@ -23,6 +23,8 @@
 pub struct Manager {
     pub name: String,
     pub address: SocketAddr,
+    /// Where its operators' pages are.
+    pub console: SocketAddr,
     file: PathBuf,
     program: PathBuf,
     random: bool,
@@ -39,6 +41,12 @@
     told.is_ok_and(|told| told.success())
 }
 
+/// An address on loopback that nothing listened at a moment ago.
+fn free_port() -> Result<SocketAddr, String> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    listener.local_addr().map_err(|e| e.to_string())
+}
+
 /// The number after a word of a line.
 fn after(line: &str, word: &str) -> Option<u64> {
     line.split(' ').skip_while(|at| *at != word).nth(1)?.parse().ok()
@@ -88,6 +96,8 @@
         let (mut settings, mut manager) = (settings.clone(), settings.one("manager"));
         manager.put_text("name", &name);
         manager.put_text("listen", "127.0.0.1:0");
+        let console = free_port()?;
+        manager.put_text("console", &console.to_string());
         manager.put_text("state_dir", &dir.join(&name).to_string_lossy());
         manager.put_whole("seed", seed.wrapping_mul(1000).wrapping_add(i as u64));
         manager.put_whole("siblings", siblings as u64);
@@ -106,6 +116,7 @@
         write(&settings)?;
         Ok(Manager {
             name,
+            console,
             address,
             file,
             program: program.into(),
--- a/crates/lab/src/quality.rs
+++ b/crates/lab/src/quality.rs
@@ -1,7 +1,7 @@
 //! Worlds with planted faults, to see what is named for them: sessions drawn by a seed, over racks, servers, titles, tenants
 //! and networks as a fleet has them. Nothing of a manager runs here.
 
-use ivyward_quality::{Factor, Level, Table, additive, blame, lift};
+use ivyward_quality::{Blame, Factor, Level, Table, additive, blame, lift, strata};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
@@ -105,14 +105,18 @@
 
 type Way = (&'static str, fn(&Table) -> Named);
 
-fn ways() -> [Way; 3] {
+fn ways() -> [Way; 4] {
     fn plain(named: Vec<(Factor, Level)>) -> Named {
         named.into_iter().map(|(factor, level)| (factor, level, vec![])).collect()
     }
+    fn told(named: Vec<Blame>) -> Named {
+        named.into_iter().map(|blame| (blame.factor, blame.level, blame.or)).collect()
+    }
     [
         ("lift", |table| plain(lift(table))),
         ("additive", |table| plain(additive(table))),
-        ("strata", |table| blame(table).into_iter().map(|b| (b.factor, b.level, b.or)).collect()),
+        ("strata", |table| told(strata(table))),
+        ("both", |table| told(blame(table))),
     ]
 }
 
@@ -121,11 +125,11 @@
     let mut text =
         format!("{worlds} worlds of each kind, {sessions} sessions, {RACKS} racks, {TITLES} titles\n");
     text += "kind        size   way        named  missed  in vain  worlds with any in vain\n";
-    let mut costs = [0.0; 3];
+    let mut costs = [0.0; 4];
     let mut looked = 0_u64;
     for kind in KINDS {
         for size in sizes.iter().take(if kind == Kind::None { 1 } else { sizes.len() }) {
-            let mut sums = [(0, 0, 0, 0); 3];
+            let mut sums = [(0, 0, 0, 0); 4];
             for seed in 0..worlds {
                 let (table, planted, poor) = world(kind, seed, sessions, *size);
                 looked += 1;
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -262,7 +262,7 @@
         [set_up(100, 0, 1, 0, CLIP), over(150, 0, 1, 0, SetUpEnd::Broke), set_up(1100, 0, 2, 0, CLIP)];
     let played = |kind: &str, servers: &[usize]| {
         let servers = servers.iter().map(|at| ServerNo(*at)).collect();
-        Played { kind: kind.into(), from: ms(0), until: ms(500), servers, managers: vec![] }
+        Played { kind: kind.into(), from: ms(0), until: ms(500), servers, managers: vec![], racks: vec![] }
     };
     let all = [played("FREEZE", &[0]), played("FREEZE", &[1]), played("BREAK", &[0]), played("CRASH", &[0])];
     let verdict = judge(&terms(), &records, &[], &[], &[process(&[])], &all);
--- a/crates/lab/src/trouble.rs
+++ b/crates/lab/src/trouble.rs
@@ -22,6 +22,7 @@
     /// The servers it took; none where it took racks or managers, or the list.
     pub servers: Vec<ServerNo>,
     pub managers: Vec<usize>,
+    pub racks: Vec<usize>,
 }
 
 fn part_of<T>(all: Vec<T>, part: f64, chance: &mut Pcg64Mcg) -> Vec<T> {
@@ -44,9 +45,13 @@
         let (from, len) = (begin + trouble.span("at_s"), trouble.span("len_s"));
         let (part, size, extra) = (trouble.number("part"), trouble.number("size"), trouble.span("extra"));
         let mut servers: Vec<_> = standins.model(|fleet| fleet.boxes().collect());
-        let mut taken = vec![];
+        let (mut taken, mut racks) = (vec![], vec![]);
         match kind.as_str() {
-            "UPLINK" | "LIST_LATE" | "BURST" | "NOTES_LATE" | "KEY_CHANGE" => servers.clear(),
+            "LIST_LATE" | "BURST" | "NOTES_LATE" | "KEY_CHANGE" => servers.clear(),
+            "UPLINK" => {
+                servers.clear();
+                racks = part_of((0..standins.model(|fleet| fleet.racks())).collect(), part, &mut chance);
+            }
             "MANAGER_KILL" | "MANAGER_CLOCK" => {
                 servers.clear();
                 taken = part_of((0..managers.len()).collect(), part, &mut chance);
@@ -60,6 +65,7 @@
             until,
             servers: servers.clone(),
             managers: taken.clone(),
+            racks: racks.clone(),
         });
         let (standins, managers) = (standins.clone(), managers.clone());
         if kind == "KEY_CHANGE" {
@@ -72,7 +78,7 @@
         }
         spawn_local(async move {
             sleep_until(begun + from).await;
-            run(&kind, &standins, &managers, (servers, taken), (part, size, extra, len), chance).await;
+            run(&kind, &standins, &managers, (servers, taken, racks), (size, extra, len), chance).await;
         });
     }
     all
@@ -80,8 +86,8 @@
 
 async fn run(
     kind: &str, standins: &Standins, managers: &Rc<Vec<Manager>>,
-    (servers, taken): (Vec<ServerNo>, Vec<usize>), (part, size, extra, len): (f64, f64, Duration, Duration),
-    mut chance: Pcg64Mcg,
+    (servers, taken, racks): (Vec<ServerNo>, Vec<usize>, Vec<usize>),
+    (size, extra, len): (f64, Duration, Duration), mut chance: Pcg64Mcg,
 ) {
     let each = |with: &dyn Fn(ServerNo)| servers.iter().for_each(|at| with(*at));
     match kind {
@@ -136,8 +142,6 @@
             }
         }
         "UPLINK" => {
-            let racks = standins.model(|fleet| fleet.racks());
-            let racks = part_of((0..racks).collect(), part, &mut chance);
             standins.model(|fleet| racks.iter().for_each(|rack| fleet.sag(*rack, size)));
             sleep(len).await;
             standins.model(|fleet| racks.iter().for_each(|rack| fleet.sag(*rack, 1.0)));
--- a/crates/lab/src/verdict.rs
+++ b/crates/lab/src/verdict.rs
@@ -94,6 +94,8 @@
     pub manifests: (u64, Vec<String>),
     /// What servers held for nobody and was released, and what managers took over from their earlier starts.
     pub found: (u64, u64),
+    /// What managers made of their players' reports.
+    pub quality: String,
     /// What managers held, each second.
     pub held: Vec<Held>,
     pub left: Option<Left>,
@@ -134,7 +136,14 @@
         between: watched.iter().map(|w| w.between).max().unwrap_or_default(),
         troubles: played
             .iter()
-            .map(|trouble| (trouble.kind.clone(), acted(trouble, records, managers)))
+            .map(|trouble| {
+                let racks = if trouble.racks.is_empty() {
+                    String::new()
+                } else {
+                    format!(" of racks {:?}", trouble.racks)
+                };
+                (trouble.kind.clone() + &racks, acted(trouble, records, managers))
+            })
             .collect(),
         unfinished: managers.iter().filter(|manager| manager.ended.is_none()).count(),
         breaches: managers.iter().filter_map(|manager| manager.ended.as_ref()).map(|e| e.breaches).sum(),
@@ -527,6 +536,7 @@
         if orphans + taken_over > 0 {
             writeln!(f, "found at servers: {orphans} released as nobody's, {taken_over} taken over")?;
         }
+        f.write_str(&self.quality)?;
         if let Some(first) = self.held.first() {
             writeln!(
                 f,
--- a/crates/lab/src/viewers.rs
+++ b/crates/lab/src/viewers.rs
@@ -97,6 +97,7 @@
     segment: Duration,
     returns: (f64, Duration),
     fetch: bool,
+    reports: bool,
     begun: Instant,
     seen: RefCell<Seen>,
     out: Cell<usize>,
@@ -161,6 +162,7 @@
         segment: settings.one("manifest").span("segment_s"),
         returns: (viewers.number("returns"), viewers.span("returns_after_s")),
         fetch: viewers.truth("fetch"),
+        reports: viewers.truth("reports"),
         begun,
         seen: RefCell::default(),
         out: Cell::new(0),
@@ -471,6 +473,29 @@
         }
     }
 
+    /// The player tells its manager how it fares: a CMCD report, on the token of its last manifest.
+    async fn reports(
+        &self, line: &mut Line, again: &str, viewer: &Viewer,
+        (number, start, stalled, rung): (u64, Option<Duration>, Duration, usize),
+    ) {
+        let Some((host, token)) =
+            again.split_once("/mpd/").and_then(|(host, rest)| Some((host, rest.split_once("token=")?.1)))
+        else {
+            return;
+        };
+        let Some((address, mut request)) = get(&format!("{host}/cmcd?token={token}")) else { return };
+        let sent = date().as_millis() as i64 + viewer.ahead;
+        let mut text = format!("sn={number},ts={sent},bsda={},br={}", stalled.as_millis(), (rung + 1) * 1000);
+        if let Some(start) = start {
+            text += &format!(",msd={}", start.as_millis());
+        }
+        *request.method_mut() = hyper::Method::POST;
+        *request.body_mut() = Full::from(text);
+        if line.open(address).await {
+            timeout(CONNECT, line.get(request)).await.ok();
+        }
+    }
+
     /// Plays to the end of what the viewer wants; false where it broke.
     async fn plays(
         &self, line: &mut Line, viewer: &Viewer, manager: usize,
@@ -487,7 +512,7 @@
         }
         let (mut fetches, mut number) = (Line::default(), 1_u64);
         let (mut refreshed, mut last_rung) = (self.now(), None);
-        let mut begun = 0;
+        let (mut begun, mut told, mut stalled) = (0, 0, Duration::ZERO);
         while !left.is_zero() {
             begun += 1;
             let step = self.segment.min(*left);
@@ -533,11 +558,16 @@
                     }
                 }
                 if !given {
+                    // It gives up: all that it waited is told first.
+                    stalled += self.now() - segment_begins;
+                    if self.reports {
+                        self.reports(line, &again, viewer, (told + 1, None, stalled, rung)).await;
+                    }
                     return false;
                 }
-                if self.now() - segment_begins > self.segment {
-                    watched.stalls += 1;
-                }
+                let late = (self.now() - segment_begins).saturating_sub(self.segment);
+                stalled += late;
+                watched.stalls += usize::from(!late.is_zero());
             }
             watched.switches += usize::from(last_rung.is_some_and(|last| last != rung));
             last_rung = Some(rung);
@@ -545,6 +575,11 @@
             *left -= step;
             watched.played += step.as_secs_f64() * self.worths[rung.min(viewer.top)];
             number += 1;
+            if self.reports {
+                told += 1;
+                let start = watched.joined.filter(|_| told == 1);
+                self.reports(line, &again, viewer, (told, start, stalled, rung)).await;
+            }
             if self.now() >= refreshed + refresh && !left.is_zero() && !viewer.miss_renewal {
                 refreshed = self.now();
                 match self.ask(line, &again, viewer, manager, Some((&base, &text)), Duration::MAX).await {
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -35,6 +35,22 @@
     assert!(told.contains("tokens replaced ") && !told.contains("tokens replaced 0"), "{told}");
 }
 
+#[test]
+fn an_uplink_that_fails_is_named_by_what_players_report_and_nothing_else_is() {
+    let out = lab(&["day", &day("bad-uplink.txtpb").to_string_lossy()]);
+    let told = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{told}{}", String::from_utf8_lossy(&out.stderr));
+    let rack =
+        told.lines().find_map(|line| line.strip_prefix("trouble  UPLINK of racks [")?.split(']').next());
+    let rack = format!("rack {} (", rack.expect("the rack that failed"));
+    let named: Vec<_> =
+        told.lines().filter_map(|line| line.rsplit("  ").next().filter(|at| at.contains(" +0"))).collect();
+    assert!(
+        !named.is_empty() && named.iter().all(|at| at.starts_with(&rack) && !at.contains(';')),
+        "{rack}: {told}"
+    );
+}
+
 #[test]
 fn scripts_that_cant_be_played_say_why() {
     let quiet = fs::read_to_string(day("quiet.txtpb")).expect("a script");
--- a/crates/quality/src/intake.rs
+++ b/crates/quality/src/intake.rs
@@ -72,7 +72,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Window {
     pub from: Duration,
-    pub table: Table,
+    /// Sessions by the part of the window that they stalled, and those that started in it by how slowly.
+    pub stalls: Table,
+    pub slow: Table,
     /// Delays from the wish to play to the first picture, and changes of rendition.
     pub starts: Vec<Duration>,
     pub switches: u64,
@@ -108,8 +110,8 @@
         at.min(now)
     }
 
-    /// How bad a window was: the part of it that was stalled, or the start if that took long. None without a report in it.
-    fn bad(&self, from: Duration, until: Duration) -> Option<f64> {
+    /// How bad a window was: the part of it that was stalled; and its start, if there was one. None without a report in it.
+    fn bad(&self, from: Duration, until: Duration) -> Option<(f64, Option<f64>)> {
         let within: Vec<_> = self.reports.iter().filter(|r| from <= r.at && r.at < until).collect();
         let (first, last) = (within.first()?, within.last()?);
         let before = self.reports.iter().rfind(|r| r.at < from);
@@ -126,10 +128,11 @@
             }
             None => within.iter().filter_map(|r| r.figures.stalled).sum(),
         };
-        let start = within.iter().filter_map(|r| r.figures.start_up).max().unwrap_or_default();
-        let start = start.as_secs_f64() / ((until - from).as_secs_f64() * SLOW_START);
+        let wholly = (until - from).as_secs_f64() * SLOW_START;
         // A start up to half of what counts as wholly bad is a good one.
-        Some((stalled.as_secs_f64() / span.max(1e-3)).min(1.0).max(((start - 0.5) * 2.0).clamp(0.0, 1.0)))
+        let bad = |start: Duration| ((start.as_secs_f64() / wholly - 0.5) * 2.0).clamp(0.0, 1.0);
+        let start = within.iter().filter_map(|r| r.figures.start_up).max().map(bad);
+        Some(((stalled.as_secs_f64() / span.max(1e-3)).min(1.0), start))
     }
 }
 
@@ -208,8 +211,9 @@
         }
         let mut window = Window { from, ..Default::default() };
         for player in self.players.values() {
-            let Some(bad) = player.bad(from, until) else { continue };
-            window.table.add(player.levels, bad);
+            let Some((stalled, start)) = player.bad(from, until) else { continue };
+            window.stalls.add(player.levels, stalled);
+            start.into_iter().for_each(|start| window.slow.add(player.levels, start));
             window.sessions += 1;
             let within = || player.reports.iter().filter(|r| from <= r.at && r.at < until);
             window.starts.extend(within().filter_map(|r| r.figures.start_up));
--- a/crates/quality/src/tests.rs
+++ b/crates/quality/src/tests.rs
@@ -112,14 +112,29 @@
     assert_eq!(report(1041, 2, Figures::default()), Taken::Empty);
     assert!(intake.close(s(1059)).is_none(), "late ones may still come");
     let window = intake.close(s(1060)).expect("its time is up");
-    let all = window.table.whole();
+    let all = window.stalls.whole();
     assert_eq!((window.sessions, all.n), (1, 1.0));
     // Three seconds of twenty-nine.
     assert!((all.bad - 3.0 / 29.0).abs() < 0.01, "{}", all.bad);
     let late = intake.report(s(1061), SessionId(1), ClientId(1), levels([0; 5]), figures(9, 22, 4000));
     assert_eq!(late, Taken::Late, "its window has closed");
     let next = intake.close(s(1090)).expect("the next");
-    assert_eq!((next.sessions, next.table.whole().bad), (1, 0.0), "nothing stalled since");
+    assert_eq!((next.sessions, next.stalls.whole().bad), (1, 0.0), "nothing stalled since");
+}
+
+#[test]
+fn starts_are_told_apart_from_stalls() {
+    // How long a start took, and how bad that is: a tenth of the window is wholly bad, half of that not yet.
+    for (ms, bad) in [(200, 0.0), (1500, 0.0), (2250, 0.5), (3000, 1.0), (60_000, 1.0)] {
+        let mut intake = intake();
+        let start_up = Some(Duration::from_millis(ms));
+        let f = Figures { start_up, ..figures(1, 5, 0) };
+        assert_eq!(intake.report(s(1005), SessionId(1), ClientId(1), levels([0; 5]), f), Taken::Kept);
+        let window = intake.close(s(1060)).expect("its time is up");
+        let (stalls, slow) = (window.stalls.whole(), window.slow.whole());
+        assert_eq!((stalls.bad, slow.n, window.starts.len()), (0.0, 1.0, 1));
+        assert!((slow.bad - bad).abs() < 1e-9, "{ms} ms: {}", slow.bad);
+    }
 }
 
 #[test]
@@ -134,7 +149,7 @@
             f.sent = Some(Duration::from_millis(sent as u64));
             assert_eq!(intake.report(s(at), SessionId(1), ClientId(1), levels([0; 5]), f), Taken::Kept);
         }
-        let bad = intake.close(s(1060)).expect("its time is up").table.whole().bad;
+        let bad = intake.close(s(1060)).expect("its time is up").stalls.whole().bad;
         assert!((bad - 2.7 / 28.0).abs() < 0.02, "off by {off} s, drift {drift}: {bad}");
     }
 }
@@ -157,7 +172,7 @@
     assert!(taken[&Taken::Flood] > 4900, "{taken:?}");
     let window = intake.close(s(1060)).expect("its time is up");
     assert_eq!(window.sessions, 50);
-    assert!(window.table.whole().bad <= 1.0, "at most one session's worth");
+    assert!(window.stalls.whole().bad <= 1.0, "at most one session's worth");
     // Sessions beyond the bound are turned away, not those that are there.
     let many = (100..300_u128)
         .map(|i| intake.report(s(1061), SessionId(i), ClientId(i as u64), levels([0; 5]), figures(1, 61, 0)));
