--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -70,6 +70,9 @@
         /// The part of sessions that a fault makes stutter; may be given several times
         #[arg(long, default_values_t = [0.1, 0.2, 0.4])]
         size: Vec<f64>,
+        /// The same worlds from reports, as they should be and doubled, late, by wrong clocks and in floods
+        #[arg(long)]
+        disturbed: bool,
     },
     /// A responder that answers everything with one manifest
     #[command(hide = true)]
@@ -160,8 +163,13 @@
                 true
             })
         }
-        What::Quality { worlds, sessions, size } => {
-            print!("{}", ivyward_lab::quality::table(worlds, sessions, &size));
+        What::Quality { worlds, sessions, size, disturbed } => {
+            if disturbed {
+                let size = size.last().copied().unwrap_or(0.4);
+                print!("{}", ivyward_lab::quality::disturbed(worlds, sessions, size));
+            } else {
+                print!("{}", ivyward_lab::quality::table(worlds, sessions, &size));
+            }
             Ok(true)
         }
         What::Bare => bare().map(|()| true),
--- a/crates/lab/src/quality.rs
+++ b/crates/lab/src/quality.rs
@@ -1,12 +1,16 @@
 //! Worlds with planted faults, to see what is named for them: sessions drawn by a seed, over racks, servers, titles, tenants
 //! and networks as a fleet has them. Nothing of a manager runs here.
 
-use ivyward_quality::{Blame, Factor, Level, Table, additive, blame, lift, strata};
+use ivyward_quality::{
+    Blame, ClientId, FACTORS, Factor, Figures, Intake, Level, SessionId, Table, Window, additive, blame,
+    lift, strata,
+};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
+use std::collections::BTreeSet;
 use std::fmt::Write;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const RACKS: u32 = 25;
 const SERVERS: u32 = 200;
@@ -40,6 +44,16 @@
 /// A world's sessions, what was planted in it, and the networks whose players stutter in every world: whoever names one of
 /// those is right, but that isn't what is looked for.
 pub fn world(kind: Kind, seed: u64, sessions: u32, size: f64) -> (Table, Faults, Faults) {
+    let (all, planted, poor) = drawn(kind, seed, sessions, size);
+    let mut table = Table::default();
+    all.into_iter().for_each(|(levels, bad)| table.add(levels, bad));
+    (table, planted, poor)
+}
+
+/// What a session has in common with others, and the part of its time that it stalls.
+type Session = ([Level; FACTORS.len()], f64);
+
+fn drawn(kind: Kind, seed: u64, sessions: u32, size: f64) -> (Vec<Session>, Faults, Faults) {
     let mut chance = Pcg64Mcg::seed_from_u64(seed.wrapping_mul(7919).wrapping_add(kind as u64));
     let popular = chance.random_range(0..10);
     let rack = chance.random_range(0..RACKS);
@@ -72,7 +86,7 @@
         sums.partition_point(|sum| *sum <= at).min(sums.len() - 1) as u32
     };
     let poor: Vec<bool> = (0..NETWORKS).map(|_| chance.random::<f64>() < USUAL / 2.0).collect();
-    let mut table = Table::default();
+    let mut all = vec![];
     for _ in 0..sessions {
         let of = draw(&titles, &mut chance);
         let cell = match kind {
@@ -86,10 +100,82 @@
             || poor[network as usize] && chance.random::<f64>() < 0.5
             || hit && chance.random::<f64>() < size;
         // Stalled for a part of its time.
-        table.add(levels, if stutters { 0.1 + 0.5 * chance.random::<f64>() } else { 0.0 });
+        all.push((levels, if stutters { 0.1 + 0.5 * chance.random::<f64>() } else { 0.0 }));
     }
     let poor = (0..NETWORKS).filter(|network| poor[*network as usize]);
-    (table, planted, poor.map(|network| (Factor::Network, Level(network))).collect())
+    (all, planted, poor.map(|network| (Factor::Network, Level(network))).collect())
+}
+
+/// The window of a world whose sessions report every six seconds. `disturbed`: a fifth of the reports come twice, a fifth come
+/// up to thirty seconds late, a twentieth of the clocks are off by minutes, and one session sends a thousand times its share.
+pub fn reported(kind: Kind, seed: u64, sessions: u32, size: f64, disturbed: bool) -> Window {
+    let (all, ..) = drawn(kind, seed, sessions, size);
+    let mut chance = Pcg64Mcg::seed_from_u64(seed ^ 0x7265_706F);
+    let begin = Duration::from_secs(100_000);
+    let mut comes = vec![];
+    for (i, (levels, bad)) in all.into_iter().enumerate() {
+        let (off, first) = (chance.random_range(60_000_u64..600_000), chance.random_range(0..5000));
+        let wrong = chance.random::<f64>() < 0.05;
+        for n in 0..5_u64 {
+            let made = begin + Duration::from_millis(first + n * 6000);
+            let figures = Figures {
+                sequence: Some(n + 1),
+                sent: Some(made + Duration::from_millis(if disturbed && wrong { off } else { 0 })),
+                stalled_in_all: Some(Duration::from_secs_f64(bad * 6.0 * n as f64)),
+                ..Default::default()
+            };
+            let (twice, late) = (chance.random::<f64>() < 0.2, chance.random::<f64>() < 0.2);
+            let late = if late { chance.random_range(0..29_000) } else { 0 };
+            let came = made + Duration::from_millis(if disturbed { late } else { 0 });
+            comes.push((came, i as u128, levels, figures));
+            if disturbed && twice {
+                comes.push((came + Duration::from_millis(300), i as u128, levels, figures));
+            }
+        }
+        if disturbed && i == 7 {
+            // It says that it stalls all the time.
+            comes.extend((0..5000_u64).map(|n| {
+                let made = begin + Duration::from_millis(1000 + n * 5);
+                let stalled_in_all = Some(Duration::from_secs(n));
+                let figures =
+                    Figures { sequence: Some(n + 6), sent: Some(made), stalled_in_all, ..Default::default() };
+                (made, i as u128, levels, figures)
+            }));
+        }
+    }
+    comes.sort_by_key(|(came, session, ..)| (*came, *session));
+    let spans = (Duration::from_secs(30), Duration::from_secs(30));
+    let mut intake = Intake::new(begin, spans, 60, sessions as usize);
+    for (came, session, levels, figures) in comes {
+        intake.report(came, SessionId(session), ClientId(session as u64), levels, figures);
+    }
+    intake.close(begin + spans.0 + spans.1).unwrap_or_default()
+}
+
+/// The same worlds from reports as they should be and disturbed: worlds with the same names, names by chance more or less,
+/// and how far the window's mean and a rack's mean moved at most, as parts.
+pub fn disturbed(worlds: u64, sessions: u32, size: f64) -> String {
+    let mut text = String::from("kind        same names  more  fewer  mean moved  sessions counted\n");
+    for kind in KINDS {
+        let (mut same, mut more, mut fewer, mut moved, mut least) = (0, 0, 0, 0.0_f64, f64::MAX);
+        for seed in 0..worlds {
+            let windows = [false, true].map(|disturbed| reported(kind, seed, sessions, size, disturbed));
+            let [plain, other] = &windows;
+            let names = |window: &Window| -> BTreeSet<_> {
+                blame(&window.stalls).into_iter().map(|blame| (blame.factor, blame.level)).collect()
+            };
+            let (before, after) = (names(plain), names(other));
+            same += u32::from(before == after);
+            more += after.difference(&before).count();
+            fewer += before.difference(&after).count();
+            let means = windows.each_ref().map(|window| window.stalls.whole().mean());
+            moved = moved.max((means[1] / means[0].max(1e-9) - 1.0).abs());
+            least = least.min(other.sessions as f64 / plain.sessions.max(1) as f64);
+        }
+        let kind = format!("{kind:?}");
+        writeln!(text, "{kind:<11} {same:>10} {more:>5} {fewer:>6} {moved:>11.3} {least:>17.3}").ok();
+    }
+    text
 }
 
 /// What became of one world: planted and named, planted and missed, named in vain.
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -293,3 +293,27 @@
         assert!(faults.iter().any(|fault| fault.field == field), "{to}: {faults:#?}");
     }
 }
+
+#[test]
+fn reports_doubled_late_and_in_floods_change_no_name() {
+    use crate::quality::{Kind, reported, world};
+    for kind in [Kind::Rack, Kind::Tenant, Kind::Exclusive] {
+        for seed in 0..2 {
+            let [plain, other] = [false, true].map(|disturbed| reported(kind, seed, 3000, 0.5, disturbed));
+            let planted = world(kind, seed, 3000, 0.5).1;
+            for window in [&plain, &other] {
+                // Networks whose players always stutter may be named beside it.
+                let named: Vec<_> = ivyward_quality::blame(&window.stalls)
+                    .into_iter()
+                    .map(|blame| (blame.factor, blame.level))
+                    .filter(|(factor, _)| *factor != ivyward_quality::Factor::Network)
+                    .collect();
+                assert_eq!(named, planted, "{kind:?}, seed {seed}");
+            }
+            let [before, after] = [&plain, &other].map(|window| window.stalls.whole());
+            assert_eq!(before.n, after.n);
+            let moved = (after.mean() / before.mean() - 1.0).abs();
+            assert!(moved < 0.03, "{kind:?}, seed {seed}: {moved}");
+        }
+    }
+}
