Growth counts what a set-up goes through; disturbed worlds told with and without networks

Need: the aim of a placement's growth is to be counted in steps too; names that change with disturbed reports are to be told.

--- a/crates/lab/src/growth.rs
+++ b/crates/lab/src/growth.rs
@@ -108,8 +108,9 @@
     }
 }
 
-/// Microseconds of a placement and milliseconds of a look with so many viewings live: the middle of those measured.
-pub fn cost(live: u32) -> (f64, f64) {
+/// Microseconds of a placement and milliseconds of a look with so many viewings live, the middle of those measured; and
+/// how many kept entries a set-up goes through in its rack, on average.
+pub fn cost(live: u32) -> (f64, f64, f64) {
     let mut crowd = Crowd::new(live, 0.8);
     for _ in 0..live {
         crowd.places();
@@ -119,8 +120,9 @@
         times[times.len() / 2].as_secs_f64()
     };
     let looks = middle((0..LOOKS).map(|_| crowd.looks()).collect());
+    let entries = crowd.manager.entries() as f64 / f64::from(RACKS);
     let places = middle((0..PLACED).map(|_| crowd.places()).collect());
-    (places * 1e6, looks * 1e3)
+    (places * 1e6, looks * 1e3, entries)
 }
 
 /// The table of this build, and of another that knows the same command, side by side in one run.
@@ -131,23 +133,19 @@
     let mut text = format!(
         "one manager, {SERVERS} servers in {RACKS} racks; middle of {PLACED} placements, {LOOKS} looks\n"
     );
-    text += "live viewings   placement us   look ms";
+    text += "live viewings   entries in a rack   placement us   look ms";
     text += if against.is_some() { "      before: placement us   look ms   ratios\n" } else { "\n" };
     for live in sizes {
-        let (placement, look) = cost(*live);
-        text += &format!("{live:>13} {placement:>14.1} {look:>9.2}");
+        let (placement, look, entries) = cost(*live);
+        text += &format!("{live:>13} {entries:>19.0} {placement:>14.1} {look:>9.2}");
         if let Some(program) = against {
             let out = Command::new(program).args(["growth", "--live", &live.to_string()]).output();
             let out = out.map_err(|e| format!("{}: {e}", program.display()))?;
             let told = String::from_utf8_lossy(&out.stdout).into_owned();
-            let last: Vec<f64> = told
-                .lines()
-                .last()
-                .into_iter()
-                .flat_map(str::split_whitespace)
-                .filter_map(|x| x.parse().ok())
-                .collect();
-            let [_, before, looked] = last[..] else {
+            // Builds differ in what stands between; the two times come last.
+            let mut last = told.lines().last().into_iter().flat_map(str::split_whitespace).rev();
+            let mut number = || last.next().and_then(|x| x.parse::<f64>().ok());
+            let Some((looked, before)) = number().zip(number()) else {
                 return Err(format!("{}: {told:?}", program.display()));
             };
             text +=
--- a/crates/lab/src/quality.rs
+++ b/crates/lab/src/quality.rs
@@ -155,9 +155,11 @@
 /// The same worlds from reports as they should be and disturbed: worlds with the same names, names by chance more or less,
 /// and how far the window's mean and a rack's mean moved at most, as parts.
 pub fn disturbed(worlds: u64, sessions: u32, size: f64) -> String {
-    let mut text = String::from("kind        same names  more  fewer  mean moved  sessions counted\n");
+    let mut text = String::from(
+        "kind        same names  same but for networks  more  fewer  mean moved  sessions counted\n",
+    );
     for kind in KINDS {
-        let (mut same, mut more, mut fewer, mut moved, mut least) = (0, 0, 0, 0.0_f64, f64::MAX);
+        let (mut same, mut but, mut more, mut fewer, mut moved, mut least) = (0, 0, 0, 0, 0.0_f64, f64::MAX);
         for seed in 0..worlds {
             let windows = [false, true].map(|disturbed| reported(kind, seed, sessions, size, disturbed));
             let [plain, other] = &windows;
@@ -166,6 +168,8 @@
             };
             let (before, after) = (names(plain), names(other));
             same += u32::from(before == after);
+            but +=
+                u32::from(before.symmetric_difference(&after).all(|(factor, _)| *factor == Factor::Network));
             more += after.difference(&before).count();
             fewer += before.difference(&after).count();
             let means = windows.each_ref().map(|window| window.stalls.whole().mean());
@@ -173,7 +177,8 @@
             least = least.min(other.sessions as f64 / plain.sessions.max(1) as f64);
         }
         let kind = format!("{kind:?}");
-        writeln!(text, "{kind:<11} {same:>10} {more:>5} {fewer:>6} {moved:>11.3} {least:>17.3}").ok();
+        writeln!(text, "{kind:<11} {same:>10} {but:>22} {more:>5} {fewer:>6} {moved:>11.3} {least:>17.3}")
+            .ok();
     }
     text
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -546,6 +546,11 @@
         ((kb * p.scale).max(1e-6), worth * p.value)
     }
 
+    /// What is kept of our viewings in all racks: a set-up goes once through its own.
+    pub fn entries(&self) -> usize {
+        self.racks.iter().map(|rack| rack.asks.len() + rack.steps.len()).sum()
+    }
+
     /// Marks what we ask of a server's link and its rack's uplink: added up anew each time in the order of ids, so
     /// that no sum drifts.
     pub(crate) fn mark(&mut self, server: ServerId) {
