A fault that moves from rack to rack is named where it is

Change: a test over four windows of one intake. Result: each window names its own rack, the last nobody.

--- a/crates/quality/src/tests.rs
+++ b/crates/quality/src/tests.rs
@@ -182,3 +182,39 @@
     while intake.close(s(2000)).is_some() {}
     assert!(intake.is_empty(), "nothing is kept of who has gone");
 }
+
+#[test]
+fn a_fault_that_moves_is_named_where_it_is() {
+    let mut intake = Intake::new(s(1000), (s(30), s(30)), 60, 1000);
+    // In each window another rack; in the last none.
+    let faulty = [Some(2), Some(4), Some(1), None];
+    let mut stalled = vec![0_u64; 600];
+    for (w, faulty) in (0_u64..).zip(faulty) {
+        for part in 0..3 {
+            let now = 1000 + 30 * w + 10 * part + 5;
+            for session in 0..600_u32 {
+                let (rack, server, title) = (session % 6, session % 24, session / 24 % 8);
+                if faulty == Some(rack) && session / 6 % 3 != 1 {
+                    stalled[session as usize] += 5000;
+                }
+                let mut f = figures(3 * w + part + 1, now - 1000, stalled[session as usize]);
+                f.rate = Some(900);
+                let of = levels([rack, server, title, session % 5, session % 37]);
+                let taken = intake.report(s(now), SessionId(session.into()), ClientId(session.into()), of, f);
+                assert_eq!(taken, Taken::Kept);
+            }
+        }
+        if let Some(last) = w.checked_sub(2) {
+            let window = intake.close(s(1000 + 30 * w)).expect("its time is up");
+            let named: Vec<_> = blame(&window.stalls).into_iter().map(|b| (b.factor, b.level.0)).collect();
+            let wanted: Vec<_> =
+                [Some(2), Some(4)][last as usize].into_iter().map(|r| (Factor::Rack, r)).collect();
+            assert_eq!(named, wanted, "window {last}");
+        }
+    }
+    for wanted in [vec![(Factor::Rack, 1)], vec![]] {
+        let window = intake.close(s(2000)).expect("its time is up");
+        let named: Vec<_> = blame(&window.stalls).into_iter().map(|b| (b.factor, b.level.0)).collect();
+        assert_eq!(named, wanted);
+    }
+}
