A start first told of while it drains or is gone is paced; a moved server holds its cell

Ruled out: the pace itself (a start first told of as ready is paced), births of the daemon's list (the date was right). At fault: Manager::listed compared with the line before (policy.rs, 'listed.born > server.listed.born && Ready'), so that line took the start's date and the next was no news; Manager::places was filled once, and holders() dropped whoever stood elsewhere.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -251,13 +251,11 @@
             // Guards against a start before us that a remembered list doesn't show: all is cold at first.
             let cold_until = listed.born.unwrap_or_default().max(self.started) + self.pace.cold_for;
             let link = Link::new(listed.weight * self.network.weight_kb, 0);
-            let places = self.places.len();
-            let server = self.servers.entry(listed.server).or_insert_with(|| {
-                self.places[listed.cell as usize % places].push(listed.server);
-                Server::new(listed, link, cold_until)
-            });
-            if listed.born > server.listed.born && listed.standing == Standing::Ready {
-                server.cold_until = cold_until;
+            let server = self.servers.entry(listed.server);
+            let server = server.or_insert_with(|| Server::new(listed, link, cold_until));
+            // Guards against a start first told of while it drains or is gone, and against one told without its date.
+            if listed.born > server.born {
+                (server.born, server.cold_until) = (listed.born, cold_until);
                 server.link.heard.clear();
             }
             self.list(listed);
@@ -469,7 +467,7 @@
             let trial = || self.there(id).any(|v| !v.playing);
             // Guards against all managers' first set-ups after a start coming together: chance thins them.
             let even = (EVEN * self.servers.len() as f64 / rate.max(1e-9)).max(INTERVAL.as_secs_f64());
-            let known = s.health.lost || s.listed.born.is_some_and(|born| now < born + recall);
+            let known = s.health.lost || s.born.is_some_and(|born| now < born + recall);
             let first = known && s.sent.is_none_or(|sent| sent + recall < s.cold_until);
             let cold = now < s.cold_until || s.health.lost;
             if cold && (now < next || first && !chance.falls(even / gap.as_secs_f64())) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -255,6 +255,8 @@
     pub link: Link,
     pub warning: Warning,
     pub health: Health,
+    /// Its last start, as far as any line of the list told of one.
+    pub born: Option<Duration>,
     pub cold_until: Duration,
     pub sent: Option<Duration>,
     /// When it was last told of as short.
@@ -264,7 +266,7 @@
 impl Server {
     pub fn new(listed: Listed, link: Link, cold_until: Duration) -> Self {
         let (warning, health) = (Warning::default(), Health::default());
-        Server { listed, link, warning, health, cold_until, sent: None, short: None }
+        Server { listed, link, warning, health, born: listed.born, cold_until, sent: None, short: None }
     }
 }
 
@@ -425,13 +427,11 @@
         }
     }
 
-    /// The servers of the cells that hold a title; one listed anew at another cell holds nothing.
+    /// The servers of the cells that hold a title.
     pub(crate) fn holders(&self, cells: Cells) -> impl Iterator<Item = ServerId> + use<'_> {
         let places = self.places.len();
         let cell = move |i| (cells.first as usize + i) % places;
-        let there = move |id: &ServerId, at: usize| self.servers[id].listed.cell as usize % places == at;
-        let held = move |at: usize| self.places[at].iter().copied().filter(move |id| there(id, at));
-        (0..places.min(cells.spread as usize)).flat_map(move |i| held(cell(i)))
+        (0..places.min(cells.spread as usize)).flat_map(move |i| self.places[cell(i)].iter().copied())
     }
 
     /// The rack of a server that was listed.
@@ -501,9 +501,15 @@
         self.viewings.remove(&vw);
     }
 
-    /// Holds a server as the list has it, in its rack with all that is there.
+    /// Holds a server as the list has it, in its cell, and in its rack with all that is there.
     pub(crate) fn list(&mut self, listed: Listed) {
         let (was, server) = (self.shelf(listed.server), listed.server);
+        let place = |cell: u32| cell as usize % self.places.len();
+        let (from, to) = (self.servers.get(&server).map(|s| place(s.listed.cell)), place(listed.cell));
+        if from != Some(to) || !self.places[to].contains(&server) {
+            from.into_iter().for_each(|from| self.places[from].retain(|id| *id != server));
+            self.places[to].push(server);
+        }
         self.servers.entry(server).and_modify(|s| s.listed = listed);
         if was.is_some_and(|rack| self.shelf(server) == was && self.racks[rack].servers.contains(&server)) {
             return;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -639,3 +639,48 @@
     let rate = desk.manager.servers[&server].warning.bucket.as_ref().map(|bucket| bucket.rate);
     assert!(rate.is_some_and(|rate| rate > 2.0), "more than the least of one in two seconds: {rate:?}");
 }
+
+#[test]
+fn a_start_is_cold_however_the_list_came_to_tell_of_it() {
+    use Standing::{Draining, Gone, Ready};
+    // Rows of server 0 one after another, each with whether it tells of a start now; the last is ready.
+    let cases: [&[(Standing, Option<bool>)]; 6] = [
+        &[(Ready, Some(true))],
+        &[(Draining, Some(true)), (Ready, Some(true))],
+        &[(Gone, Some(true)), (Ready, Some(true))],
+        &[(Gone, None), (Ready, Some(true))],
+        &[(Ready, Some(true)), (Ready, None), (Ready, Some(true))],
+        &[(Draining, Some(false)), (Ready, Some(true))],
+    ];
+    for rows in cases {
+        let mut desk = Desk::new(None);
+        for (standing, now) in rows {
+            let born = now.map(|now| if now { desk.now } else { START });
+            desk.list(0, *standing, born);
+        }
+        let sent = (0..10).filter(|vw| sent_to(&desk.ask(*vw, 0, 0, 1)).is_some()).count();
+        assert!(sent <= 1, "{sent} set-ups at once to a server that has just started: {rows:?}");
+    }
+    // Told of again without its date, a start is not another one.
+    let mut desk = Desk::new(None);
+    desk.list(0, Ready, Some(START));
+    desk.now += ms(20_000);
+    [None, Some(START)].into_iter().for_each(|born| desk.list(0, Ready, born));
+    assert_eq!((0..10).filter(|vw| sent_to(&desk.ask(*vw, 0, 0, 1)).is_some()).count(), 10);
+}
+
+#[test]
+fn a_server_at_another_cell_holds_what_lies_there() {
+    // Cells that server 0 is listed at one after another; what it holds after that.
+    for (cells, holds) in [(vec![5], 5), (vec![5, 0], 0), (vec![6, 5, 6], 6)] {
+        let mut desk = Desk::new(None);
+        for cell in cells {
+            let listed = Listed { cell, ..desk.manager.servers[&ServerId([0; 6])].listed };
+            desk.manager.listed(desk.now, &[listed], Extent::Changes);
+        }
+        for cell in [0, 5, 6] {
+            let did = desk.ask(cell, 0, cell, 1);
+            assert_eq!(sent_to(&did).is_some(), cell == holds, "cell {cell}, listed last at {holds}");
+        }
+    }
+}
