Servers long gone cost nothing, and a placement no more at ten times the servers

Seen: with all servers replaced every four seconds under new ids the module held 290 entries after ten turns and 1,492 after sixty; the ration's window of viewings taken was only cut when a further tune-in came; with 2,000 servers and 4,000 viewings a placement went through 4,030 entries, mostly all viewings, for the price of a step (863 at 200 servers). Ruled out: steps of a rack (they follow its viewings), held tune-ins (bounded). At fault: Manager::servers, places, racks' servers and stands, and at were never cut; Ration::taken pushed in asked, cut in allows; price() went over all viewings at each placement alone at a link and once a rack a look; held and even divided by all servers that ever were. Now who is gone for as long as a start counts as cold and has nothing of ours is forgotten; stands follow viewings; the price comes from counts by package, rung and top, checked against a recount.

--- a/crates/lab/src/growth.rs
+++ b/crates/lab/src/growth.rs
@@ -1,5 +1,5 @@
-//! What a placement and a look at the rungs cost as live viewings grow: one manager, the module called by its interface,
-//! nothing else round it.
+//! What a placement and a look at the rungs cost as live viewings and servers grow: one manager, the module called by its
+//! interface, nothing else round it.
 
 use ivyward::front::*;
 use ivyward::policy::Manager;
@@ -7,8 +7,8 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-const SERVERS: u32 = 200;
-const RACKS: u32 = 25;
+/// Servers in a rack.
+const RACK: u32 = 8;
 const RATES: [f64; 4] = [200.0, 450.0, 900.0, 1800.0];
 /// Placements measured at each size, and looks.
 const PLACED: u32 = 200;
@@ -36,12 +36,13 @@
     manager: Manager,
     now: Duration,
     next: u32,
+    servers: u32,
 }
 
 impl Crowd {
     /// Links that give `part` of what this many viewings ask at the middle rate.
-    fn new(viewings: u32, part: f64) -> Crowd {
-        let link = f64::from(viewings) * 700.0 * part / f64::from(SERVERS);
+    fn new(servers: u32, viewings: u32, part: f64) -> Crowd {
+        let link = f64::from(viewings) * 700.0 * part / f64::from(servers);
         let package = Package {
             value: 1.0,
             target: Duration::from_secs(1),
@@ -52,11 +53,11 @@
             seats: 0,
         };
         let network = Network {
-            places: SERVERS,
-            racks: RACKS,
-            links_kb: link * f64::from(SERVERS),
+            places: servers,
+            racks: servers.div_ceil(RACK),
+            links_kb: link * f64::from(servers),
             weight_kb: link,
-            uplink_kb: link * f64::from(SERVERS / RACKS) * 0.9,
+            uplink_kb: link * f64::from(RACK) * 0.9,
             told: Duration::from_secs(3),
             seen: Duration::from_secs(1),
         };
@@ -80,9 +81,9 @@
             kind: KindId(0),
             cell: i,
         };
-        let list: Vec<_> = (0..SERVERS).map(row).collect();
+        let list: Vec<_> = (0..servers).map(row).collect();
         manager.listed(now, &list, Extent::Whole);
-        Crowd { manager, now: now + Duration::from_secs(1), next: 0 }
+        Crowd { manager, now: now + Duration::from_secs(1), next: 0, servers }
     }
 
     /// A viewing comes and plays; the time that the module took for it.
@@ -90,7 +91,7 @@
         let (vw, mut hand) = (ViewingId(self.next), Hand::default());
         self.next += 1;
         self.now += Duration::from_micros(500);
-        let cells = Cells { first: self.next.wrapping_mul(7) % SERVERS, spread: 6 };
+        let cells = Cells { first: self.next.wrapping_mul(7) % self.servers, spread: 6 };
         let (title, ends) = (TitleId(u64::from(cells.first)), self.now + Duration::from_secs(3));
         let begun = Instant::now();
         self.manager.asked(&mut hand, self.now, vw, PackageId(0), title, cells, RATES.len() - 1, ends);
@@ -108,10 +109,18 @@
     }
 }
 
-/// Microseconds of a placement and milliseconds of a look with so many viewings live, the middle of those measured; and
-/// how many kept entries a set-up goes through in its rack, on average.
-pub fn cost(live: u32) -> (f64, f64, f64) {
-    let mut crowd = Crowd::new(live, 0.8);
+/// What a placement and a look cost.
+pub struct Cost {
+    pub placement_us: f64,
+    pub look_ms: f64,
+    /// Entries that a placement went through on average, and all that the manager holds.
+    pub entries: f64,
+    pub held: usize,
+}
+
+/// With so many servers and viewings live, the middle of those measured.
+pub fn cost(servers: u32, live: u32) -> Cost {
+    let mut crowd = Crowd::new(servers, live, 0.8);
     for _ in 0..live {
         crowd.places();
     }
@@ -120,26 +129,35 @@
         times[times.len() / 2].as_secs_f64()
     };
     let looks = middle((0..LOOKS).map(|_| crowd.looks()).collect());
-    let entries = crowd.manager.entries() as f64 / f64::from(RACKS);
+    let before = crowd.manager.walked();
     let places = middle((0..PLACED).map(|_| crowd.places()).collect());
-    (places * 1e6, looks * 1e3, entries)
+    Cost {
+        placement_us: places * 1e6,
+        look_ms: looks * 1e3,
+        entries: (crowd.manager.walked() - before) as f64 / f64::from(PLACED),
+        held: crowd.manager.kept(),
+    }
 }
 
 /// The table of this build, and of another that knows the same command, side by side in one run.
 ///
 /// # Errors
 /// The other build can't be run.
-pub fn table(sizes: &[u32], against: Option<&std::path::Path>) -> Result<String, String> {
-    let mut text = format!(
-        "one manager, {SERVERS} servers in {RACKS} racks; middle of {PLACED} placements, {LOOKS} looks\n"
-    );
-    text += "live viewings   entries in a rack   placement us   look ms";
+pub fn table(servers: &[u32], sizes: &[u32], against: Option<&std::path::Path>) -> Result<String, String> {
+    let mut text =
+        format!("one manager, {RACK} servers a rack; middle of {PLACED} placements, {LOOKS} looks\n");
+    text += "servers   live viewings   entries held   gone through   placement us   look ms";
     text += if against.is_some() { "      before: placement us   look ms   ratios\n" } else { "\n" };
-    for live in sizes {
-        let (placement, look, entries) = cost(*live);
-        text += &format!("{live:>13} {entries:>19.0} {placement:>14.1} {look:>9.2}");
+    for (servers, live) in servers.iter().flat_map(|servers| sizes.iter().map(move |live| (*servers, *live)))
+    {
+        let Cost { placement_us, look_ms, entries, held } = cost(servers, live);
+        text += &format!(
+            "{servers:>7} {live:>15} {held:>14} {entries:>14.0} {placement_us:>14.1} {look_ms:>9.2}"
+        );
         if let Some(program) = against {
-            let out = Command::new(program).args(["growth", "--live", &live.to_string()]).output();
+            let size = [live.to_string(), servers.to_string()];
+            let out =
+                Command::new(program).args(["growth", "--live", &size[0], "--servers", &size[1]]).output();
             let out = out.map_err(|e| format!("{}: {e}", program.display()))?;
             let told = String::from_utf8_lossy(&out.stdout).into_owned();
             // Builds differ in what stands between; the two times come last.
@@ -148,8 +166,8 @@
             let Some((looked, before)) = number().zip(number()) else {
                 return Err(format!("{}: {told:?}", program.display()));
             };
-            text +=
-                &format!("{before:>27.1} {looked:>9.2}   {:.1}, {:.1}", before / placement, looked / look);
+            let ratios = (before / placement_us, looked / look_ms);
+            text += &format!("{before:>27.1} {looked:>9.2}   {:.1}, {:.1}", ratios.0, ratios.1);
         }
         text += "\n";
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -50,11 +50,14 @@
         #[arg(long, default_value_t = 8)]
         connections: usize,
     },
-    /// Measure what a placement and a look at the rungs cost as live viewings grow
+    /// Measure what a placement and a look at the rungs cost as live viewings and servers grow
     Growth {
         /// Live viewings; may be given several times
         #[arg(long, default_values_t = [100, 1000, 10_000])]
         live: Vec<u32>,
+        /// Servers; may be given several times
+        #[arg(long, default_values_t = [200])]
+        servers: Vec<u32>,
         /// Another build of this laboratory, measured side by side
         #[arg(long)]
         against: Option<PathBuf>,
@@ -157,8 +160,8 @@
             true
         }),
         What::Run { settings, random } => run(&settings, random).map(|()| true),
-        What::Growth { live, against } => {
-            ivyward_lab::growth::table(&live, against.as_deref()).map(|table| {
+        What::Growth { live, servers, against } => {
+            ivyward_lab::growth::table(&servers, &live, against.as_deref()).map(|table| {
                 print!("{table}");
                 true
             })
--- a/crates/lab/src/tests.rs
+++ b/crates/lab/src/tests.rs
@@ -317,3 +317,15 @@
         }
     }
 }
+
+#[test]
+fn a_placement_costs_the_same_at_ten_times_the_servers() {
+    // Servers, live viewings; how many times the entries gone through at 200 servers and 400 viewings it may be.
+    let base = crate::growth::cost(200, 400);
+    for (servers, live, most) in [(2000, 400, 1.2), (2000, 4000, 1.2)] {
+        let cost = crate::growth::cost(servers, live);
+        let times = cost.entries / base.entries;
+        assert!(times <= most, "{servers} servers, {live} viewings: {times:.2} times the entries");
+        assert!(cost.held <= 11 * base.held, "{} entries held against {}", cost.held, base.held);
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -225,9 +225,15 @@
 
 /// Mechanism 4: the ration of further tune-ins, counted over the sliding window as the rule has it.
 impl Ration {
+    /// A viewing was taken. What lies before the window goes at once, whether further tune-ins come or not.
+    fn took(&mut self, now: Duration) {
+        self.taken.push_back(now);
+        while self.taken.pop_front_if(|t| *t + self.span <= now).is_some() {}
+    }
+
     fn allows(&mut self, now: Duration) -> bool {
-        self.taken.retain(|t| *t + self.span > now);
-        self.further.retain(|t| *t + self.span >= now);
+        while self.taken.pop_front_if(|t| *t + self.span <= now).is_some() {}
+        while self.further.pop_front_if(|t| *t + self.span < now).is_some() {}
         self.further.len() as f64 + 1.0 <= self.free + self.share * self.taken.len() as f64
     }
 }
@@ -253,13 +259,14 @@
             let link = Link::new(listed.weight * self.network.weight_kb, 0);
             let server = self.servers.entry(listed.server);
             let server = server.or_insert_with(|| Server::new(listed, link, cold_until));
-            // Guards against a start first told of while it drains or is gone, and against one told without its date.
+            // Guards against a start first told of while it drains or is gone, and one told without its date.
             if listed.born > server.born {
                 (server.born, server.cold_until) = (listed.born, cold_until);
                 server.link.heard.clear();
             }
             self.list(listed);
         }
+        self.living = self.servers.values().filter(|s| s.listed.standing != Standing::Gone).count();
     }
 
     /// A viewing that played before we started, up to that rung.
@@ -270,7 +277,8 @@
         self.view.now = now;
         if let Some(v) = self.take(vw, package, title, Cells { first: 0, spread: 0 }, top) {
             (v.tune_ins, v.answered, v.playing) = (1, true, true);
-            v.rung = rung.clamp(v.rung, v.top);
+            let rung = rung.clamp(v.rung, v.top);
+            self.turn(vw, rung);
             self.place(vw, Some(server));
             self.mark(server);
         }
@@ -281,7 +289,7 @@
         cells: Cells, top: usize, ends: Duration,
     ) {
         self.view.now = now;
-        self.ration.iter_mut().for_each(|r| r.taken.push_back(now));
+        self.ration.iter_mut().for_each(|r| r.took(now));
         let holders: Vec<_> = self.holders(cells).collect();
         for server in holders {
             self.servers.entry(server).and_modify(|s| s.warning.asked += 1.0);
@@ -414,7 +422,7 @@
         let (crowd, uplinks) = (placed.len() as f64, self.uplinks.len() as f64);
         let kbs = [self.network.links_kb.max(1.0), (self.network.uplink_kb * uplinks).max(1.0)];
         keep(&mut self.view.crowd, 2 * KEPT, (now, crowd));
-        self.view.held = [crowd / self.servers.len().max(1) as f64, crowd / uplinks];
+        self.view.held = [crowd / self.living.max(1) as f64, crowd / uplinks];
         self.view.settle(own, kbs);
         self.looks += 1;
         if self.looks.is_multiple_of(LOOKS) {
@@ -433,6 +441,7 @@
         let (p, most) = (self.packages.get(package.0)?, self.ladder.rates.len() - 1);
         let viewing = Viewing::new(package.0, title, cells, (p.floor, top.min(p.top).min(most).max(p.floor)));
         self.forget(vw);
+        self.alike(&viewing, 1);
         Some(self.viewings.entry(vw).insert_entry(viewing).into_mut())
     }
 
@@ -457,6 +466,7 @@
         let (mut wait, mut chance) = (Duration::MAX, Pcg(self.chance.0));
         let (mut fit, mut suspects) = (vec![], vec![]);
         for id in self.holders(viewing.cells) {
+            self.walk(1);
             let s = &self.servers[&id];
             if s.listed.standing != Standing::Ready {
                 continue;
@@ -466,7 +476,7 @@
             let shunned = viewing.shunned.contains(&id);
             let trial = || self.there(id).any(|v| !v.playing);
             // Guards against all managers' first set-ups after a start coming together: chance thins them.
-            let even = (EVEN * self.servers.len() as f64 / rate.max(1e-9)).max(INTERVAL.as_secs_f64());
+            let even = (EVEN * self.living as f64 / rate.max(1e-9)).max(INTERVAL.as_secs_f64());
             let known = s.health.lost || s.born.is_some_and(|born| now < born + recall);
             let first = known && s.sent.is_none_or(|sent| sent + recall < s.cold_until);
             let cold = now < s.cold_until || s.health.lost;
@@ -598,13 +608,14 @@
     /// that fits in part is taken where `luck` of it fits: 0 takes it always.
     fn ideal(&self, rack: usize, part: [f64; 2], luck: f64) -> Vec<(ViewingId, usize)> {
         let (mut uplink, rack) = (self.uplinks[rack].budget(&self.view, part[1]), &self.racks[rack]);
-        // Those of the rack's servers that have none of ours are not asked for.
-        let budget = |id: &ServerId| match self.there(*id).next() {
-            Some(_) => (self.servers[id].link.budget(&self.view, part[0]), self.servers[id].link.held),
+        // Only those of the rack's servers that have any of ours are asked for.
+        let budget = |id: &Option<ServerId>| match id {
+            Some(id) => (self.servers[id].link.budget(&self.view, part[0]), self.servers[id].link.held),
             None => (0.0, 0),
         };
         let mut links: Vec<_> = rack.stands.iter().map(budget).collect();
         let mut rungs = vec![0; rack.slots()];
+        self.walk(links.len() + rack.asks.len() + rack.steps.len());
         for ask in &rack.asks {
             uplink -= ask.floor_kb;
             links[ask.stand].0 -= ask.floor_kb;
@@ -645,11 +656,11 @@
             let cost = self.ladder.switch * p.value / (OUTLOOK * INTERVAL.as_secs_f64());
             let down = ideal.min(v.rung.saturating_sub(1).max(p.floor));
             if v.playing && down < v.rung {
-                let (kb, value) = self.between(v, down, v.rung);
+                let (kb, value) = self.between(v.package, down, v.rung);
                 let dear = if link.held > 1 { 1.0 } else { value / kb / price };
                 downs.push(((value + cost) / kb, kb, vw, server, down, dear));
             }
-            let (kb, value) = self.between(v, v.rung, ideal.max(v.rung));
+            let (kb, value) = self.between(v.package, v.rung, ideal.max(v.rung));
             let held = now.saturating_sub(v.changed) <= self.network.told + self.network.seen;
             if v.playing && value > cost && !held {
                 ups.push(((value - cost) / kb, vw, server, ideal));
@@ -674,7 +685,7 @@
             let v = &self.viewings[&vw];
             let alone = self.servers[&server].link.held < 2;
             let to = (v.rung + 1..=ideal).rev().map(|to| {
-                let (kb, value) = self.between(v, v.rung, to);
+                let (kb, value) = self.between(v.package, v.rung, to);
                 (kb, if alone { value / kb / price } else { 1.0 }, to)
             });
             let fits = |(kb, dear, _): &(f64, f64, usize)| *kb <= room.min(room_up) * dear;
@@ -688,11 +699,14 @@
 
     /// What the next step of our viewings, or their last, is worth per kB on average. Who is alone at a link
     /// goes by it: others there have viewings that would go first, or give way.
-    fn price(&self) -> f64 {
-        let step = |v: &Viewing<Next>| self.between(v, v.rung.min(v.top.max(1) - 1), (v.rung + 1).min(v.top));
-        let steps = self.viewings.values().filter(|v| v.top > 0).map(|v| step(v).1 / step(v).0);
-        let (sum, steps) = steps.fold((0.0, 0), |(sum, n), step| (sum + step, n + 1));
-        sum / f64::from(steps.max(1))
+    pub(crate) fn price(&self) -> f64 {
+        let steps = self.alike.iter().filter(|((_, _, top), _)| *top > 0).map(|((package, rung, top), n)| {
+            let (kb, value) = self.between(*package, (*rung).min(top - 1), (rung + 1).min(*top));
+            (*n as f64 * value / kb, *n)
+        });
+        let (sum, steps) = steps.fold((0.0, 0), |(sum, all), (step, n)| (sum + step, all + n));
+        self.walk(self.alike.len());
+        sum / steps.max(1) as f64
     }
 
     /// Books by how much rungs at a server are meant to change what is asked of its link and uplink.
@@ -725,6 +739,12 @@
             // Rungs give way to set-ups: there is room for what all of ours leave at their lowest.
             let room = s.link.budget(&self.view, part) / lowest - s.link.held as f64;
             s.warning.close(self.view.now, room.max(0.0), stuck);
+            s.gone = if s.listed.standing == Standing::Gone { s.gone + 1 } else { 0 };
         }
+        // Guards against a fleet whose machines come back under new ids: who is gone for as long as a start
+        // counts as cold, with nothing of ours, is forgotten. Back after that it is as any listed anew.
+        let gone = self.servers.iter().filter(|(_, s)| INTERVAL * s.gone > self.pace.cold_for);
+        let gone: Vec<_> = gone.map(|(id, _)| *id).filter(|id| !self.at.contains_key(id)).collect();
+        gone.into_iter().for_each(|server| self.drop_server(server));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::front::*;
 use crate::policy::{KEPT, Next};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -261,12 +262,24 @@
     pub sent: Option<Duration>,
     /// When it was last told of as short.
     pub short: Option<Duration>,
+    /// Intervals since the list told that it is gone.
+    pub gone: u32,
 }
 
 impl Server {
     pub fn new(listed: Listed, link: Link, cold_until: Duration) -> Self {
         let (warning, health) = (Warning::default(), Health::default());
-        Server { listed, link, warning, health, born: listed.born, cold_until, sent: None, short: None }
+        Server {
+            listed,
+            link,
+            warning,
+            health,
+            born: listed.born,
+            cold_until,
+            sent: None,
+            short: None,
+            gone: 0,
+        }
     }
 }
 
@@ -307,8 +320,8 @@
     pub asks: Vec<Ask>,
     /// The dearest first, equals by viewing and rung.
     pub steps: Vec<Step>,
-    /// Servers that have or had viewings of ours, each at its place for good; and slots given back.
-    pub stands: Vec<ServerId>,
+    /// Servers that have viewings of ours, each at its place while it has; and slots given back.
+    pub stands: Vec<Option<ServerId>>,
     free: Vec<usize>,
     slots: usize,
 }
@@ -325,10 +338,13 @@
     }
 
     fn stand(&mut self, server: ServerId) -> usize {
-        self.stands.iter().position(|id| *id == server).unwrap_or_else(|| {
-            self.stands.push(server);
-            self.stands.len() - 1
-        })
+        let at = |wanted: Option<ServerId>| self.stands.iter().position(|id| *id == wanted);
+        let at = at(Some(server)).or(at(None)).unwrap_or(self.stands.len());
+        if at == self.stands.len() {
+            self.stands.push(None);
+        }
+        self.stands[at] = Some(server);
+        at
     }
 
     /// `steps`: worth a kB and kB of each rung above the floor.
@@ -351,6 +367,9 @@
         let Ok(at) = self.asks.binary_search_by_key(&vw, |ask| ask.vw) else { return };
         let Ask { floor, stand, slot, .. } = self.asks.remove(at);
         self.free.push(slot);
+        if self.asks.iter().all(|ask| ask.stand != stand) {
+            self.stands[stand] = None;
+        }
         for (i, (dear, kb)) in steps.iter().enumerate() {
             let step = Step { dear: *dear, kb: *kb, vw, rung: floor + i + 1, stand, slot };
             if let Ok(at) = self.steps.binary_search_by(Rack::order(&step)) {
@@ -384,10 +403,14 @@
     pub(crate) servers: BTreeMap<ServerId, Server>,
     /// By rack its servers, and what our viewings there ask.
     pub(crate) racks: Vec<Rack>,
-    /// Servers by cell.
+    /// Servers by cell, and how many the list doesn't tell to be gone.
     pub(crate) places: Vec<Vec<ServerId>>,
+    pub(crate) living: usize,
+    /// How many of our viewings are of a package at a rung with a top.
+    pub(crate) alike: BTreeMap<(usize, usize, usize), usize>,
     pub(crate) uplinks: Vec<Link>,
     pub(crate) view: View,
+    walked: Cell<usize>,
 }
 
 impl Manager {
@@ -422,8 +445,11 @@
             servers,
             racks,
             places,
+            living: 0,
+            alike: BTreeMap::new(),
             uplinks,
             view,
+            walked: Cell::new(0),
         }
     }
 
@@ -442,7 +468,7 @@
     /// Worth a kB and kB of each step above a viewing's floor.
     fn steps(&self, v: &Viewing<Next>) -> Vec<(f64, f64)> {
         let floor = self.packages[v.package].floor;
-        let step = |rung| self.between(v, rung, rung + 1);
+        let step = |rung| self.between(v.package, rung, rung + 1);
         (floor..v.top).map(step).map(|(kb, value)| (value / kb, kb)).collect()
     }
 
@@ -457,6 +483,9 @@
             (Ok(i), false) => drop(asks.remove(i)),
             (Err(_), false) => {}
         }
+        if asks.is_empty() {
+            self.at.remove(&server);
+        }
         let Some(rack) = self.shelf(server) else { return };
         match (self.racks[rack].asks.binary_search_by_key(&vw, |ask| ask.vw), there) {
             (Ok(i), true) => self.racks[rack].asks[i].kb = kb,
@@ -487,10 +516,23 @@
         self.book(vw, true);
     }
 
+    /// Counts a viewing among those of its package, rung and top, or (by -1) no more.
+    pub(crate) fn alike(&mut self, v: &Viewing<Next>, by: isize) {
+        let of = (v.package, v.rung, v.top);
+        let n = self.alike.entry(of).or_default();
+        *n = n.saturating_add_signed(by);
+        if *n == 0 {
+            self.alike.remove(&of);
+        }
+    }
+
     /// Puts a viewing to a rung.
     pub(crate) fn turn(&mut self, vw: ViewingId, rung: usize) {
-        if let Some(viewing) = self.viewings.get_mut(&vw) {
+        if let Some(mut viewing) = self.viewings.remove(&vw) {
+            self.alike(&viewing, -1);
             viewing.rung = rung;
+            self.alike(&viewing, 1);
+            self.viewings.insert(vw, viewing);
         }
         self.book(vw, true);
     }
@@ -498,7 +540,20 @@
     pub(crate) fn forget(&mut self, vw: ViewingId) {
         self.place(vw, None);
         self.asking.remove(&vw);
-        self.viewings.remove(&vw);
+        if let Some(viewing) = self.viewings.remove(&vw) {
+            self.alike(&viewing, -1);
+        }
+    }
+
+    /// Takes a server that has nothing of ours out of all that is held.
+    pub(crate) fn drop_server(&mut self, server: ServerId) {
+        let rack = self.shelf(server);
+        let Some(s) = self.servers.remove(&server) else { return };
+        let place = s.listed.cell as usize % self.places.len();
+        self.places[place].retain(|id| *id != server);
+        if let Some(rack) = rack {
+            self.racks[rack].servers.remove(&server);
+        }
     }
 
     /// Holds a server as the list has it, in its cell, and in its rack with all that is there.
@@ -545,16 +600,29 @@
         self.ladder.rates[rung] * self.packages[viewing.package].scale
     }
 
-    /// kB and value between two rungs of a viewing.
-    pub(crate) fn between(&self, viewing: &Viewing<Next>, from: usize, to: usize) -> (f64, f64) {
-        let p = &self.packages[viewing.package];
+    /// kB and value between two rungs of a viewing of a package.
+    pub(crate) fn between(&self, package: usize, from: usize, to: usize) -> (f64, f64) {
+        let p = &self.packages[package];
         let (kb, worth) = self.ladder.between(from, to);
         ((kb * p.scale).max(1e-6), worth * p.value)
     }
 
-    /// What is kept of our viewings in all racks: a set-up goes once through its own.
-    pub fn entries(&self) -> usize {
-        self.racks.iter().map(|rack| rack.asks.len() + rack.steps.len()).sum()
+    /// Everything that is held by server, viewing or tune-in.
+    pub fn kept(&self) -> usize {
+        let rack = |r: &Rack| r.servers.len() + r.stands.len() + r.slots + r.asks.len() + r.steps.len();
+        let racks = self.racks.iter().map(rack).sum::<usize>();
+        let places = self.places.iter().map(Vec::len).sum::<usize>();
+        let ration = self.ration.iter().map(|r| r.taken.len() + r.further.len()).sum::<usize>();
+        self.servers.len() + self.at.len() + racks + places + ration + self.viewings.len()
+    }
+
+    /// Entries that decisions have gone through so far.
+    pub fn walked(&self) -> usize {
+        self.walked.get()
+    }
+
+    pub(crate) fn walk(&self, entries: usize) {
+        self.walked.set(self.walked.get().wrapping_add(entries));
     }
 
     /// Marks what we ask of a server's link and its rack's uplink: added up anew each time in the order of ids, so
@@ -564,6 +632,7 @@
         let there = self.at.get(&server).map(Vec::as_slice).unwrap_or_default();
         let (held, kb) = (there.len(), there.iter().map(|ask| ask.1).sum());
         let kb_up = self.racks[rack].asks.iter().map(|ask| ask.kb).sum();
+        self.walk(held + self.racks[rack].asks.len());
         if let Some(s) = self.servers.get_mut(&server) {
             s.link.held = held;
             s.link.mark(self.view.now, kb, 1.0);
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -598,9 +598,9 @@
                 let mut steps = vec![];
                 for ask in &kept.asks {
                     let v = &m.viewings[&ask.vw];
-                    assert_eq!((Some(kept.stands[ask.stand]), ask.floor_kb), (v.server, m.kb(v, ask.floor)));
+                    assert_eq!((kept.stands[ask.stand], ask.floor_kb), (v.server, m.kb(v, ask.floor)));
                     for rung in ask.floor..v.top {
-                        let (kb, value) = m.between(v, rung, rung + 1);
+                        let (kb, value) = m.between(v.package, rung, rung + 1);
                         steps.push((value / kb, kb, ask.vw, rung + 1, ask.stand, ask.slot));
                     }
                 }
@@ -615,6 +615,20 @@
                 *held.entry((v.package, v.title)).or_insert(0_usize) += 1;
             }
             assert_eq!(m.held, held, "seed {seed}, event {vw}");
+            let (mut alike, mut steps) = (BTreeMap::new(), vec![]);
+            for v in m.viewings.values() {
+                *alike.entry((v.package, v.rung, v.top)).or_insert(0_usize) += 1;
+                let (kb, value) = m.between(v.package, v.rung.min(v.top - 1), (v.rung + 1).min(v.top));
+                steps.push(value / kb);
+            }
+            assert_eq!(m.alike, alike, "seed {seed}, event {vw}");
+            let price = steps.iter().sum::<f64>() / steps.len().max(1) as f64;
+            assert!((m.price() - price).abs() <= 1e-12 * price, "seed {seed}, event {vw}");
+            let stands = |rack: &Rack| rack.stands.iter().flatten().count();
+            assert_eq!(
+                m.racks.iter().map(stands).sum::<usize>(),
+                m.at.keys().filter(|at| m.servers.contains_key(at)).count()
+            );
         }
         assert!(desk.manager.viewings.len() > 20, "{} live", desk.manager.viewings.len());
     }
@@ -684,3 +698,46 @@
         }
     }
 }
+
+#[test]
+fn what_is_held_follows_the_living() {
+    // Every four seconds all servers are replaced by others under new ids; viewings come and go.
+    let (mut desk, mut kept) = (Desk::new(Some(Ration::new(ms(5000), 5.0, 0.2))), vec![]);
+    for turn in 0..60_u32 {
+        let id = |turn: u32, i: u8| ServerId([i, (turn % 250) as u8 + 1, 0, 0, 0, 0]);
+        for i in 0..4 {
+            let row = |server, standing| {
+                let (weight, zone, kind, cell) = (2.0, ZoneId(0), KindId(0), u32::from(i));
+                Listed { server, standing, born: Some(desk.now), weight, zone, kind, cell }
+            };
+            let rows = [row(id(turn, i), Standing::Ready), row(id(turn.wrapping_sub(1), i), Standing::Gone)];
+            desk.manager.listed(desk.now, &rows[..if turn > 0 { 2 } else { 1 }], Extent::Changes);
+        }
+        for vw in 0..8 {
+            let id = ViewingId(turn * 8 + vw);
+            let (title, cells, ends) = (TitleId(0), Cells { first: vw % 4, spread: 4 }, desk.now + ms(3000));
+            desk.manager.asked(&mut desk.did, desk.now, id, PackageId(0), title, cells, 3, ends);
+            let server = desk.manager.viewings.get(&id).and_then(|v| v.server);
+            if let Some(server) = server {
+                desk.manager.plays(desk.now, id, server);
+                let (served, none) = (Ending::Served, Load::default());
+                desk.manager.ended(&mut desk.did, desk.now, id, 0, server, served, true, none);
+            }
+            desk.pass(1);
+        }
+        kept.push(desk.manager.kept());
+    }
+    let (first, last) = (kept[10], kept[59]);
+    assert!(last <= first + first / 10, "{first} entries after ten turns, {last} after sixty");
+    // A late word of one that is forgotten is none, and one that comes back anew is cold.
+    let old = ServerId([0, 2, 0, 0, 0, 0]);
+    assert!(!desk.manager.servers.contains_key(&old));
+    desk.manager.news(desk.now, ViewingId(1), old, News::Share(0.5));
+    desk.end(1, 0, 0, Ending::Broken, true);
+    desk.manager.probed(&mut desk.did, desk.now, old, None);
+    let (zone, kind, born) = (ZoneId(0), KindId(0), Some(desk.now));
+    let row = Listed { server: old, standing: Standing::Ready, born, weight: 2.0, zone, kind, cell: 7 };
+    desk.manager.listed(desk.now, &[row], Extent::Changes);
+    let sent = (900..910).filter(|vw| desk.ask(*vw, 0, 7, 1).iter().any(|d| matches!(d, Did::TuneIn(..))));
+    assert!(sent.count() <= 1, "it has just started");
+}
