Ways to name a cause that only the laboratory compared are gone

Switched off everywhere but in a table of ivyward-lab quality, named by no test: lift, additive and strata. The additive model stays as what proposes levels in blame. Table::merge had no caller.

--- a/crates/lab/src/quality.rs
+++ b/crates/lab/src/quality.rs
@@ -2,8 +2,7 @@
 //! and networks as a fleet has them. Nothing of a manager runs here.
 
 use ivyward_quality::{
-    Blame, ClientId, FACTORS, Factor, Figures, Intake, Level, SessionId, Table, Window, additive, blame,
-    lift, strata,
+    Blame, ClientId, FACTORS, Factor, Figures, Intake, Level, SessionId, Table, Window, blame,
 };
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -37,8 +36,6 @@
 pub const KINDS: [Kind; 7] =
     [Kind::None, Kind::Rack, Kind::Server, Kind::Title, Kind::Both, Kind::Exclusive, Kind::Tenant];
 
-type Named = Vec<(Factor, Level, Vec<(Factor, Level)>)>;
-
 type Faults = Vec<(Factor, Level)>;
 
 /// A world's sessions, what was planted in it, and the networks whose players stutter in every world: whoever names one of
@@ -184,65 +181,39 @@
 }
 
 /// What became of one world: planted and named, planted and missed, named in vain.
-fn judged(planted: &Faults, poor: &Faults, named: &Named) -> (u32, u32, u32) {
-    let is = |of: &(Factor, Level), named: &(Factor, Level, Vec<(Factor, Level)>)| {
-        (named.0, named.1) == *of || named.2.contains(of)
-    };
+fn judged(planted: &Faults, poor: &Faults, named: &[Blame]) -> (u32, u32, u32) {
+    let is =
+        |of: &(Factor, Level), named: &Blame| (named.factor, named.level) == *of || named.or.contains(of);
     let right = planted.iter().filter(|of| named.iter().any(|named| is(of, named))).count() as u32;
     let vain =
         named.iter().filter(|named| !planted.iter().chain(poor).any(|of| is(of, named))).count() as u32;
     (right, planted.len() as u32 - right, vain)
 }
 
-type Way = (&'static str, fn(&Table) -> Named);
-
-fn ways() -> [Way; 4] {
-    fn plain(named: Vec<(Factor, Level)>) -> Named {
-        named.into_iter().map(|(factor, level)| (factor, level, vec![])).collect()
-    }
-    fn told(named: Vec<Blame>) -> Named {
-        named.into_iter().map(|blame| (blame.factor, blame.level, blame.or)).collect()
-    }
-    [
-        ("lift", |table| plain(lift(table))),
-        ("additive", |table| plain(additive(table))),
-        ("strata", |table| told(strata(table))),
-        ("both", |table| told(blame(table))),
-    ]
-}
-
-/// A table over worlds of each kind: faults named, missed, and names in vain, by each way; and what a way costs.
+/// A table over worlds of each kind: faults named, missed, and names in vain; and what a window costs.
 pub fn table(worlds: u64, sessions: u32, sizes: &[f64]) -> String {
     let mut text =
         format!("{worlds} worlds of each kind, {sessions} sessions, {RACKS} racks, {TITLES} titles\n");
-    text += "kind        size   way        named  missed  in vain  worlds with any in vain\n";
-    let mut costs = [0.0; 4];
-    let mut looked = 0_u64;
+    text += "kind        size    named  missed  in vain  worlds with any in vain\n";
+    let (mut cost, mut looked) = (0.0, 0_u64);
     for kind in KINDS {
         for size in sizes.iter().take(if kind == Kind::None { 1 } else { sizes.len() }) {
-            let mut sums = [(0, 0, 0, 0); 4];
+            let mut sum = (0, 0, 0, 0);
             for seed in 0..worlds {
                 let (table, planted, poor) = world(kind, seed, sessions, *size);
                 looked += 1;
-                for (i, (_, way)) in ways().iter().enumerate() {
-                    let begun = Instant::now();
-                    let named = way(&table);
-                    costs[i] += begun.elapsed().as_secs_f64();
-                    let (right, missed, vain) = judged(&planted, &poor, &named);
-                    let sum = &mut sums[i];
-                    *sum = (sum.0 + right, sum.1 + missed, sum.2 + vain, sum.3 + u32::from(vain > 0));
-                }
-            }
-            for ((name, _), (right, missed, vain, any)) in ways().iter().zip(sums) {
-                let size = if kind == Kind::None { "-".into() } else { format!("{size}") };
-                let kind = format!("{kind:?}");
-                writeln!(text, "{kind:<11} {size:<6} {name:<9} {right:>6} {missed:>7} {vain:>8} {any:>8}")
-                    .ok();
+                let begun = Instant::now();
+                let named = blame(&table);
+                cost += begun.elapsed().as_secs_f64();
+                let (right, missed, vain) = judged(&planted, &poor, &named);
+                sum = (sum.0 + right, sum.1 + missed, sum.2 + vain, sum.3 + u32::from(vain > 0));
             }
+            let (right, missed, vain, any) = sum;
+            let size = if kind == Kind::None { "-".into() } else { format!("{size}") };
+            let kind = format!("{kind:?}");
+            writeln!(text, "{kind:<11} {size:<6} {right:>6} {missed:>7} {vain:>8} {any:>8}").ok();
         }
     }
-    for ((name, _), cost) in ways().iter().zip(costs) {
-        writeln!(text, "{name}: {:.1} ms a window", cost / looked.max(1) as f64 * 1000.0).ok();
-    }
+    writeln!(text, "{:.1} ms a window", cost / looked.max(1) as f64 * 1000.0).ok();
     text
 }
--- a/crates/quality/src/blame.rs
+++ b/crates/quality/src/blame.rs
@@ -4,22 +4,26 @@
 //! title for its racks. What can't be held against its likes, since it comes with something else only, is named together with
 //! that. Why this way: `docs/quality.md`.
 
-use crate::others::parts;
-use crate::table::{Factor, Level, Sum, Table};
+use crate::table::{FACTORS, Factor, Level, Sum, Table};
 use std::collections::BTreeMap;
 
 /// What counts as more than chance, in standard errors: one in many thousands, for hundreds of levels are looked at.
-pub(crate) const PLAIN: f64 = 4.5;
+const PLAIN: f64 = 4.5;
 /// The least excess that is worth a name, as a part of how bad sessions are on the whole.
-pub(crate) const WORTH: f64 = 0.35;
+const WORTH: f64 = 0.35;
 /// So many sessions of the usual variance are taken for granted of each stratum.
 const GRANTED: f64 = 4.0;
 /// A factor tells about a level only where it can hold this part of its sessions against others.
-pub(crate) const OVERLAP: f64 = 0.2;
+const OVERLAP: f64 = 0.2;
 /// What a rack must still show without its worst server.
-pub(crate) const REST: f64 = 0.5;
+const REST: f64 = 0.5;
 /// No more are named in one window.
-pub(crate) const MOST: usize = 24;
+const MOST: usize = 24;
+
+/// Each level's part is drawn towards none by so many sessions.
+const DRAWN: f64 = 20.0;
+/// The fit is gone through so often, one factor after another.
+const TURNS: usize = 30;
 
 /// One that is named.
 #[derive(Clone, Debug, PartialEq)]
@@ -36,9 +40,43 @@
     pub or: Vec<(Factor, Level)>,
 }
 
+/// How bad a session is, as the sum of a part of each of its levels: each level with its part, and that in standard errors.
+/// Fitted by turns.
+fn parts(table: &Table) -> Vec<(Factor, Level, f64, f64)> {
+    let all = table.whole();
+    let usual = all.variance(0.0, 0.0);
+    let levels: Vec<Vec<(Level, Sum)>> =
+        FACTORS.iter().map(|factor| table.by(*factor).into_iter().collect()).collect();
+    let place = |f: usize, level: &Level| {
+        levels[f].binary_search_by_key(level, |(level, _)| *level).unwrap_or_default()
+    };
+    let cells: Vec<([usize; FACTORS.len()], Sum)> =
+        table.cells().map(|(of, sum)| (std::array::from_fn(|f| place(f, &of[f])), *sum)).collect();
+    let mut parts: Vec<Vec<f64>> = levels.iter().map(|levels| vec![0.0; levels.len()]).collect();
+    for _ in 0..TURNS {
+        for f in 0..FACTORS.len() {
+            let mut left = vec![0.0; parts[f].len()];
+            for (of, sum) in &cells {
+                let others: f64 = (0..FACTORS.len()).filter(|g| *g != f).map(|g| parts[g][of[g]]).sum();
+                left[of[f]] += sum.bad - sum.n * (all.mean() + others);
+            }
+            let drawn = left.iter().zip(&levels[f]).map(|(left, (_, sum))| left / (sum.n + DRAWN));
+            parts[f] = drawn.collect();
+        }
+    }
+    let mut told = vec![];
+    for (f, factor) in FACTORS.into_iter().enumerate() {
+        for ((level, sum), part) in levels[f].iter().zip(&parts[f]) {
+            let plain = part / (usual / (sum.n + DRAWN)).sqrt().max(1e-9);
+            told.push((factor, *level, *part, plain));
+        }
+    }
+    told
+}
+
 /// A level against its likes: excess, standard errors, and the part of its sessions that could be held against any.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Held {
+struct Held {
     pub excess: f64,
     pub plain: f64,
     pub overlap: f64,
@@ -67,7 +105,7 @@
 }
 
 /// The factors that a level of another is held against. A server has its likes in its rack; a rack's servers are part of it.
-pub(crate) fn against(factor: Factor) -> &'static [Factor] {
+fn against(factor: Factor) -> &'static [Factor] {
     match factor {
         Factor::Rack => &[Factor::Title, Factor::Tenant, Factor::Network],
         Factor::Server => &[Factor::Rack, Factor::Title],
@@ -78,7 +116,7 @@
 }
 
 /// All levels of a factor against their likes within another.
-pub(crate) fn all_held(table: &Table, factor: Factor, within: Factor, usual: f64) -> BTreeMap<Level, Held> {
+fn all_held(table: &Table, factor: Factor, within: Factor, usual: f64) -> BTreeMap<Level, Held> {
     let (cells, strata) = (table.across((factor, within)), table.by(within));
     let mut own = BTreeMap::<Level, Vec<(Sum, Sum)>>::new();
     for ((level, stratum), sum) in &cells {
@@ -88,7 +126,7 @@
 }
 
 /// A rack without its worst server, against other racks within titles: whether it is the rack.
-pub(crate) fn without_worst(table: &Table, rack: Level, usual: f64) -> Held {
+fn without_worst(table: &Table, rack: Level, usual: f64) -> Held {
     let mut servers = BTreeMap::<Level, Sum>::new();
     for (levels, sum) in table.cells().filter(|(levels, _)| levels[Factor::Rack as usize] == rack) {
         servers.entry(levels[Factor::Server as usize]).or_default().add(sum);
--- a/crates/quality/src/lib.rs
+++ b/crates/quality/src/lib.rs
@@ -3,12 +3,10 @@
 
 mod blame;
 mod intake;
-mod others;
 mod table;
 
 pub use blame::{Blame, blame};
 pub use intake::{ClientId, Figures, Intake, SessionId, Taken, Window};
-pub use others::{additive, lift, strata};
 pub use table::{FACTORS, Factor, Level, Sum, Table};
 
 #[cfg(test)]
--- a/crates/quality/src/table.rs
+++ b/crates/quality/src/table.rs
@@ -67,10 +67,6 @@
         self.cells.entry(levels).or_default().add(&Sum { n: 1.0, bad, squares: bad * bad });
     }
 
-    pub fn merge(&mut self, other: &Table) {
-        other.cells.iter().for_each(|(levels, sum)| self.cells.entry(*levels).or_default().add(sum));
-    }
-
     pub fn cells(&self) -> impl Iterator<Item = (&[Level; FACTORS.len()], &Sum)> {
         self.cells.iter()
     }
