--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! inputs come to it through one queue, effects leave in order.
 
 pub mod embedded;
+pub mod log;
 pub mod pool;
 pub mod quality;
 pub mod setup;
@@ -12,6 +13,7 @@
 mod paid;
 
 mod shell;
+mod tally;
 mod viewers;
 
 use ivyward_session::Decides;
@@ -35,6 +37,8 @@
 pub struct Outside {
     /// The date, as a span since the Unix epoch.
     pub clock: Rc<dyn Fn() -> Duration>,
+    /// Lines that the log left out since it is not read fast enough.
+    pub dropped: Rc<dyn Fn() -> u64>,
     /// Texts of settings anew, of which the tokens are taken over: keys, which one signs, revoked sessions.
     pub texts: Option<UnboundedReceiver<String>>,
 }
@@ -69,7 +73,7 @@
 
 impl Default for Outside {
     fn default() -> Self {
-        Outside { clock: Rc::new(date), texts: None }
+        Outside { clock: Rc::new(date), dropped: Rc::new(|| 0), texts: None }
     }
 }
 
@@ -110,14 +114,14 @@
     let local = LocalSet::new();
     local
         .run_until(async {
-            let shell = Shell::start(settings, module, (birth, paid), address, outside.clock)?;
+            let shell = Shell::start(settings, module, (birth, paid), address, (outside.clock, outside.dropped))?;
             tracing::info!(manager = manager.text("name"), %address, birth, "takes viewings");
             let quality = quality::Quality::start(shell.clone(), settings);
             if manager.has("console") {
                 let wanted = manager.text("console");
                 let console = TcpListener::bind(&wanted).await.map_err(|e| format!("{wanted}: {e}"))?;
                 tracing::info!(console = %console.local_addr().map_err(|e| e.to_string())?, "the operators' pages");
-                tokio::task::spawn_local(viewers::console(console, quality.clone()));
+                tokio::task::spawn_local(viewers::console(console, shell.clone(), quality.clone()));
             }
             let taking = tokio::task::spawn_local(viewers::serve(
                 shell.clone(),
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -11,7 +11,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use ivyward::front::{Load, News, PackageId, ServerId, TitleId, ViewingId};
-use ivyward_edge::Errand;
+use ivyward_edge::{Errand, brief};
 use ivyward_session::{Birth, Happened, Over, SessionId, TuneIn};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -120,7 +120,9 @@
                 let until = shell.date() + shell.0.paid_for;
                 // Guards against a paid session set up again by a later start: what isn't on disk isn't sent.
                 if let Err(error) = shell.0.paid.add((session, server, until)).await {
-                    tracing::error!(%error, "the record of paid sessions can't be written");
+                    if let Some(left_out) = shell.line("paid") {
+                        tracing::error!(%error, left_out, "the record of paid sessions can't be written");
+                    }
                     return (Some(Happened::NotWritten), none);
                 }
             }
@@ -303,8 +305,11 @@
     let Ok(answer) = connection.ask(request(Method::GET, server, &path, &Value::Null)).await else {
         return false;
     };
-    if answer.status() == StatusCode::CONFLICT {
-        tracing::error!(server = %server_address(server), "another manager of this name started later");
+    if answer.status() == StatusCode::CONFLICT
+        && let Some(left_out) = shell.line("another manager")
+    {
+        let server = server_address(server);
+        tracing::error!(%server, left_out, "another manager of this name started later");
     }
     if answer.status() != StatusCode::OK {
         return false;
@@ -314,7 +319,10 @@
     let mut any = false;
     while let Some(Ok(event)) = events.next().await {
         let Ok(told) = serde_json::from_str::<Value>(&event.data) else {
-            tracing::warn!(server = %server_address(server), data = event.data, "a note can't be read");
+            if let Some(left_out) = shell.line("a note") {
+                let data = brief(&event.data);
+                tracing::warn!(server = %server_address(server), data, left_out, "a note can't be read");
+            }
             continue;
         };
         any = true;
@@ -368,6 +376,6 @@
         _ => return,
     };
     if x.is_finite() && x >= 0.0 {
-        shell.tell(move |front, _, now| front.news(now, server, vw, news));
+        shell.tell_if_free(move |front, _, now| front.news(now, server, vw, news));
     }
 }
--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -12,6 +12,7 @@
 use hyper::Request;
 use hyper::header::HeaderValue;
 use ivyward::front::{Extent, KindId, Listed, ServerId, Standing, ZoneId};
+use ivyward_edge::brief;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
@@ -57,7 +58,9 @@
             (Value::Array(rows), _) => (rows, Extent::Whole),
             (_, Value::Array(rows)) => (rows, Extent::Changes),
             _ => {
-                tracing::warn!(%address, data = event.data, "news of the list can't be read");
+                if let Some(left_out) = shell.line("news of the list") {
+                    tracing::warn!(%address, data = brief(&event.data), left_out, "news of the list can't be read");
+                }
                 continue;
             }
         };
@@ -65,11 +68,14 @@
         let list: Option<Vec<_>> = rows.iter().map(|row| listed(row, now, births)).collect();
         // Guards against a whole list of which a part can't be read: the rest would be taken for gone.
         let Some(list) = list else {
-            tracing::warn!(%address, data = event.data, "a line of the list can't be read");
+            if let Some(left_out) = shell.line("a line of the list") {
+                tracing::warn!(%address, data = brief(&event.data), left_out, "a line of the list can't be read");
+            }
             continue;
         };
         any = true;
-        let list = shell.follow(&list);
+        let list = shell.follow(&list, extent);
+        births.retain(|server, _| shell.lists(*server));
         shell.tell(move |front, _, now| front.listed(now, &list, extent));
     }
     any
@@ -78,9 +84,11 @@
 fn listed(row: &Value, now: Duration, births: &mut Births) -> Option<Listed> {
     let server = server_id(row["server"].as_str()?)?;
     let birth = row["birth"].as_u64()?;
-    let known = births.get(&server).filter(|(number, _)| *number == birth).map(|(_, born)| *born);
+    let before = births.get(&server).copied();
+    let known = before.filter(|(number, _)| *number == birth).map(|(_, born)| born);
     let age = row["age_ms"].as_u64().map(Duration::from_millis);
-    let born = known.unwrap_or_else(|| age.and_then(|age| now.checked_sub(age)));
+    // Guards against another start that is told without its age: it was since the last, so it counts as just now.
+    let born = known.unwrap_or_else(|| age.map_or(before.map(|_| now), |age| now.checked_sub(age)));
     births.insert(server, (birth, born));
     Some(Listed {
         server,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -68,7 +69,9 @@
     })
 }
 
-fn run(file: Option<&Path>, listen: Option<std::net::SocketAddr>) -> Result<(), String> {
+fn run(
+    file: Option<&Path>, listen: Option<std::net::SocketAddr>, dropped: Rc<dyn Fn() -> u64>,
+) -> Result<(), String> {
     let mut settings = match file {
         Some(file) => settings(file)?,
         None => embedded::settings(embedded::fleet()?)?,
@@ -95,7 +98,7 @@
             }
             std::future::pending::<()>().await;
         };
-        let outside = Outside { texts: Some(texts), ..Default::default() };
+        let outside = Outside { texts: Some(texts), dropped, ..Default::default() };
         let ended = async move {
             tokio::select! { _ = term.recv() => {}, _ = int.recv() => {}, () = anew => {} }
         };
@@ -136,14 +139,9 @@
             return ExitCode::from(2);
         }
     };
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    if line.json {
-        logs.json().init()
-    } else {
-        logs.init()
-    }
+    let (_log, dropped) = ivyward_daemon::log::start(filter, line.json);
     let done = match line.what {
-        What::Run { settings, listen } => run(settings.as_deref(), listen),
+        What::Run { settings, listen } => run(settings.as_deref(), listen, dropped),
         What::Check { settings: file } => {
             settings(&file).map(|_| println!("{}: nothing wrong", file.display()))
         }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -2,11 +2,13 @@
 
 use crate::paid::{self, Paid};
 use crate::pool::Pool;
+use crate::tally::{Tally, Told};
 use crate::{Ended, link, list, setup};
 use ivyward::front::{Extent, Listed, PackageId, ServerId, Standing, TitleId, ViewingId};
-use ivyward_edge::{Calendar, Doors, Errand, Gate, Ticket, Turn};
+use ivyward_edge::{Calendar, Doors, Errand, Gate, Seldom, Ticket, Turn};
 use ivyward_session::{Answer, Birth, Breach, Decides, Effects, Front, RequestId, SessionId, Timer, TuneIn};
 use ivyward_settings::Part;
+use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -26,9 +28,15 @@
 /// An answer is in time so long after the patience.
 const SLACK: Duration = Duration::from_millis(40);
 
+/// Notes that may wait for their turn at the core; further ones are left out.
+const NOTES: usize = 4096;
+
 /// Something that happened, handed to the core in its turn.
 type Job = Box<dyn FnOnce(&mut Front, &mut Hands, Duration)>;
 
+/// How many lines the log has left out.
+pub type Lines = Rc<dyn Fn() -> u64>;
+
 pub struct Inner {
     pub name: String,
     pub birth: u64,
@@ -52,9 +60,8 @@
     /// Those that wait for a place at a server.
     turns: RefCell<BTreeMap<Ticket, oneshot::Sender<()>>>,
     jobs: mpsc::UnboundedSender<(Duration, Job)>,
-    /// Servers whose notes are followed, and those that the list ended.
+    /// Servers whose notes are followed.
     links: RefCell<BTreeMap<ServerId, AbortHandle>>,
-    gone: RefCell<BTreeMap<ServerId, bool>>,
     /// The list as it last came, and those of it whose clocks have gone astray.
     rows: RefCell<BTreeMap<ServerId, Listed>>,
     astray: RefCell<BTreeSet<ServerId>>,
@@ -63,7 +70,13 @@
     /// After so long it is forgotten.
     forgotten: Duration,
     requests: Cell<u64>,
-    waiting: Cell<usize>,
+    /// What waits in the queue, and the notes that found it too long.
+    queued: Cell<usize>,
+    unheard: Cell<u64>,
+    tally: RefCell<Tally>,
+    seldom: RefCell<Seldom>,
+    /// Lines that the log left out by itself.
+    dropped: Lines,
 }
 
 /// A manager's shell.
@@ -75,10 +88,11 @@
     /// The settings don't fit together.
     pub fn start(
         settings: &Part, module: Box<dyn Decides>, (birth, (paid, spent)): (u64, (Paid, Vec<paid::Row>)),
-        address: SocketAddr, clock: Rc<dyn Fn() -> Duration>,
+        address: SocketAddr, outside: (Rc<dyn Fn() -> Duration>, Lines),
     ) -> Result<Shell, String> {
         let (manager, limits) = (settings.one("manager"), settings.one("limits"));
         let manifest = settings.one("manifest");
+        let (clock, dropped) = outside;
         let (jobs, mut queue) = mpsc::unbounded_channel::<(Duration, Job)>();
         let inner = Inner {
             name: manager.text("name"),
@@ -102,7 +116,6 @@
             begun: Instant::now(),
             jobs,
             links: RefCell::default(),
-            gone: RefCell::default(),
             rows: RefCell::default(),
             astray: RefCell::default(),
             began: RefCell::default(),
@@ -111,7 +124,11 @@
                 longest.unwrap_or_default().max(settings.one("tokens").span("life_s")) * 2
             },
             requests: Cell::new(0),
-            waiting: Cell::new(0),
+            queued: Cell::new(0),
+            unheard: Cell::new(0),
+            tally: RefCell::default(),
+            seldom: RefCell::default(),
+            dropped,
         };
         let shell = Shell(Rc::new(inner));
         // A player asks again after each refresh, late by the time of a segment at most.
@@ -139,8 +156,8 @@
         }
         let known = setup::servers(settings);
         if !known.is_empty() {
-            let known = shell.follow(&known);
             let extent = if settings.has("list_address") { Extent::Remembered } else { Extent::Whole };
+            let known = shell.follow(&known, extent);
             front.listed(shell.now(), &known, extent);
         }
         if let Ok(list) = settings.text("list_address").parse() {
@@ -170,13 +187,13 @@
                     job = queue.recv() => match job {
                         Some((told, job)) => {
                             let now = clock.now();
+                            clock.0.queued.set(clock.0.queued.get().saturating_sub(1));
                             clock.0.gate.borrow_mut().turn(now, now.saturating_sub(told));
                             job(&mut front, &mut hands, now);
                         }
                         None => return,
                     },
                 }
-                clock.0.waiting.set(front.waiting());
             }
         });
         Ok(shell)
@@ -192,9 +209,49 @@
 
     /// Puts something that happened into the queue.
     pub fn tell(&self, job: impl FnOnce(&mut Front, &mut Hands, Duration) + 'static) {
+        self.0.queued.set(self.0.queued.get() + 1);
         self.0.jobs.send((self.now(), Box::new(job))).ok();
     }
 
+    /// The same for what may be left out. Guards against servers that send notes faster than they are handled.
+    pub fn tell_if_free(&self, job: impl FnOnce(&mut Front, &mut Hands, Duration) + 'static) {
+        if self.0.queued.get() < NOTES {
+            return self.tell(job);
+        }
+        self.0.unheard.set(self.0.unheard.get().saturating_add(1));
+    }
+
+    /// A request was answered.
+    pub fn count(&self, told: Told) {
+        let date = self.date();
+        self.0.tally.borrow_mut().count(date, told);
+    }
+
+    /// Whether a line of a kind that may come in floods is written; then how many were left out before it.
+    pub fn line(&self, kind: &'static str) -> Option<u64> {
+        self.0.seldom.borrow_mut().line(self.now(), kind)
+    }
+
+    /// What was left out: lines of floods, lines of a log that nobody reads, notes.
+    fn left_out(&self) -> (u64, u64, u64) {
+        (self.0.seldom.borrow().left_out(), (self.0.dropped)(), self.0.unheard.get())
+    }
+
+    /// What requests were answered and why, what was left out, and what is held by server.
+    pub fn counts(&self) -> Value {
+        let (floods, dropped, notes) = self.left_out();
+        let (places, tickets) = self.0.doors.borrow().count();
+        json!({
+            "answers": self.0.tally.borrow().page(),
+            "left_out": {"lines_of_floods": floods, "lines_of_the_log": dropped, "notes": notes},
+            "held": {
+                "servers": self.0.rows.borrow().len(), "links": self.0.links.borrow().len(),
+                "clocks": self.0.calendar.borrow().len(), "connections": self.0.pool.count(),
+                "places": places + tickets, "queue": self.0.queued.get(),
+            },
+        })
+    }
+
     /// The date to go by: our own clock's, unless most servers say otherwise.
     pub fn date(&self) -> Duration {
         let (date, believed) = self.0.calendar.borrow_mut().date(self.now(), (self.0.clock)());
@@ -254,25 +311,40 @@
 
     fn sweep(&self) {
         self.0.pool.sweep();
+        if let Some(answers) = self.0.tally.borrow_mut().news() {
+            let (floods, log, notes) = self.left_out();
+            tracing::info!(answers, floods, log, notes, "answered; left out so far");
+        }
         let (now, (_, believed)) =
             (self.now(), self.0.calendar.borrow_mut().date(self.now(), (self.0.clock)()));
         if !believed {
             tracing::error!("our clock lies far from the servers' clocks: theirs is gone by");
         }
+        self.forget_gone();
         let silent = self.0.calendar.borrow().silent(now, SWEEP * SILENT);
         for server in silent {
-            if self.gone(server) {
-                self.0.calendar.borrow_mut().forget(server);
-                self.0.doors.borrow_mut().forget(server);
-                self.0.astray.borrow_mut().remove(&server);
-            } else {
-                spawn_local(link::ask_date(self.clone(), server));
-            }
+            spawn_local(link::ask_date(self.clone(), server));
         }
         let all: Vec<_> = self.0.rows.borrow().keys().copied().collect();
         all.into_iter().for_each(|server| self.judge(server));
     }
 
+    /// Guards against a fleet whose machines come back under new addresses: of those that are gone and can't be reached
+    /// nothing is held.
+    fn forget_gone(&self) {
+        let ended =
+            |server: &ServerId| self.0.links.borrow().get(server).is_none_or(AbortHandle::is_finished);
+        let all = self.0.rows.borrow().keys().copied().collect::<Vec<_>>();
+        for server in all.into_iter().filter(|server| self.gone(*server) && ended(server)) {
+            self.0.rows.borrow_mut().remove(&server);
+            self.0.links.borrow_mut().remove(&server);
+        }
+        let rows = self.0.rows.borrow();
+        self.0.astray.borrow_mut().retain(|server| rows.contains_key(server));
+        self.0.calendar.borrow_mut().retain(|server| rows.contains_key(&server));
+        self.0.doors.borrow_mut().retain(|server| rows.contains_key(&server));
+    }
+
     /// A place for a connection to a server, of use until `until`; none where it would come too late.
     pub async fn place(&self, server: ServerId, errand: Errand, until: Duration) -> Option<Place> {
         let (ticket, turn) = self.0.doors.borrow_mut().ask(self.now(), server, errand, until);
@@ -312,11 +384,18 @@
 
     /// Notes of servers are followed from when they are listed until they are gone and can't be reached. The rows as
     /// the core is to be told them.
-    pub fn follow(&self, list: &[Listed]) -> Vec<Listed> {
+    pub fn follow(&self, list: &[Listed], extent: Extent) -> Vec<Listed> {
+        if extent != Extent::Changes {
+            // Guards against one that a whole list leaves out: it is gone here as in the core, or its clock, once right
+            // again, would have it told of as ready.
+            let named: BTreeSet<_> = list.iter().map(|listed| listed.server).collect();
+            let mut rows = self.0.rows.borrow_mut();
+            let unnamed = rows.values_mut().filter(|row| !named.contains(&row.server));
+            unnamed.for_each(|row| row.standing = Standing::Gone);
+        }
         for listed in list {
             self.0.rows.borrow_mut().insert(listed.server, *listed);
             let gone = listed.standing == Standing::Gone;
-            self.0.gone.borrow_mut().insert(listed.server, gone);
             let mut links = self.0.links.borrow_mut();
             if !gone && links.get(&listed.server).is_none_or(AbortHandle::is_finished) {
                 let link = spawn_local(link::follow(self.clone(), listed.server));
@@ -326,13 +405,18 @@
         list.iter().map(|row| self.seen(*row)).collect()
     }
 
+    /// Whether a server is listed, be it as gone.
+    pub fn lists(&self, server: ServerId) -> bool {
+        self.0.rows.borrow().contains_key(&server)
+    }
+
     /// The cell that a server was listed at.
     pub fn cell(&self, server: ServerId) -> Option<u32> {
         self.0.rows.borrow().get(&server).map(|row| row.cell)
     }
 
     pub fn gone(&self, server: ServerId) -> bool {
-        self.0.gone.borrow().get(&server).copied().unwrap_or(true)
+        self.0.rows.borrow().get(&server).is_none_or(|row| row.standing == Standing::Gone)
     }
 
     /// Takes nothing new and answers all that wait.
@@ -355,7 +439,10 @@
         let (ended, waiting, breaches) = told.await.map_err(|_| "the core is gone".to_string())?;
         // Answers and releases still have to leave.
         sleep((within / 10).min(until.saturating_duration_since(Instant::now()))).await;
-        tracing::info!(waiting, ?breaches, ?ended, "ended");
+        if let Some(answers) = self.0.tally.borrow_mut().news() {
+            tracing::info!(answers, "answered");
+        }
+        tracing::info!(waiting, ?breaches, ?ended, left_out = ?self.left_out(), "ended");
         match waiting {
             0 => Ok(ended),
             _ => Err(format!("{waiting} viewings are left without an answer")),
@@ -462,6 +549,8 @@
     }
 
     fn breach(&mut self, breach: Breach, vw: ViewingId) {
-        tracing::error!(?breach, viewing = vw.0, "a rule is broken");
+        if let Some(left_out) = self.shell.line("a rule") {
+            tracing::error!(?breach, viewing = vw.0, left_out, "a rule is broken");
+        }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/tally.rs
@@ -0,0 +1,70 @@
+//! What requests were answered, why, and from when to when: one count at the door where the answers go out, so that the
+//! sums are what viewers saw. Nothing is sampled, and nothing here can fail or hold an answer up.
+
+use ivyward::front::Why;
+use ivyward_session::Cause;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How a request was answered, and why. Both are names in the text of the program: what clients send makes no new ones.
+pub type Told = (&'static str, &'static str);
+
+/// The name of a cause.
+pub fn name(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Decided(Why::Unknown) => "unknown package",
+        Cause::Decided(Why::Seats) => "seats",
+        Cause::Decided(Why::Patience) => "patience",
+        Cause::Decided(Why::TuneIns) => "tune-ins",
+        Cause::Decided(Why::Ration) => "ration",
+        Cause::Decided(Why::NoHolder) => "no holder",
+        Cause::Decided(Why::Cold) => "cold",
+        Cause::Decided(Why::Tokens) => "tokens of the bucket",
+        Cause::Decided(Why::Ran) => "may have run",
+        Cause::Spent => "paid before",
+        Cause::GivenUp => "given up",
+        Cause::Late => "late",
+        Cause::Ends => "the manager ends",
+    }
+}
+
+#[derive(Clone, Copy, Default)]
+struct Count {
+    n: u64,
+    /// How many of them were told in a line of the log.
+    told: u64,
+    first: Duration,
+    last: Duration,
+}
+
+#[derive(Default)]
+pub struct Tally(BTreeMap<Told, Count>);
+
+impl Tally {
+    pub fn count(&mut self, date: Duration, told: Told) {
+        let count = self.0.entry(told).or_insert(Count { first: date, ..Default::default() });
+        (count.n, count.last) = (count.n.saturating_add(1), date);
+    }
+
+    /// What came since this was last asked, as one line; none where nothing did.
+    pub fn news(&mut self) -> Option<String> {
+        let mut news = vec![];
+        for ((answer, why), count) in &mut self.0 {
+            let new = count.n - std::mem::replace(&mut count.told, count.n);
+            news.extend((new > 0).then(|| format!("{answer} ({why}) {new}")));
+        }
+        (!news.is_empty()).then(|| news.join(", "))
+    }
+
+    /// All counts, with the dates of the first and the last of each.
+    pub fn page(&self) -> Value {
+        let row = |((answer, why), count): (&Told, &Count)| {
+            json!({
+                "answer": answer, "why": why, "count": count.n, "first_s": count.first.as_secs(),
+                "last_s": count.last.as_secs(),
+            })
+        };
+        self.0.iter().map(row).collect()
+    }
+}
--- a/crates/daemon/src/viewers.rs
+++ b/crates/daemon/src/viewers.rs
@@ -3,6 +3,7 @@
 use crate::quality::Quality;
 use crate::setup;
 use crate::shell::Shell;
+use crate::tally::{self, Told};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body as _, Incoming};
@@ -13,11 +14,10 @@
 use ivyward_dash::manifest::manifest;
 use ivyward_dash::token::{Given, Keys, Pass, Refusal};
 use ivyward_edge::{Refresh, Shown};
-use ivyward_hints::HEADERS;
+use ivyward_hints::{HEADERS, in_query};
 use ivyward_quality::Taken;
-use ivyward_session::{Answer, RequestId, SessionId};
+use ivyward_session::{Answer, Cause, RequestId, SessionId};
 use ivyward_settings::Part;
-use percent_encoding::percent_decode_str;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
@@ -99,7 +99,9 @@
             Ok((stream, from)) => (stream, from.ip()),
             Err(error) => {
                 // Out of file handles, most likely: a pause, or this would spin.
-                tracing::warn!(%error, "no connection can be taken");
+                if let Some(left_out) = desk.shell.line("accept") {
+                    tracing::warn!(%error, left_out, "no connection can be taken");
+                }
                 sleep(Duration::from_millis(50)).await;
                 continue;
             }
@@ -113,7 +115,12 @@
         spawn_local(async move {
             let answer = |request| {
                 let desk = desk.clone();
-                Box::pin(async move { Ok::<_, Infallible>(desk.answer(request, from).await) })
+                Box::pin(async move {
+                    let page = desk.answer(request, from).await;
+                    let told = page.extensions().get::<Told>().copied();
+                    desk.shell.count(told.unwrap_or(("turned away", "no viewing request")));
+                    Ok::<_, Infallible>(page)
+                })
             };
             let mut connection = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -141,6 +148,12 @@
     page
 }
 
+/// The page of an answer, as it is counted.
+fn told(mut page: Page, answer: &'static str, why: &'static str) -> Page {
+    page.extensions_mut().insert::<Told>((answer, why));
+    page
+}
+
 fn with(mut page: Page, name: &'static str, value: &str) -> Page {
     if let Ok(value) = HeaderValue::from_str(value) {
         page.headers_mut().insert(HeaderName::from_static(name), value);
@@ -157,21 +170,21 @@
 }
 
 /// The operators' pages.
-pub async fn console(listener: TcpListener, quality: Quality) {
+pub async fn console(listener: TcpListener, shell: Shell, quality: Quality) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let quality = quality.clone();
+        let (shell, quality) = (shell.clone(), quality.clone());
         spawn_local(async move {
             let answer = |request: Request<Incoming>| {
+                let json = |value: serde_json::Value| {
+                    with(page(StatusCode::OK, value.to_string()), "content-type", "application/json")
+                };
                 let found = match (request.method(), request.uri().path()) {
-                    (&Method::GET, "/quality") => with(
-                        page(StatusCode::OK, quality.page().to_string()),
-                        "content-type",
-                        "application/json",
-                    ),
+                    (&Method::GET, "/quality") => json(quality.page()),
+                    (&Method::GET, "/counts") => json(shell.counts()),
                     _ => page(StatusCode::NOT_FOUND, "no such page\n"),
                 };
                 std::future::ready(Ok::<_, Infallible>(found))
@@ -187,8 +200,9 @@
     }
 }
 
-fn blocked(come_back: Duration) -> Page {
+fn blocked(come_back: Duration, why: &'static str) -> Page {
     let page = page(StatusCode::SERVICE_UNAVAILABLE, "blocked: nothing plays it now\n");
+    let page = told(page, "blocked", why);
     // Whole seconds (RFC 9110, 10.2.3); the span as it is beside them.
     let page = with(page, "retry-after", &come_back.as_secs_f64().ceil().to_string());
     with(page, "ivy-come-back-ms", &come_back.as_millis().to_string())
@@ -198,8 +212,9 @@
     let status =
         if refusal == Refusal::ForeignTitle { StatusCode::FORBIDDEN } else { StatusCode::UNAUTHORIZED };
     let page = page(status, format!("the token is not taken: {refusal}\n"));
+    let page = told(page, "turned away", refusal.name());
     let page = with(page, "www-authenticate", "Bearer error=\"invalid_token\"");
-    with(page, "ivy-refused", &refusal.to_string())
+    with(page, "ivy-refused", refusal.name())
 }
 
 /// Tells the core if the viewer closes before the answer.
@@ -214,6 +229,7 @@
     fn drop(&mut self) {
         if !self.answered.get() {
             let (session, request) = (self.session, self.request);
+            self.shell.count(("closed", "the viewer left before its answer"));
             self.shell.tell(move |front, hands, now| {
                 hands.forget(request);
                 front.closed(hands, now, session, request);
@@ -270,8 +286,10 @@
         };
         let body = body.to_bytes();
         match self.hears(&pass, from, &String::from_utf8_lossy(&body)) {
-            Taken::Flood | Taken::Full => page(StatusCode::TOO_MANY_REQUESTS, "too many reports\n"),
-            _ => page(StatusCode::NO_CONTENT, ""),
+            Taken::Flood | Taken::Full => {
+                told(page(StatusCode::TOO_MANY_REQUESTS, "too many reports\n"), "reports", "too many")
+            }
+            _ => told(page(StatusCode::NO_CONTENT, ""), "reports", "heard"),
         }
     }
 
@@ -319,14 +337,13 @@
             let headers = HEADERS.iter().filter_map(|name| request.headers().get(*name)?.to_str().ok());
             let mut said: Vec<_> = headers.map(String::from).collect();
             let query = request.uri().query().unwrap_or_default();
-            let coded = query.split('&').find_map(|pair| pair.strip_prefix("CMCD="));
-            said.extend(coded.and_then(|text| percent_decode_str(text).decode_utf8().ok()).map(String::from));
+            said.extend(in_query(query));
             if !said.is_empty() {
                 self.hears(&pass, from, &said.join(","));
             }
         }
         let (request, session) = (self.shell.request(), SessionId(pass.session));
-        let (tell, told) = oneshot::channel();
+        let (tell, given_back) = oneshot::channel();
         // A token of another manager is no step of a viewing here: it is as if the app had given it.
         let given = pass.given.as_ref().filter(|given| given.manager == self.shell.0.name);
         let shown = given.and_then(|given| {
@@ -337,7 +354,7 @@
         if pass.given.is_none()
             && let Err(wait) = self.shell.0.gate.borrow().takes(begun_at, *patience)
         {
-            return blocked(wait);
+            return blocked(wait, "gate");
         }
         let about = (*package, title.id, title.cells, pass.top);
         let left = until.saturating_sub(now);
@@ -347,7 +364,10 @@
             front.asked(hands, now, request, session, about, shown, now + left);
         });
         let waiting = Waiting { shell: self.shell.clone(), session, request, answered: Cell::new(false) };
-        let Ok(answer) = told.await else { return page(StatusCode::BAD_GATEWAY, "the manager ends\n") };
+        let Ok(answer) = given_back.await else {
+            let page = page(StatusCode::BAD_GATEWAY, "the manager ends\n");
+            return told(page, "aborted", "the manager ends");
+        };
         waiting.answered.set(true);
         tracing::debug!(session = %format_args!("{:032x}", pass.session), title = name, ?answer, "answered");
         if shown.is_none() {
@@ -359,21 +379,29 @@
                 let server = setup::server_address(server);
                 // The answer may have taken a while: what is said now is dated now.
                 let now = self.shell.date();
-                let told = pass.given.as_ref().map(|given| given.began);
-                let began = self.shell.began(session, told);
+                let said = pass.given.as_ref().map(|given| given.began);
+                let began = self.shell.began(session, said);
                 let (manager, birth, vw, n) = (self.shell.0.name.clone(), birth.0, vw.0, tune_in.0);
                 let given = Given { manager, birth, vw, n, server, turn, began };
                 let pass = Pass { given: Some(given), ..pass };
-                self.manifest(title, server, &rates[..=rung.min(rates.len() - 1)], &pass, (began, now))
+                let rates = &rates[..=rung.min(rates.len() - 1)];
+                let page = self.manifest(title, server, rates, &pass, (began, now));
+                told(page, "plays", if shown.is_none() { "asked" } else { "asked again" })
             }
             Answer::Replayed => refused(Refusal::Replayed),
             Answer::Revoked => refused(Refusal::Revoked),
-            Answer::Blocked { come_back } => blocked(come_back.unwrap_or_default()),
-            Answer::Aborted { late: false } => {
-                page(StatusCode::BAD_GATEWAY, "aborted: it could not be set up\n")
+            Answer::Blocked { come_back, why } => blocked(come_back.unwrap_or_default(), tally::name(why)),
+            Answer::Aborted { why } => {
+                let page = match why {
+                    Cause::Late => page(StatusCode::GATEWAY_TIMEOUT, "aborted: too late\n"),
+                    _ => page(StatusCode::BAD_GATEWAY, "aborted: it could not be set up\n"),
+                };
+                told(page, "aborted", tally::name(why))
+            }
+            Answer::Conflict => {
+                let page = page(StatusCode::CONFLICT, "this session watches something else\n");
+                told(page, "turned away", "the session watches something else")
             }
-            Answer::Aborted { late: true } => page(StatusCode::GATEWAY_TIMEOUT, "aborted: too late\n"),
-            Answer::Conflict => page(StatusCode::CONFLICT, "this session watches something else\n"),
         }
     }
 
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -12,6 +12,8 @@
 use ivyward_fleet::ServerNo;
 use ivyward_settings::Part;
 use ivyward_standin::{Record, Standins, What};
+use serde_json::{Value, json};
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,10 +22,10 @@
 use std::thread;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::oneshot;
-use tokio::task::LocalSet;
+use tokio::sync::{broadcast, oneshot};
+use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
 const SETTINGS: &str = include_str!("../../src/default.txtpb");
@@ -74,7 +76,7 @@
             let span = Duration::from_secs(ahead.unsigned_abs());
             if ahead < 0 { date() - span } else { date() + span }
         };
-        let outside = Outside { clock: Rc::new(clock), texts: Some(texts) };
+        let outside = Outside { clock: Rc::new(clock), texts: Some(texts), ..Default::default() };
         let came = runtime.block_on(ivyward_daemon::manage(
             &settings,
             |address| ready.send(address).expect("a test that waits"),
@@ -243,3 +245,65 @@
     let (base, again, ..) = manifest::read(&page.text).expect("a manifest");
     (base, again)
 }
+
+/// A list service whose lines a test writes itself.
+pub struct Listing {
+    pub address: SocketAddr,
+    /// What a new reader gets first; what those that read get then, and an empty line to cut them off.
+    pub first: Rc<RefCell<String>>,
+    lines: broadcast::Sender<String>,
+}
+
+impl Listing {
+    pub async fn open(first: String) -> Listing {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        let address = listener.local_addr().expect("an address");
+        let (first, lines) = (Rc::new(RefCell::new(first)), broadcast::channel::<String>(1 << 14).0);
+        let (begin, tell) = (first.clone(), lines.clone());
+        spawn_local(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.expect("a reader");
+                let (begin, mut told) = (begin.borrow().clone(), tell.subscribe());
+                spawn_local(async move {
+                    let _ = stream.read(&mut [0; 4096]).await;
+                    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+                    stream.write_all(format!("{head}data: {begin}\n\n").as_bytes()).await.ok();
+                    while let Ok(line) = told.recv().await
+                        && !line.is_empty()
+                    {
+                        stream.write_all(format!("data: {line}\n\n").as_bytes()).await.ok();
+                    }
+                });
+            }
+        });
+        Listing { address, first, lines }
+    }
+
+    pub fn tell(&self, line: String) {
+        self.lines.send(line).ok();
+    }
+
+    /// All that read lose their connection.
+    pub fn cut(&self) {
+        self.tell(String::new());
+    }
+}
+
+/// A line of the list of a server.
+pub fn row(address: SocketAddr, standing: &str, birth: u64, age_ms: Option<u64>) -> Value {
+    json!({
+        "server": address.to_string(), "standing": standing, "birth": birth, "age_ms": age_ms, "cell": 3,
+        "weight": 1.0, "zone": 0, "kind": 0,
+    })
+}
+
+/// An address on loopback that nothing listened at a moment ago.
+pub fn free() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
+}
+
+/// The page of counts at a console.
+pub async fn counts(console: SocketAddr) -> Value {
+    let page = get(&format!("http://{console}/counts")).await;
+    serde_json::from_str(&page.text).expect("a page of counts")
+}
--- a/crates/dash/src/token.rs
+++ b/crates/dash/src/token.rs
@@ -28,9 +28,9 @@
     Revoked,
 }
 
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Refusal {
+    pub fn name(self) -> &'static str {
+        match self {
             Refusal::Malformed => "malformed",
             Refusal::Forged => "forged",
             Refusal::UnknownKey => "unknown-key",
@@ -39,7 +39,13 @@
             Refusal::ForeignTitle => "foreign-title",
             Refusal::Replayed => "replayed",
             Refusal::Revoked => "revoked",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
 
--- a/crates/edge/src/calendar.rs
+++ b/crates/edge/src/calendar.rs
@@ -1,7 +1,7 @@
 //! What date it is, by our own clock and those of the servers. A clock that jumps is found out by the others: no date is
 //! believed that lies further from theirs than the settings allow.
 
-use crate::{KEPT, middle};
+use crate::KEPT;
 use ivyward::front::ServerId;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 pub struct Calendar {
     skew: i64,
     heard: BTreeMap<ServerId, (Duration, Epoch)>,
+    /// All that were heard in their order, so that a date costs no more with many servers.
+    epochs: Vec<Epoch>,
     /// The last date told.
     last: Duration,
 }
@@ -33,17 +35,40 @@
         Calendar {
             skew: i64::try_from(skew.as_millis()).unwrap_or(i64::MAX / 4),
             heard: BTreeMap::new(),
+            epochs: vec![],
             last: Duration::ZERO,
         }
     }
 
     /// A server answered with its date.
     pub fn heard(&mut self, now: Duration, server: ServerId, date: Duration) {
-        self.heard.insert(server, (now, epoch(now, date)));
+        self.forget(server);
+        let epoch = epoch(now, date);
+        self.heard.insert(server, (now, epoch));
+        let (Ok(at) | Err(at)) = self.epochs.binary_search(&epoch);
+        self.epochs.insert(at, epoch);
     }
 
     pub fn forget(&mut self, server: ServerId) {
-        self.heard.remove(&server);
+        let Some((_, epoch)) = self.heard.remove(&server) else { return };
+        if let Ok(at) = self.epochs.binary_search(&epoch) {
+            self.epochs.remove(at);
+        }
+    }
+
+    /// Only some are still of use.
+    pub fn retain(&mut self, of_use: impl Fn(ServerId) -> bool) {
+        let gone: Vec<_> = self.heard.keys().copied().filter(|server| !of_use(*server)).collect();
+        gone.into_iter().for_each(|server| self.forget(server));
+    }
+
+    /// Servers whose clocks are known.
+    pub fn len(&self) -> usize {
+        self.heard.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.heard.is_empty()
     }
 
     /// When a server's date was last heard.
@@ -53,8 +78,8 @@
 
     /// What most servers say. Their whole seconds lag by half of one on average.
     fn most(&self) -> Option<Epoch> {
-        let epochs = self.heard.values().map(|(_, epoch)| *epoch - GRAIN / 2);
-        middle(epochs).filter(|_| self.heard.len() >= QUORUM)
+        let middle = self.epochs.get(self.epochs.len() / 2).filter(|_| self.epochs.len() >= QUORUM);
+        middle.map(|epoch| epoch - GRAIN / 2)
     }
 
     /// The date to go by, where our own clock says `own`; and whether that clock is believed. It goes back only where it
--- a/crates/edge/src/door.rs
+++ b/crates/edge/src/door.rs
@@ -109,9 +109,9 @@
         }
     }
 
-    /// A server that is gone and has nothing here is forgotten.
-    pub fn forget(&mut self, server: ServerId) {
-        self.doors.retain(|(at, _), side| *at != server || side.held > 0 || !side.waiting.is_empty());
+    /// Servers of no use any more that have nothing here are forgotten.
+    pub fn retain(&mut self, of_use: impl Fn(ServerId) -> bool) {
+        self.doors.retain(|(at, _), side| of_use(*at) || side.held > 0 || !side.waiting.is_empty());
     }
 
     /// Places held and tickets that wait, in all.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,6 +1,6 @@
 //! What is decided at a manager's edges: how much may wait at servers and at the listener ([`Doors`], [`Gate`]), which
 //! tokens of a viewing are still taken ([`Line`]), which clock is believed ([`Calendar`]), and when players ask again
-//! ([`Refresh`]). Who is served and where is the module's; nothing here has sockets, clocks or tasks: each call says
+//! ([`Refresh`]), which lines of a flood are written ([`Seldom`]). Who is served and where is the module's; nothing here has sockets, clocks or tasks: each call says
 //! what time it is, as a span since the start. Options weighed: `docs/session-path.md`.
 
 mod calendar;
@@ -8,12 +8,14 @@
 mod gate;
 mod line;
 mod refresh;
+mod seldom;
 
 pub use calendar::Calendar;
 pub use door::{Doors, Errand, Ticket, Turn};
 pub use gate::Gate;
 pub use line::{Line, Shown};
 pub use refresh::Refresh;
+pub use seldom::{Seldom, brief};
 
 use std::collections::VecDeque;
 
--- /dev/null
+++ b/crates/edge/src/seldom.rs
@@ -0,0 +1,49 @@
+//! Which lines are written of what may come in floods.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One line of a kind in this span.
+const SPAN: Duration = Duration::from_secs(1);
+
+/// When each kind of line was last written, and how many were left out since. Kinds are names in the text of the
+/// program: nothing from outside makes a new one.
+#[derive(Default)]
+pub struct Seldom {
+    lines: BTreeMap<&'static str, (Duration, u64)>,
+    left_out: u64,
+}
+
+impl Seldom {
+    /// Whether a line of this kind is written now: then how many were left out before it.
+    pub fn line(&mut self, now: Duration, kind: &'static str) -> Option<u64> {
+        match self.lines.get_mut(kind) {
+            Some((last, left_out)) if now < *last + SPAN => {
+                *left_out += 1;
+                self.left_out += 1;
+                None
+            }
+            before => {
+                let left_out = before.map_or(0, |(_, left_out)| *left_out);
+                self.lines.insert(kind, (now, 0));
+                Some(left_out)
+            }
+        }
+    }
+
+    /// Lines left out so far, of any kind.
+    pub fn left_out(&self) -> u64 {
+        self.left_out
+    }
+}
+
+/// The longest text from outside in a line.
+const LONGEST: usize = 120;
+
+/// A text from outside as it may stand in a line: cut short, and told so.
+pub fn brief(text: &str) -> String {
+    match text.char_indices().nth(LONGEST) {
+        Some((at, _)) => format!("{}... ({} bytes)", &text[..at], text.len()),
+        None => text.into(),
+    }
+}
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -1,4 +1,4 @@
-use crate::{Calendar, Doors, Errand, Gate, Line, Refresh, Shown, Ticket, Turn};
+use crate::{Calendar, Doors, Errand, Gate, Line, Refresh, Seldom, Shown, Ticket, Turn, brief};
 use ivyward::front::ServerId;
 use proptest::prelude::*;
 use std::collections::BTreeSet;
@@ -62,7 +62,7 @@
     assert_ne!(second, fourth);
     assert_eq!(doors.done(ms(100), server(1), Errand::SetUp, ms(100)), Some(fourth));
     assert_eq!(doors.done(ms(200), server(1), Errand::SetUp, ms(100)), None);
-    doors.forget(server(1));
+    doors.retain(|_| false);
     assert_eq!(doors.count(), (0, 0));
 }
 
@@ -259,6 +259,54 @@
     }
 }
 
+#[test]
+fn clocks_kept_in_order_are_those_of_a_recount() {
+    // Servers are heard again with other dates, and forgotten; what counts is the middle of those heard last.
+    let mut calendar = Calendar::new(ms(1000));
+    let mut last = std::collections::BTreeMap::new();
+    for i in 0..500_u64 {
+        let (at, of) = (server((i * 7 % 41) as u8), (i * 7919) % 10_000);
+        if i % 5 == 4 {
+            calendar.forget(at);
+            last.remove(&at);
+        } else {
+            calendar.heard(ms(0), at, ms(1_000_000 + of));
+            last.insert(at, 1_000_000 + of);
+        }
+        let mut dates: Vec<_> = last.values().copied().collect();
+        dates.sort_unstable_by(|a, b| b.cmp(a));
+        let date = calendar.date(ms(0), ms(900_000_000)).0;
+        if dates.len() >= 3 {
+            let wanted = ms(dates[dates.len() / 2] + 500);
+            assert!(date == wanted || date.abs_diff(wanted) <= ms(2000), "event {i}: {date:?}, {wanted:?}");
+        }
+        assert_eq!(calendar.len(), last.len());
+    }
+}
+
+#[test]
+fn one_line_of_a_kind_a_second_and_the_rest_are_counted() {
+    let mut seldom = Seldom::default();
+    // When a line of which kind comes, and how many were left out before it where it is written.
+    let cases = [
+        (0, "a", Some(0)),
+        (10, "a", None),
+        (10, "b", Some(0)),
+        (999, "a", None),
+        (1000, "a", Some(2)),
+        (1500, "a", None),
+        (9000, "a", Some(1)),
+        (9000, "b", Some(0)),
+    ];
+    for (at, kind, left_out) in cases {
+        assert_eq!(seldom.line(ms(at), kind), left_out, "{kind} at {at}");
+    }
+    assert_eq!(seldom.left_out(), 3);
+    for (text, length) in [("short".to_string(), 5), ("é".repeat(500), 260), ("x".repeat(1 << 20), 140)] {
+        assert!(brief(&text).len() <= length && brief(&text).starts_with(&text[..4]), "{}", brief(&text));
+    }
+}
+
 #[test]
 fn servers_not_heard_of_for_long_are_named_oldest_first() {
     let mut calendar = Calendar::new(ms(1000));
--- a/crates/hints/src/lib.rs
+++ b/crates/hints/src/lib.rs
@@ -103,14 +103,11 @@
     }
 }
 
-/// Reads a URL's query: the parameter `CMCD`, percent-encoded (CTA-5004, 2.2). Whether there was one.
-pub fn read_query(query: &str, hear: &mut dyn FnMut(Said), skip: &mut dyn FnMut(Skipped)) -> bool {
-    let Some(text) = query.split('&').find_map(|pair| pair.strip_prefix("CMCD=")) else { return false };
-    match percent_decode_str(text).decode_utf8() {
-        Ok(text) => read(&text, hear, skip),
-        Err(_) => skip(Skipped::Malformed),
-    }
-    true
+/// The dictionary in a URL's query: its parameter `CMCD`, percent-encoded (CTA-5004, 2.2). What can't be decoded is one
+/// that can't be read.
+pub fn in_query(query: &str) -> Option<String> {
+    let text = query.split('&').find_map(|pair| pair.strip_prefix("CMCD="))?;
+    Some(percent_decode_str(text).decode_utf8_lossy().into_owned())
 }
 
 /// Reads a JSON object of keys (CTA-5004, 2.2).
--- a/crates/hints/src/tests.rs
+++ b/crates/hints/src/tests.rs
@@ -1,4 +1,4 @@
-use crate::{Said, Skipped, State, read, read_json, read_query};
+use crate::{Said, Skipped, State, in_query, read, read_json};
 use proptest::prelude::*;
 use std::time::Duration;
 
@@ -65,17 +65,18 @@
     let json = r#"{"sid":"s 1","sn":2,"msd":[100,300],"sta":"p","bs":true,"x":null}"#;
     let query = "token=t&CMCD=sid%3D%22s%201%22%2Csn%3D2%2Cmsd%3D300%2Csta%3Dp%2Cbs&y=1";
     let mut wanted = heard(|hear, skip| read(line, hear, skip)).0;
-    assert_eq!(heard(|hear, skip| assert!(read_query(query, hear, skip))).0, wanted);
+    assert_eq!(in_query(query).as_deref(), Some(line));
     let (mut said, skipped) = heard(|hear, skip| read_json(json, hear, skip));
     // A JSON object has no order.
     said.sort();
     wanted.sort();
     assert_eq!((said, skipped), (wanted, vec![Skipped::Value]));
-    assert!(!read_query("token=t", &mut |_| {}, &mut |_| {}));
+    assert_eq!(in_query("token=t"), None);
     for odd in ["", "[]", "7", "{", "{\"sid\":"] {
         assert_eq!(heard(|hear, skip| read_json(odd, hear, skip)).1, [Skipped::Malformed], "{odd}");
     }
-    assert_eq!(heard(|hear, skip| assert!(read_query("CMCD=%ff", hear, skip))).1, [Skipped::Malformed]);
+    let odd = in_query("CMCD=%ff").expect("a dictionary");
+    assert_eq!(heard(|hear, skip| read(&odd, hear, skip)).1, [Skipped::Malformed]);
 }
 
 proptest! {
@@ -84,7 +85,7 @@
         for text in [&text, &String::from_utf8_lossy(&bytes).into_owned()] {
             read(text, &mut |_| {}, &mut |_| {});
             read_json(text, &mut |_| {}, &mut |_| {});
-            read_query(&format!("CMCD={text}"), &mut |_| {}, &mut |_| {});
+            in_query(&format!("CMCD={text}"));
         }
     }
 
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -74,7 +74,7 @@
         let left = v.ends.saturating_sub(self.now);
         if holders.is_empty() || rationed || v.tune_ins >= self.tune_ins || left.is_zero() {
             self.viewings.remove(&vw);
-            return act.block(vw, None);
+            return act.block(vw, None, Why::TuneIns);
         }
         let server = holders[self.chance.random_range(0..holders.len())];
         if v.tune_ins > 0 {
@@ -140,7 +140,7 @@
             self.viewings.remove(&vw);
         } else if self.packages[v.package].0 && !ending.never_ran() {
             self.viewings.remove(&vw);
-            act.abort(vw);
+            act.abort(vw, Why::Ran);
         } else {
             self.tune_in(act, vw);
         }
@@ -171,6 +171,6 @@
         if !idle {
             act.call_off(vw, n - 1);
         }
-        if paid && n > 0 { act.abort(vw) } else { act.block(vw, None) }
+        if paid && n > 0 { act.abort(vw, Why::Patience) } else { act.block(vw, None, Why::Patience) }
     }
 }
--- a/crates/lab/src/growth.rs
+++ b/crates/lab/src/growth.rs
@@ -24,8 +24,8 @@
     fn tune_in(&mut self, _: ViewingId, server: ServerId, _: Duration) {
         self.0 = Some(server);
     }
-    fn block(&mut self, _: ViewingId, _: Option<Duration>) {}
-    fn abort(&mut self, _: ViewingId) {}
+    fn block(&mut self, _: ViewingId, _: Option<Duration>, _: Why) {}
+    fn abort(&mut self, _: ViewingId, _: Why) {}
     fn call_off(&mut self, _: ViewingId, _: u16) {}
     fn set_rung(&mut self, _: ViewingId, _: usize) {}
     fn probe(&mut self, _: ServerId) {}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -62,7 +62,7 @@
         #[arg(long)]
         against: Option<PathBuf>,
     },
-    /// What is named for faults planted in worlds of sessions, by three ways
+    /// What is named for faults planted in worlds of sessions
     Quality {
         /// Worlds of each kind
         #[arg(long, default_value_t = 200)]
@@ -102,7 +102,7 @@
     let text = fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
     let settings = ivyward_daemon::read(&text).map_err(|faults| format!("{}: {faults:?}", file.display()))?;
     let filter = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
-    tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(std::io::stderr).init();
+    let (_log, dropped) = ivyward_daemon::log::start(filter, false);
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     runtime.block_on(async {
@@ -116,7 +116,7 @@
         let clock = move || {
             ivyward_daemon::date() + std::time::Duration::from_secs(if jumped.get() { 3600 } else { 0 })
         };
-        let outside = ivyward_daemon::Outside { clock: std::rc::Rc::new(clock), texts: Some(texts) };
+        let outside = ivyward_daemon::Outside { clock: std::rc::Rc::new(clock), dropped, texts: Some(texts) };
         let again = file.to_path_buf();
         let ended = async move {
             loop {
--- a/crates/session/src/book.rs
+++ b/crates/session/src/book.rs
@@ -1,9 +1,9 @@
 //! What is held of viewings, and what the module's actions change in it.
 
-use crate::{Answer, Birth, Effects, Fence, RequestId, SessionId, Timer, TuneIn};
-use ivyward::front::{Actions, Ending, PackageId, ServerId, TitleId, ViewingId};
+use crate::{Answer, Birth, Cause, Effects, Fence, RequestId, SessionId, Timer, TuneIn};
+use ivyward::front::{Actions, Ending, PackageId, ServerId, TitleId, ViewingId, Why};
 use ivyward_edge::Line;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Where a viewing is, and with it what its next result means.
@@ -55,14 +55,14 @@
 
     pub fn taken(&mut self, now: Duration) {
         self.taken.push_back(now);
-        self.taken.retain(|at| *at + self.terms.0 > now);
+        while self.taken.pop_front_if(|at| *at + self.terms.0 <= now).is_some() {}
     }
 
     /// Books a further tune-in if one more is within the ration.
     pub fn allows(&mut self, now: Duration) -> bool {
         let (span, free, share) = self.terms;
-        self.taken.retain(|at| *at + span > now);
-        self.further.retain(|at| *at + span >= now);
+        while self.taken.pop_front_if(|at| *at + span <= now).is_some() {}
+        while self.further.pop_front_if(|at| *at + span < now).is_some() {}
         let allowed = self.further.len() as f64 + 1.0 <= free + share * self.taken.len() as f64;
         self.further.extend(allowed.then_some(now));
         allowed
@@ -81,7 +81,9 @@
     pub viewings: BTreeMap<ViewingId, Viewing>,
     pub sessions: BTreeMap<SessionId, ViewingId>,
     /// Paid sessions that may have run, until their tokens end; and where, if an earlier start of ours set them up.
-    pub spent: BTreeMap<SessionId, (Duration, Option<ServerId>)>,
+    spent: BTreeMap<SessionId, (Duration, Option<ServerId>)>,
+    /// The same in the order in which they end.
+    spent_until: BTreeSet<(Duration, SessionId)>,
     pub ended: VecDeque<Ended>,
     pub ration: Option<Ration>,
     pub fence: Fence,
@@ -98,6 +100,21 @@
 }
 
 impl Book {
+    pub fn new(ration: Option<(Duration, f64, f64)>, fence: Fence, birth: Birth) -> Self {
+        Book {
+            viewings: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            spent: BTreeMap::new(),
+            spent_until: BTreeSet::new(),
+            ended: VecDeque::new(),
+            ration: ration.map(Ration::new),
+            fence,
+            // Ids of different starts lie apart, so that what an earlier one left keeps its own.
+            last: (birth.0 as u32).wrapping_mul(0x9E37_79B9),
+            birth,
+        }
+    }
+
     /// An id that no live viewing has.
     pub fn fresh(&mut self) -> ViewingId {
         loop {
@@ -131,8 +148,30 @@
             self.sessions.remove(&viewing.session);
         }
         if viewing.once && viewing.ran {
-            self.spent.insert(viewing.session, (viewing.valid, None));
+            self.spend(viewing.session, viewing.valid, None);
+        }
+    }
+
+    /// A paid session that may have run is remembered until then.
+    pub fn spend(&mut self, session: SessionId, until: Duration, server: Option<ServerId>) {
+        if let Some((before, _)) = self.spent.insert(session, (until, server)) {
+            self.spent_until.remove(&(before, session));
         }
+        self.spent_until.insert((until, session));
+    }
+
+    /// Whether a paid session is remembered, and where it may play from before our start. Each that is over is gone
+    /// through once, not at each request.
+    pub fn spent(&mut self, now: Duration, session: SessionId) -> Option<Option<ServerId>> {
+        while let Some(&(until, over)) = self.spent_until.first().filter(|(until, _)| *until <= now) {
+            self.spent_until.remove(&(until, over));
+            self.spent.remove(&over);
+        }
+        self.spent.get(&session).map(|(_, server)| *server)
+    }
+
+    pub fn spent_count(&self) -> usize {
+        self.spent.len()
     }
 
     /// Takes the tune-in off a viewing if it is that one.
@@ -167,12 +206,12 @@
         self.out.wake(limit, Timer::Limit(vw, tune_in));
     }
 
-    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>) {
-        self.book.answer(self.out, vw, Answer::Blocked { come_back });
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>, why: Why) {
+        self.book.answer(self.out, vw, Answer::Blocked { come_back, why: Cause::Decided(why) });
     }
 
-    fn abort(&mut self, vw: ViewingId) {
-        self.book.answer(self.out, vw, Answer::Aborted { late: false });
+    fn abort(&mut self, vw: ViewingId, why: Why) {
+        self.book.answer(self.out, vw, Answer::Aborted { why: Cause::Decided(why) });
     }
 
     fn call_off(&mut self, vw: ViewingId, tune_in: u16) {
--- a/crates/session/src/fence.rs
+++ b/crates/session/src/fence.rs
@@ -27,7 +27,8 @@
     seats: Vec<usize>,
     out: BTreeMap<SessionId, ViewingId>,
     known: BTreeSet<ServerId>,
-    ended: BTreeMap<ServerId, Duration>,
+    /// When a server was told of as draining or gone, and whether it is gone.
+    ended: BTreeMap<ServerId, (Duration, bool)>,
     taken: VecDeque<Duration>,
     further: VecDeque<Duration>,
     held: BTreeMap<(usize, TitleId), usize>,
@@ -54,7 +55,7 @@
     pub(crate) fn taken(&mut self, now: Duration) {
         if let Some((span, ..)) = self.ration {
             self.taken.push_back(now);
-            self.taken.retain(|at| *at + span > now);
+            while self.taken.pop_front_if(|at| *at + span <= now).is_some() {}
         }
     }
 
@@ -63,7 +64,9 @@
         self.known.insert(server);
         match standing {
             Standing::Ready => drop(self.ended.remove(&server)),
-            Standing::Draining | Standing::Gone => drop(self.ended.entry(server).or_insert(now)),
+            Standing::Draining | Standing::Gone => {
+                self.ended.entry(server).or_insert((now, false)).1 = standing == Standing::Gone;
+            }
         }
     }
 
@@ -73,6 +76,19 @@
         gone.into_iter().for_each(|server| self.told(now, server, Standing::Gone));
     }
 
+    /// Who has been gone for longer than any set-up can have been out is no longer known.
+    pub(crate) fn forget_gone(&mut self, now: Duration, out: Duration) {
+        let known = &mut self.known;
+        self.ended.retain(|server, (told, gone)| {
+            let stays = !*gone || now <= *told + self.grace + out;
+            stays || !known.remove(server)
+        });
+    }
+
+    pub(crate) fn knows(&self, server: ServerId) -> bool {
+        self.known.contains(&server)
+    }
+
     /// Whether a server is known to drain or to be gone.
     pub(crate) fn ending(&self, server: ServerId) -> bool {
         self.ended.contains_key(&server)
@@ -99,7 +115,7 @@
         if ran {
             breaches.push(Breach::PaidTwice);
         }
-        if self.ended.get(&server).is_some_and(|told| now > *told + self.grace) {
+        if self.ended.get(&server).is_some_and(|(told, _)| now > *told + self.grace) {
             breaches.push(Breach::AfterDrain);
         }
         let seats = self.seats.get(about.0).copied().unwrap_or_default();
@@ -108,9 +124,9 @@
         }
         if let Some((span, free, share)) = self.ration.filter(|_| again) {
             self.further.push_back(now);
-            self.further.retain(|at| *at + span >= now);
-            let taken = self.taken.iter().filter(|at| **at + span > now).count() as f64;
-            if self.further.len() as f64 > free + share * taken {
+            while self.further.pop_front_if(|at| *at + span < now).is_some() {}
+            while self.taken.pop_front_if(|at| *at + span <= now).is_some() {}
+            if self.further.len() as f64 > free + share * self.taken.len() as f64 {
                 breaches.push(Breach::Ration);
             }
         }
@@ -128,6 +144,11 @@
         *self.counts.entry(Breach::LateAnswer).or_default() += 1;
     }
 
+    /// Servers that are known, and those that drain or are gone.
+    pub fn held(&self) -> usize {
+        self.known.len() + self.ended.len()
+    }
+
     /// Set-ups out by its own count.
     pub fn out(&self) -> usize {
         self.out.len()
--- a/crates/session/src/front.rs
+++ b/crates/session/src/front.rs
@@ -1,8 +1,9 @@
 //! What may happen to a manager, and what is told of it to the module.
 
-use crate::book::{Book, Ended, Hand, Ration, Step, Viewing, with_turn};
+use crate::book::{Book, Ended, Hand, Step, Viewing, with_turn};
 use crate::{
-    Answer, Birth, Breach, Decides, Effects, Fence, Happened, Over, RequestId, SessionId, Timer, TuneIn,
+    Answer, Birth, Breach, Cause, Decides, Effects, Fence, Happened, Over, RequestId, SessionId, Timer,
+    TuneIn,
 };
 use ivyward::front::{Cells, Ending, Extent, Listed, Load, News, PackageId, ServerId, TitleId, ViewingId};
 use ivyward_edge::{Line, Shown};
@@ -57,17 +58,7 @@
         (slack, idle, paid): (Duration, Duration, Duration), ration: Option<(Duration, f64, f64)>,
         birth: Birth,
     ) -> Self {
-        let book = Book {
-            viewings: BTreeMap::new(),
-            sessions: BTreeMap::new(),
-            spent: BTreeMap::new(),
-            ended: Default::default(),
-            ration: ration.map(Ration::new),
-            fence,
-            // Ids of different starts lie apart, so that what an earlier one left keeps its own.
-            last: (birth.0 as u32).wrapping_mul(0x9E37_79B9),
-            birth,
-        };
+        let book = Book::new(ration, fence, birth);
         let (heard, words) = (BTreeSet::new(), vec![]);
         Front { module, book, terms, slack, paid, idle, stopping: false, heard, words, counts: (0, 0) }
     }
@@ -82,6 +73,10 @@
             self.book.fence.told_whole(now, &named);
         }
         list.iter().for_each(|listed| self.book.fence.told(now, listed.server, listed.standing));
+        // Guards against a fleet whose machines come back under new ids.
+        let longest = self.terms.iter().map(|(patience, _)| *patience).max().unwrap_or_default();
+        self.book.fence.forget_gone(now, longest + self.slack);
+        self.heard.retain(|server| self.book.fence.knows(*server));
         self.module.listed(now, list, extent);
     }
 
@@ -95,7 +90,7 @@
         };
         let left_at = match shown {
             Shown::Manager { birth, server, .. } => Some(server).filter(|_| birth < self.book.birth.0),
-            Shown::App { .. } => self.book.spent.get(&session).and_then(|(_, server)| *server),
+            Shown::App { .. } => self.book.spent(now, session).flatten(),
         };
         if let Some(server) = left_at.filter(|server| !self.heard.contains(server))
             && !self.stopping
@@ -119,14 +114,13 @@
         if let Some(&vw) = self.book.sessions.get(&session) {
             return self.asked_again(out, now, request, vw, title, shown, valid);
         }
-        self.book.spent.retain(|_, (until, _)| *until > now);
         let begun = matches!(shown, Shown::Manager { .. });
         // Guards against a paid viewing set up again by a resend after its end, or after this manager's restart.
-        if once && (begun || self.book.spent.contains_key(&session)) {
-            return out.answer(request, Answer::Aborted { late: false });
+        if once && (begun || self.book.spent(now, session).is_some()) {
+            return out.answer(request, Answer::Aborted { why: Cause::Spent });
         }
         if self.stopping {
-            return out.answer(request, Answer::Blocked { come_back: None });
+            return out.answer(request, Answer::Blocked { come_back: None, why: Cause::Ends });
         }
         let vw = self.book.fresh();
         let viewing = Viewing {
@@ -178,14 +172,16 @@
                 out.answer(request, with_turn(answer, &mut viewing.line));
             }
             // Guards against a second tune-in beside one that was given up but can't be called off.
-            _ if answered => out.answer(request, Answer::Blocked { come_back: None }),
+            _ if answered => {
+                out.answer(request, Answer::Blocked { come_back: None, why: Cause::GivenUp });
+            }
             _ => viewing.requests.push(request),
         }
     }
 
     /// An earlier start set a paid session up there, as the last that it sent of it; it may have run.
     pub fn spent(&mut self, session: SessionId, server: ServerId, until: Duration) {
-        self.book.spent.insert(session, (until, Some(server)));
+        self.book.spend(session, until, Some(server));
     }
 
     /// A server has told all that it plays of ours, or is known to have nothing: those that waited for that go on.
@@ -472,7 +468,7 @@
                 if self.book.viewings.get(&vw).is_some_and(|viewing| !viewing.answered) {
                     self.book.fence.late();
                     out.breach(Breach::LateAnswer, vw);
-                    self.book.answer(out, vw, Answer::Aborted { late: true });
+                    self.book.answer(out, vw, Answer::Aborted { why: Cause::Late });
                 }
             }
         }
@@ -496,8 +492,8 @@
                 }
                 self.book.ended.push_back(Ended { vw, tune_in, server, ending: Ending::CalledOff });
             }
-            let answer =
-                if ran { Answer::Aborted { late: false } } else { Answer::Blocked { come_back: None } };
+            let why = Cause::Ends;
+            let answer = if ran { Answer::Aborted { why } } else { Answer::Blocked { come_back: None, why } };
             self.book.answer(out, vw, answer);
         }
         self.settle(out, now);
@@ -538,6 +534,11 @@
         &self.book.fence.counts
     }
 
+    /// What is held by server: standings, those that have told what they play, and paid sessions that are remembered.
+    pub fn held(&self) -> usize {
+        self.book.fence.held() + self.heard.len() + self.book.spent_count()
+    }
+
     /// Whether any id, set-up or session is left of viewings.
     pub fn is_empty(&self) -> bool {
         self.book.viewings.is_empty()
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -11,7 +11,7 @@
 pub use fence::{Breach, Fence};
 pub use front::Front;
 
-use ivyward::front::{PackageId, ServerId, TitleId, ViewingId};
+use ivyward::front::{PackageId, ServerId, TitleId, ViewingId, Why};
 use std::time::Duration;
 
 /// A viewer's session, as its token names it; stays over refreshes and resends.
@@ -57,6 +57,20 @@
     Lost,
 }
 
+/// Why a request is blocked or aborted: what the module says, or what the core knows before that is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    Decided(Why),
+    /// Paid, and it may have run before.
+    Spent,
+    /// Given up while a server may still be setting it up.
+    GivenUp,
+    /// Its patience ended without any answer.
+    Late,
+    /// The manager ends.
+    Ends,
+}
+
 /// The one answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -71,10 +85,11 @@
     },
     Blocked {
         come_back: Option<Duration>,
+        why: Cause,
     },
     /// It failed; a server may have begun.
     Aborted {
-        late: bool,
+        why: Cause,
     },
     /// The session is watching something else.
     Conflict,
--- a/crates/session/src/tests.rs
+++ b/crates/session/src/tests.rs
@@ -2,8 +2,8 @@
 
 mod world;
 
-use crate::{Answer, Breach, Happened, Over, Timer, TuneIn};
-use ivyward::front::{Load, Standing, ViewingId};
+use crate::{Answer, Breach, Cause, Happened, Over, Timer, TuneIn};
+use ivyward::front::{Load, ServerId, Standing, ViewingId, Why};
 use ivyward_edge::Shown;
 use world::{BIRTH, Did, EARLIER, World, ms, server, session};
 
@@ -48,7 +48,7 @@
             if !again {
                 assert_eq!(
                     answers(&world),
-                    [&Answer::Aborted { late: false }],
+                    [&Answer::Aborted { why: Cause::Decided(Why::Ran) }],
                     "{what:?} of package {package}"
                 );
                 assert!(world.front.is_empty());
@@ -124,7 +124,7 @@
             world.fires(Timer::Answer(vw));
             let wanted = match (patience_first, package) {
                 (false, _) => matches!(answers(&world)[..], [Answer::Plays { .. }]),
-                (true, PAID) => answers(&world) == [&Answer::Aborted { late: false }],
+                (true, PAID) => matches!(answers(&world)[..], [Answer::Aborted { why: Cause::Decided(_) }]),
                 (true, _) => matches!(answers(&world)[..], [Answer::Blocked { .. }]),
             };
             assert!(wanted, "package {package}, patience first: {patience_first}: {:?}", world.did);
@@ -146,7 +146,7 @@
         world.fires(Timer::Limit(vw, n));
         assert_eq!(world.released(vw, n), written);
         assert!(!world.sending(vw, n), "a set-up given up on is not written any more");
-        let aborted = answers(&world).contains(&&Answer::Aborted { late: false });
+        let aborted = answers(&world).contains(&&Answer::Aborted { why: Cause::Decided(Why::Ran) });
         assert_eq!(aborted, written, "{:?}", world.did);
     }
 }
@@ -213,7 +213,7 @@
     // After a restart only the token still tells that it was set up.
     let mut world = World::new();
     world.asks_begun(1, session(1), PAID);
-    assert_eq!(answers(&world), [&Answer::Aborted { late: false }]);
+    assert_eq!(answers(&world), [&Answer::Aborted { why: Cause::Spent }]);
 }
 
 #[test]
@@ -266,10 +266,11 @@
         }
     }
     world.stop();
-    let blocked = Answer::Blocked { come_back: None };
+    let why = Cause::Ends;
+    let blocked = Answer::Blocked { come_back: None, why };
     let all = answers(&world);
     assert_eq!((all.len(), world.front.waiting()), (4, 0));
-    assert_eq!([all[1], all[2], all[3]], [&blocked, &blocked, &Answer::Aborted { late: false }]);
+    assert_eq!([all[1], all[2], all[3]], [&blocked, &blocked, &Answer::Aborted { why }]);
     world.asks(9, session(9), PLAIN);
     assert_eq!(answers(&world).last(), Some(&&blocked), "nothing new is taken");
     world.runs(ms(20_000));
@@ -303,7 +304,8 @@
             world.happens(vw, n, Happened::Plays);
         }
     }
-    assert_eq!(answers(&world).last(), Some(&&Answer::Blocked { come_back: None }));
+    let seats = Answer::Blocked { come_back: None, why: Cause::Decided(Why::Seats) };
+    assert_eq!(answers(&world).last(), Some(&&seats));
     // The fence alone, handed what must not be.
     let mut fence = world::fence();
     let (one, two, about) = (ViewingId(1), ViewingId(2), (SEATED, ivyward::front::TitleId(0)));
@@ -446,7 +448,7 @@
         }
         match (word, package) {
             (0, _) => assert!(matches!(answers(&world)[..], [Answer::Plays { .. }]), "{:?}", world.did),
-            (_, PAID) => assert_eq!(answers(&world), [&Answer::Aborted { late: false }]),
+            (_, PAID) => assert_eq!(answers(&world), [&Answer::Aborted { why: Cause::Spent }]),
             _ => assert_eq!(world.set_ups().len(), 1, "it is set up anew"),
         }
         // Closed or stopped while it waits, it is answered or gone.
@@ -457,10 +459,30 @@
     let mut world = World::new();
     world.asks_with(1, session(1), PLAIN, 0, shown);
     world.stop();
-    assert_eq!(answers(&world), [&Answer::Blocked { come_back: None }]);
+    assert_eq!(answers(&world), [&Answer::Blocked { come_back: None, why: Cause::Ends }]);
     assert!(world.front.is_empty());
 }
 
+#[test]
+fn of_servers_long_gone_and_sessions_long_spent_nothing_is_held() {
+    let (mut world, mut held) = (World::new(), vec![]);
+    for turn in 0..40_u8 {
+        // Four servers under new ids, and those of the turn before are gone; one paid viewing plays to its end.
+        let at = |turn: u8, i: u8| ServerId([127, 9, turn, i, 0, 80]);
+        let ready = (0..4).map(|i| (at(turn, i), Standing::Ready));
+        let gone = (0..4).filter(|_| turn > 0).map(|i| (at(turn - 1, i), Standing::Gone));
+        world.lists(&ready.chain(gone).collect::<Vec<_>>());
+        (0..4).for_each(|i| world.hears(at(turn, i)));
+        world.asks(u64::from(turn), session(u128::from(turn)), PAID);
+        let (vw, n) = out(&world);
+        assert!(world.sending(vw, n));
+        world.played(vw, n, Over::Ended);
+        world.runs(ms(60_000));
+        held.push(world.front.held());
+    }
+    assert!(held[39] <= held[12], "after 13 turns {}, after 40 {}", held[12], held[39]);
+}
+
 #[test]
 fn revoked_sessions_end_wherever_they_are() {
     for step in 0..4 {
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -36,10 +36,10 @@
     fn tune_in(&mut self, vw: ViewingId, server: ServerId, limit: Duration) {
         self.reply.push(self.who, 1, &[&vw.0.to_le_bytes(), &micros(limit), &server.0]);
     }
-    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>) {
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>, _: Why) {
         self.reply.push(self.who, 2, &[&vw.0.to_le_bytes(), &micros(come_back.unwrap_or_default())]);
     }
-    fn abort(&mut self, vw: ViewingId) {
+    fn abort(&mut self, vw: ViewingId, _: Why) {
         self.reply.push(self.who, 3, &[&vw.0.to_le_bytes()]);
     }
     fn call_off(&mut self, vw: ViewingId, tune_in: u16) {
--- a/src/front.rs
+++ b/src/front.rs
@@ -102,13 +102,34 @@
     Remembered,
 }
 
+/// Why a viewing is blocked or aborted. Nothing goes by it: it lets counts tell afterwards what happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Why {
+    /// Its package is none of ours.
+    Unknown,
+    /// All seats of its package and title are taken.
+    Seats,
+    /// The viewer's patience is over.
+    Patience,
+    /// All tune-ins that it may have were made, or the ration leaves no further one.
+    TuneIns,
+    Ration,
+    /// No holder of the title is ready.
+    NoHolder,
+    /// Holders that have just started take nothing yet, or none has tokens.
+    Cold,
+    Tokens,
+    /// Paid, and an earlier tune-in may have run.
+    Ran,
+}
+
 /// What the module may do. Each call takes effect at the time of the input being handled.
 pub trait Actions {
     fn tune_in(&mut self, vw: ViewingId, server: ServerId, limit: Duration);
     /// Final answer: the viewing is turned down; the viewer may come back after the span given.
-    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>);
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>, why: Why);
     /// Final answer: the viewing failed, nothing is promised about what ran.
-    fn abort(&mut self, vw: ViewingId);
+    fn abort(&mut self, vw: ViewingId, why: Why);
     fn call_off(&mut self, vw: ViewingId, tune_in: u16);
     fn set_rung(&mut self, vw: ViewingId, rung: usize);
     /// Asks a server for its load; `probed` tells what came of it.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -296,7 +296,7 @@
         }
         match self.take(vw, package, title, cells, top) {
             Some(viewing) => viewing.ends = ends,
-            None => return act.abort(vw),
+            None => return act.abort(vw, Why::Unknown),
         }
         act.wake(ends.saturating_sub(now), PATIENCE | u64::from(vw.0));
         self.tune_in(act, vw, true);
@@ -412,7 +412,7 @@
             // Guards against any viewing left without an answer, whatever has not come back.
             let vw = ViewingId(token as u32);
             if self.viewings.get(&vw).is_some_and(|v| !v.answered) {
-                self.give_up(act, vw);
+                self.give_up(act, vw, Why::Patience);
             }
             return;
         }
@@ -441,7 +441,7 @@
         let (p, most) = (self.packages.get(package.0)?, self.ladder.rates.len() - 1);
         let viewing = Viewing::new(package.0, title, cells, (p.floor, top.min(p.top).min(most).max(p.floor)));
         self.forget(vw);
-        self.alike(&viewing, 1);
+        self.alike(viewing.alike(), 1);
         Some(self.viewings.entry(vw).insert_entry(viewing).into_mut())
     }
 
@@ -457,13 +457,13 @@
     }
 
     /// The design's two choices among the holders that may take a set-up now; over its bucket, any with
-    /// tokens. When none may: how long until one does; nothing while probes are out.
-    fn choose(&mut self, act: &mut dyn Actions, vw: ViewingId) -> Result<ServerId, Option<Duration>> {
+    /// tokens. When none may: how long until one does, and why; nothing while probes are out.
+    fn choose(&mut self, act: &mut dyn Actions, vw: ViewingId) -> Result<ServerId, Option<(Duration, Why)>> {
         let (viewing, now, recall) = (&self.viewings[&vw], self.view.now, self.pace.cold_for);
         let pause = self.packages.iter().map(|p| p.target).min().unwrap_or(INTERVAL) / 2;
         let tune_ins = self.tune_ins.iter().filter(|t| now.saturating_sub(**t) < recall).count();
         let rate = tune_ins as f64 / recall.as_secs_f64().max(0.1);
-        let (mut wait, mut chance) = (Duration::MAX, Pcg(self.chance.0));
+        let (mut wait, mut why, mut chance) = (Duration::MAX, Why::NoHolder, Pcg(self.chance.0));
         let (mut fit, mut suspects) = (vec![], vec![]);
         for id in self.holders(viewing.cells) {
             self.walk(1);
@@ -481,7 +481,7 @@
             let first = known && s.sent.is_none_or(|sent| sent + recall < s.cold_until);
             let cold = now < s.cold_until || s.health.lost;
             if cold && (now < next || first && !chance.falls(even / gap.as_secs_f64())) {
-                wait = wait.min(next.saturating_sub(now).max(gap / 8));
+                (wait, why) = (wait.min(next.saturating_sub(now).max(gap / 8)), Why::Cold);
             } else if shunned || s.health.suspect(now, pause, recall, trial) {
                 suspects.push((shunned, s.health.bad(now, recall), id));
             } else {
@@ -531,9 +531,9 @@
                 bucket.tokens -= 1.0;
                 return Ok(id);
             }
-            wait = wait.min(bucket.wait());
+            (wait, why) = (wait.min(bucket.wait()), Why::Tokens);
         }
-        Err(Some(wait))
+        Err(Some((wait, why)))
     }
 
     /// Sets a viewing up, or ends it at once where nothing can be done for it.
@@ -545,8 +545,10 @@
         let seats = p.seats == 0 || alike < p.seats;
         let left = viewing.ends.saturating_sub(now);
         let rationed = !first && self.ration.as_mut().is_some_and(|r| !r.allows(now));
-        if !seats || left.is_zero() || tune_ins >= self.limits.tune_ins || rationed {
-            return self.give_up(act, vw);
+        let most = tune_ins >= self.limits.tune_ins;
+        let stops = [(!seats, Why::Seats), (left.is_zero(), Why::Patience), (most, Why::TuneIns)];
+        if let Some((_, why)) = stops.into_iter().chain([(rationed, Why::Ration)]).find(|stop| stop.0) {
+            return self.give_up(act, vw, why);
         }
         // A paid viewing can't be sent again after silence, and a last tune-in has nothing after it.
         let last = p.once || tune_ins + 1 == self.limits.tune_ins;
@@ -554,7 +556,7 @@
         let server = match self.choose(act, vw) {
             Ok(server) => server,
             Err(None) => return,
-            Err(Some(wait)) => return self.turn_down(act, vw, wait),
+            Err(Some((wait, why))) => return self.turn_down(act, vw, wait, why),
         };
         self.ration.iter_mut().filter(|_| !first).for_each(|r| r.further.push_back(now));
         if let Some(s) = self.servers.get_mut(&server) {
@@ -583,25 +585,25 @@
         if self.packages[viewing.package].once && !ending.never_ran() {
             // Paid, and it may have run: neither sent again nor turned down.
             self.forget(vw);
-            return act.abort(vw);
+            return act.abort(vw, Why::Ran);
         }
         self.tune_in(act, vw, false);
     }
 
-    fn give_up(&mut self, act: &mut dyn Actions, vw: ViewingId) {
+    fn give_up(&mut self, act: &mut dyn Actions, vw: ViewingId, why: Why) {
         let Some(viewing) = self.viewings.get(&vw) else { return };
         if viewing.server.is_none() {
-            return self.turn_down(act, vw, Duration::ZERO);
+            return self.turn_down(act, vw, Duration::ZERO, why);
         }
         let once = self.packages[viewing.package].once;
         self.left(act, vw);
-        if once { act.abort(vw) } else { act.block(vw, None) }
+        if once { act.abort(vw, why) } else { act.block(vw, None, why) }
     }
 
     /// Blocks a viewing of which nothing is out and nothing ran, or which may be set up again.
-    fn turn_down(&mut self, act: &mut dyn Actions, vw: ViewingId, wait: Duration) {
+    fn turn_down(&mut self, act: &mut dyn Actions, vw: ViewingId, wait: Duration, why: Why) {
         self.forget(vw);
-        act.block(vw, self.limits.come_back.map(|most| wait.min(most)).filter(|w| !w.is_zero()));
+        act.block(vw, self.limits.come_back.map(|most| wait.min(most)).filter(|w| !w.is_zero()), why);
     }
 
     /// Mechanism 1: the rungs at which one price for each link and the uplink is met by our viewings. A step
--- a/src/state.rs
+++ b/src/state.rs
@@ -108,6 +108,11 @@
 }
 
 impl<Next> Viewing<Next> {
+    /// Package, rung and top: all that the price of a step goes by.
+    pub fn alike(&self) -> (usize, usize, usize) {
+        (self.package, self.rung, self.top)
+    }
+
     pub fn new(package: usize, title: TitleId, cells: Cells, rungs: (usize, usize)) -> Self {
         let (rung, top) = rungs;
         let (ends, changed, shunned) = (Duration::ZERO, Duration::ZERO, vec![]);
@@ -517,8 +522,7 @@
     }
 
     /// Counts a viewing among those of its package, rung and top, or (by -1) no more.
-    pub(crate) fn alike(&mut self, v: &Viewing<Next>, by: isize) {
-        let of = (v.package, v.rung, v.top);
+    pub(crate) fn alike(&mut self, of: (usize, usize, usize), by: isize) {
         let n = self.alike.entry(of).or_default();
         *n = n.saturating_add_signed(by);
         if *n == 0 {
@@ -528,11 +532,12 @@
 
     /// Puts a viewing to a rung.
     pub(crate) fn turn(&mut self, vw: ViewingId, rung: usize) {
-        if let Some(mut viewing) = self.viewings.remove(&vw) {
-            self.alike(&viewing, -1);
+        if let Some(viewing) = self.viewings.get_mut(&vw) {
+            let was = viewing.alike();
             viewing.rung = rung;
-            self.alike(&viewing, 1);
-            self.viewings.insert(vw, viewing);
+            let is = viewing.alike();
+            self.alike(was, -1);
+            self.alike(is, 1);
         }
         self.book(vw, true);
     }
@@ -541,7 +546,7 @@
         self.place(vw, None);
         self.asking.remove(&vw);
         if let Some(viewing) = self.viewings.remove(&vw) {
-            self.alike(&viewing, -1);
+            self.alike(viewing.alike(), -1);
         }
     }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -22,16 +22,18 @@
 }
 
 #[derive(Default)]
-struct Recorder(Vec<Did>);
+struct Recorder(Vec<Did>, Vec<Why>);
 
 impl Actions for Recorder {
     fn tune_in(&mut self, vw: ViewingId, server: ServerId, limit: Duration) {
         self.0.push(Did::TuneIn(vw.0, server.0[0], limit));
     }
-    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>) {
+    fn block(&mut self, vw: ViewingId, come_back: Option<Duration>, why: Why) {
+        self.1.push(why);
         self.0.push(Did::Block(vw.0, come_back));
     }
-    fn abort(&mut self, vw: ViewingId) {
+    fn abort(&mut self, vw: ViewingId, why: Why) {
+        self.1.push(why);
         self.0.push(Did::Abort(vw.0));
     }
     fn call_off(&mut self, vw: ViewingId, tune_in: u16) {
