--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -120,8 +120,8 @@
     guard: f64,
     set_up: Duration,
     notes: Notes,
-    /// Servers that fell over since they were last asked for, with whoever set up there in the last window.
-    fallen: Vec<(ServerNo, Vec<(Duration, ManagerNo)>)>,
+    /// Servers that fell over since they were last asked for.
+    fallen: Vec<ServerNo>,
 }
 
 impl Fleet {
@@ -256,8 +256,7 @@
         }
         server.set_ups.push_back((now, key.manager));
         if self.cold.falls(now, server.born, places, &mut server.set_ups) {
-            let who = server.set_ups.iter().copied().collect();
-            self.fallen.push((at, who));
+            self.fallen.push(at);
             self.die(at);
             return SetUp::Breaks;
         }
@@ -388,7 +387,7 @@
     }
 
     /// Servers that fell over since the last call.
-    pub fn fallen(&mut self) -> Vec<(ServerNo, Vec<(Duration, ManagerNo)>)> {
+    pub fn fallen(&mut self) -> Vec<ServerNo> {
         std::mem::take(&mut self.fallen)
     }
 
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -2,10 +2,12 @@
 
 use crate::baseline::Random;
 use crate::managers::Manager;
-use crate::verdict::{Held, Package, Process, Terms, Verdict, judge};
+use crate::verdict::{Held, Verdict, judge};
 use crate::viewers::Seen;
 use crate::{trouble, viewers};
 use ivyward_daemon::setup;
+use ivyward_fleet::Cold;
+use ivyward_rules::{History, Life, Package, Terms};
 use ivyward_settings::{Fault, Part};
 use ivyward_standin::Standins;
 use std::cell::RefCell;
@@ -61,7 +63,8 @@
     if faults.is_empty() { Ok(script) } else { Err(faults) }
 }
 
-fn terms(script: &Part) -> Terms {
+/// What a script's rules are held to.
+pub fn terms_of(script: &Part) -> Terms {
     let settings = script.one("settings");
     let package = |package: &Part| Package {
         name: package.text("name"),
@@ -72,7 +75,13 @@
         floor: package.count("floor"),
         seats: package.count("seats"),
     };
-    let ration = settings.one("ration");
+    let (ration, fleet) = (settings.one("ration"), script.one("fleet"));
+    let cold = Cold {
+        from: fleet.number("cold_from"),
+        warm_up: fleet.span("warm_up_s"),
+        multiple: fleet.number("multiple"),
+        fall: fleet.span("fall_s"),
+    };
     Terms {
         packages: settings.list("package").iter().map(package).collect(),
         grace: settings.one("network").span("drain_grace_s"),
@@ -81,6 +90,7 @@
             .then(|| (ration.span("span_s"), ration.number("free"), ration.number("share"))),
         slack: script.span("slack_s"),
         grain: script.span("grain_s"),
+        cold: (cold, fleet.count("places")),
     }
 }
 
@@ -116,12 +126,14 @@
     )
 }
 
-/// Plays a day and judges it. The managers' program, or random choice in the module's place.
+/// Plays a day and judges it. The managers' program, or random choice in the module's place; where logs go, and where what
+/// was seen is written.
 ///
 /// # Errors
 /// It could not be played.
 pub fn play(
-    script: &Part, seed: Option<u64>, (program, random): (Option<&Path>, bool), logs: Option<&Path>,
+    script: &Part, seed: Option<u64>, (program, random): (Option<&Path>, bool),
+    (logs, record): (Option<&Path>, Option<&Path>),
 ) -> Result<Verdict, String> {
     let seed = seed.unwrap_or_else(|| script.whole("seed"));
     let own = env::current_exe().map_err(|e| e.to_string())?;
@@ -182,7 +194,7 @@
         sleep_until(begun + last).await;
         sleep(REST.max(script.span("rest_s"))).await;
         drop(watch);
-        let (mut processes, mut quality) = (vec![], String::new());
+        let (mut lives, mut all_ended, mut quality) = (vec![], vec![], String::new());
         let names = standins.manager_names();
         for manager in managers.iter() {
             while manager.gaps.borrow().iter().any(|gap| gap.1.is_none())
@@ -197,11 +209,17 @@
                 quality.push_str(&ivyward_daemon::quality::table(&page));
             }
             let ended = manager.end().await;
-            processes.push(Process { no, gaps: manager.gaps.borrow().clone(), ended });
+            lives.push(Life { no, gaps: manager.gaps.borrow().clone() });
+            all_ended.push(ended);
         }
         let records = standins.records().take();
         let streams = standins.model(|fleet| fleet.boxes().map(|at| fleet.streams(at)).sum());
-        let mut verdict = judge(&terms(script), &records, &seen.asked, &seen.watched, &processes, &played);
+        let (terms, history) = (terms_of(script), History { records, asked: seen.asked, managers: lives });
+        if let Some(file) = record {
+            fs::write(file, ivyward_rules::write(&terms, &history))
+                .map_err(|e| format!("{}: {e}", file.display()))?;
+        }
+        let mut verdict = judge(&terms, &history, &seen.watched, &all_ended, &played);
         verdict.quality = quality;
         verdict.manifests = seen.manifests;
         verdict.held = held.take();
@@ -210,8 +228,7 @@
                 // The module's own look at the rungs is always due.
                 (ended.viewings, ended.timers.saturating_sub(1), ended.connections, ended.places)
             };
-            verdict.left =
-                Some((streams, processes.iter().filter_map(|p| p.ended.as_ref()).map(left).collect()));
+            verdict.left = Some((streams, all_ended.iter().flatten().map(left).collect()));
         }
         let size = format!("{} managers, {} stand-in servers", siblings, fleet.count("servers"));
         verdict.title =
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod baseline;
 pub mod day;
 pub mod growth;
+pub mod history;
 pub mod managers;
 pub mod measure;
 pub mod quality;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -36,7 +36,23 @@
         /// Where managers' logs go; nowhere if left out
         #[arg(long)]
         logs: Option<PathBuf>,
+        /// Where what was seen is written, to be judged again
+        #[arg(long)]
+        record: Option<PathBuf>,
     },
+    /// Play the history of a seed in virtual time and judge it; exits with 1 where a rule is broken
+    History {
+        #[arg(long)]
+        seed: u64,
+        /// What is spoilt at an edge of the real code, to see it rejected
+        #[arg(long)]
+        spoilt: Option<String>,
+        /// Where what was seen is written
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Judge a history that `day` or `history` wrote; exits with 1 where a rule is broken, with 2 where it can't be judged
+    Judge { history: PathBuf },
     /// Tell all that is wrong with a script
     Check { script: PathBuf },
     /// Measure a manager against a bare responder, under a script's settings and fleet
@@ -147,6 +163,38 @@
     tokio::task::LocalSet::new().block_on(&runtime, measured)
 }
 
+fn judge(file: &Path) -> Result<bool, String> {
+    let text = fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let (terms, history) = ivyward_rules::read(&text).map_err(|faults| {
+        let lines = faults.iter().map(|fault| format!("{}:{fault}", file.display()));
+        lines.collect::<Vec<_>>().join("\n")
+    })?;
+    let rules = ivyward_rules::judge(&terms, &history);
+    print!("{}", ivyward_rules::table(&rules));
+    Ok(rules.iter().all(|rule| rule.broken.is_empty()))
+}
+
+fn history(seed: u64, spoilt: Option<&str>, record: Option<&Path>) -> Result<bool, String> {
+    use ivyward_lab::history::{SPOILT, play};
+    let all = SPOILT.map(|spoilt| format!("{spoilt:?}"));
+    let find = |name: &str| all.iter().position(|known| known == name).map(|i| SPOILT[i]);
+    let spoilt = match spoilt {
+        Some(name) => {
+            Some(find(name).ok_or_else(|| format!("--spoilt: {name} is none of {}", all.join(", ")))?)
+        }
+        None => None,
+    };
+    let played = play(seed, spoilt);
+    if let Some(file) = record {
+        let text = ivyward_rules::write(&played.terms, &played.history);
+        fs::write(file, text).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
+    let rules = ivyward_rules::judge(&played.terms, &played.history);
+    print!("{}", ivyward_rules::table(&rules));
+    println!("left {}, assertions that failed in managers {}", played.left, played.breaches);
+    Ok(rules.iter().all(|rule| rule.broken.is_empty()))
+}
+
 fn bare() -> Result<(), String> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
@@ -179,7 +227,9 @@
         What::Measure { script, rounds, viewings, connections } => {
             measure(&script, rounds, viewings, connections).map(|()| true)
         }
-        What::Day { script, seed, manager, random, quiet, length, logs } => {
+        What::Judge { history } => judge(&history),
+        What::History { seed, spoilt, record } => history(seed, spoilt.as_deref(), record.as_deref()),
+        What::Day { script, seed, manager, random, quiet, length, logs, record } => {
             read(&script).and_then(|mut script| {
                 if let Some(length) = length {
                     script.put_number("length_s", length);
@@ -188,7 +238,8 @@
                     script.clear("trouble");
                 }
                 let program = (manager.as_deref(), random);
-                let verdict = ivyward_lab::day::play(&script, seed, program, logs.as_deref())?;
+                let verdict =
+                    ivyward_lab::day::play(&script, seed, program, (logs.as_deref(), record.as_deref()))?;
                 print!("{verdict}");
                 Ok(verdict.kept())
             })
--- a/crates/lab/src/viewers.rs
+++ b/crates/lab/src/viewers.rs
@@ -9,6 +9,7 @@
 use ivyward_daemon::{date, setup};
 use ivyward_dash::token::{Given, Keys, Pass};
 use ivyward_dash::{check, manifest};
+use ivyward_rules::{Asked, Came};
 use ivyward_settings::Part;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -27,35 +28,6 @@
 const CONNECT: Duration = Duration::from_secs(1);
 const LONGEST: usize = 64 << 10;
 
-/// How a request for a manifest ended at the viewer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Came {
-    Answer(u16),
-    /// The viewer closed it.
-    Closed,
-    /// The connection broke, or never came about.
-    Cut,
-    /// Nothing came.
-    Nothing,
-}
-
-/// One request for a manifest.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Asked {
-    pub manager: usize,
-    pub session: u128,
-    pub package: usize,
-    pub at: Duration,
-    pub came_at: Duration,
-    pub came: Came,
-    /// A viewing of its own: not the refresh of one that still played.
-    pub new: bool,
-    /// Asked where a manifest says to ask again.
-    pub refresh: bool,
-    /// The connection stood when it was asked.
-    pub sent: bool,
-}
-
 /// One viewer over all its tries.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Watched {
@@ -396,6 +368,7 @@
             new,
             refresh,
             sent,
+            more: 0,
         });
         got
     }
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -14,7 +14,9 @@
 
 #[test]
 fn a_short_bad_day_keeps_all_rules_and_every_trouble_acts() {
-    let out = lab(&["day", &day("short-bad-day.txtpb").to_string_lossy(), "--seed", "3"]);
+    let record = env::temp_dir().join(format!("ivyward-seen-{}.txt", std::process::id()));
+    let file = record.to_string_lossy().into_owned();
+    let out = lab(&["day", &day("short-bad-day.txtpb").to_string_lossy(), "--seed", "3", "--record", &file]);
     let told = String::from_utf8_lossy(&out.stdout);
     assert_eq!(out.status.code(), Some(0), "{told}{}", String::from_utf8_lossy(&out.stderr));
     assert_eq!(
@@ -22,6 +24,19 @@
         6,
         "{told}"
     );
+    // What was recorded gets the same verdict when it is read back; cut short, none.
+    let again = lab(&["judge", &file]);
+    let rules = told.lines().filter(|line| line.starts_with("rule ")).collect::<Vec<_>>();
+    assert_eq!(String::from_utf8_lossy(&again.stdout).lines().collect::<Vec<_>>(), rules);
+    let text = fs::read_to_string(&record).expect("a record");
+    let whole = text.lines().count();
+    fs::write(&record, text.lines().take(whole / 2).map(|line| format!("{line}\n")).collect::<String>())
+        .expect("written");
+    let cut = lab(&["judge", &file]);
+    let error = String::from_utf8_lossy(&cut.stderr).into_owned();
+    assert_eq!((cut.status.code(), cut.stdout.is_empty()), (Some(2), true), "{error}");
+    assert!(error.contains(&format!("{file}:{}:1: end: the history is cut short", whole / 2)), "{error}");
+    fs::remove_file(&record).ok();
     let troubles: Vec<_> = told.lines().filter(|line| line.starts_with("trouble ")).collect();
     assert!(troubles.len() == 7 && troubles.iter().all(|line| !line.contains("act 0 times")), "{told}");
 }
--- a/crates/settings/build.rs
+++ b/crates/settings/build.rs
@@ -8,7 +8,7 @@
     let mut compiler = protox::Compiler::new([&schemas])?;
     compiler
         .include_imports(true)
-        .open_files(["ivyward.proto", "day.proto"].map(|name| schemas.join(name)))?;
+        .open_files(["ivyward.proto", "day.proto", "history.proto"].map(|name| schemas.join(name)))?;
     // Encoded by the compiler itself: its descriptor types would drop the options that the checks go by.
     fs::write(Path::new(&env::var("OUT_DIR")?).join("schemas.bin"), compiler.encode_file_descriptor_set())?;
     Ok(())
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -266,6 +266,14 @@
         self.message.set_field(&self.field(name), Value::List(values));
     }
 
+    /// Changes each of the parts under a name.
+    pub fn each(&mut self, name: &str, change: impl Fn(&mut Part)) {
+        let mut parts = self.list(name);
+        parts.iter_mut().for_each(change);
+        let values = parts.into_iter().map(|part| Value::Message(part.message)).collect();
+        self.message.set_field(&self.field(name), Value::List(values));
+    }
+
     /// The texts under a name.
     pub fn texts(&self, name: &str) -> Vec<String> {
         let value = self.message.get_field(&self.field(name)).into_owned();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,8 +8,8 @@
 mod server;
 
 pub use given::fleet;
-pub use list::Standing;
-pub use record::{Record, Records, SetUpEnd, What};
+pub use ivyward_rules::{Record, SetUpEnd, Standing, What};
+pub use record::Records;
 
 use bytes::Bytes;
 use http_body_util::channel::{Channel, Sender};
@@ -231,8 +231,8 @@
             for (at, key, why) in self.model(|fleet| fleet.expire(now)) {
                 self.over(at, key, why);
             }
-            for (at, who) in self.model(Fleet::fallen) {
-                self.record(What::Fell { server: at, who });
+            for at in self.model(Fleet::fallen) {
+                self.record(What::Fell { server: at });
                 self.closed(at);
                 self.list_soon(at, Standing::Gone);
             }
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -1,7 +1,6 @@
 //! The list service: whole list on asking, then changes as server-sent events, late. It knows only of processes that
 //! run, drain or are gone.
 
-use crate::record::What;
 use crate::{Body, Standins, WAITING, event};
 use bytes::Bytes;
 use http_body_util::channel::{Channel, Sender};
@@ -10,6 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use ivyward_fleet::{ManagerNo, ServerNo};
+use ivyward_rules::{Standing, What};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -19,13 +19,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
-    Ready,
-    Draining,
-    Gone,
-}
-
 /// What the list says of a server.
 #[derive(Clone, Copy)]
 pub(crate) struct Row {
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -1,87 +1,9 @@
 //! What passed on the stand-ins' sockets, and what was done to them.
 
-use crate::list::Standing;
-use ivyward_fleet::{Key, ManagerNo, Over, ServerNo};
+use ivyward_rules::{Record, What};
 use std::cell::RefCell;
 use std::time::Duration;
 
-/// How a set-up ended on its socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SetUpEnd {
-    Plays,
-    /// Turned away, told that it never ran.
-    Refused,
-    Errored,
-    /// The manager closed the connection first.
-    Closed,
-    /// The server did.
-    Broke,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub enum What {
-    /// A set-up was read from a socket.
-    SetUp {
-        server: ServerNo,
-        key: Key,
-        session: u128,
-        package: usize,
-        title: String,
-        rung: usize,
-    },
-    SetUpOver {
-        server: ServerNo,
-        key: Key,
-        how: SetUpEnd,
-    },
-    /// A set-up began to run.
-    Ran {
-        server: ServerNo,
-        key: Key,
-    },
-    Rung {
-        server: ServerNo,
-        key: Key,
-        rung: usize,
-    },
-    StreamOver {
-        server: ServerNo,
-        key: Key,
-        why: Over,
-    },
-    /// The list told a manager of a server; `birth`: the start that it tells of.
-    Told {
-        manager: ManagerNo,
-        server: ServerNo,
-        standing: Standing,
-        birth: u64,
-    },
-    Born {
-        server: ServerNo,
-    },
-    /// It died; these managers had streams there.
-    Died {
-        server: ServerNo,
-        managers: Vec<ManagerNo>,
-    },
-    /// Set-ups pushed it over, by whom and when.
-    Fell {
-        server: ServerNo,
-        who: Vec<(Duration, ManagerNo)>,
-    },
-    Fault {
-        server: ServerNo,
-        name: &'static str,
-        on: bool,
-    },
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Record {
-    pub at: Duration,
-    pub what: What,
-}
-
 /// The records in the order in which they came.
 #[derive(Default)]
 pub struct Records(RefCell<Vec<Record>>);
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,5 @@
 //! One video server's pages: set-ups, rungs and releases from managers, notes to them, segments to players.
 
-use crate::record::{SetUpEnd, What};
 use crate::{About, Body, Standins, WAITING, event};
 use bytes::Bytes;
 use http_body_util::channel::Channel;
@@ -10,6 +9,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use ivyward_dash::token::{Given, Refusal};
 use ivyward_fleet::{Fetch, Key, Over, ServerNo, SetUp};
+use ivyward_rules::{SetUpEnd, What};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde_json::{Value, json};
