Names of what players report on are forgotten when they are out of use

Seen in the text: networks, tenants, titles and servers that reports came from were numbered for good, one entry each for as long as a manager runs (quality.rs, Names).

--- a/crates/daemon/src/quality.rs
+++ b/crates/daemon/src/quality.rs
@@ -20,26 +20,35 @@
 /// Lines of one request that are read.
 const LINES: usize = 32;
 
-/// Names of levels, numbered as they came.
+/// Names of levels, numbered as they came, and when each was last used.
 #[derive(Default)]
 struct Names {
-    numbers: BTreeMap<String, u32>,
-    names: Vec<String>,
+    numbers: BTreeMap<String, (u32, Duration)>,
+    names: BTreeMap<u32, String>,
+    next: u32,
 }
 
 impl Names {
-    fn number(&mut self, name: &str) -> u32 {
-        if let Some(number) = self.numbers.get(name) {
+    fn number(&mut self, now: Duration, name: &str) -> u32 {
+        if let Some((number, used)) = self.numbers.get_mut(name) {
+            *used = now;
             return *number;
         }
-        let number = self.names.len() as u32;
-        self.numbers.insert(name.into(), number);
-        self.names.push(name.into());
+        let number = self.next;
+        self.next = self.next.wrapping_add(1);
+        self.numbers.insert(name.into(), (number, now));
+        self.names.insert(number, name.into());
         number
     }
 
+    /// Guards against names that only pile up: networks of players, servers that are gone.
+    fn forget(&mut self, before: Duration) {
+        let names = &mut self.names;
+        self.numbers.retain(|_, (number, used)| *used >= before || names.remove(number).is_none());
+    }
+
     fn name(&self, level: Level) -> String {
-        self.names.get(level.0 as usize).cloned().unwrap_or_default()
+        self.names.get(&level.0).cloned().unwrap_or_default()
     }
 }
 
@@ -49,6 +58,8 @@
     skipped: RefCell<BTreeMap<Skipped, u64>>,
     windows: RefCell<VecDeque<Value>>,
     racks: u32,
+    /// A name that was not used for so long stands in no window that is still open.
+    used: Duration,
 }
 
 /// What players say of themselves.
@@ -86,6 +97,7 @@
             skipped: RefCell::default(),
             windows: RefCell::default(),
             racks: racks.max(1),
+            used: (spans.0 + spans.1) * 2,
         }));
         let (closing, step) = (quality.clone(), (spans.0 / 8).max(Duration::from_millis(50)));
         spawn_local(async move {
@@ -94,6 +106,8 @@
                 while let Some(window) = closed(&closing, shell.now()) {
                     closing.keep(window).await;
                 }
+                let before = shell.now().saturating_sub(closing.0.used);
+                closing.0.names.borrow_mut().iter_mut().for_each(|names| names.forget(before));
             }
         });
         quality
@@ -116,7 +130,8 @@
                 None => ("none".into(), "none".into()),
             };
             let of = [rack, server, pass.title.clone(), pass.tenant.clone(), network(from)];
-            let mut numbers = of.iter().zip(names.iter_mut()).map(|(name, names)| Level(names.number(name)));
+            let mut numbers =
+                of.iter().zip(names.iter_mut()).map(|(name, names)| Level(names.number(now, name)));
             std::array::from_fn(|_| numbers.next().unwrap_or(Level(0)))
         };
         let json = text.trim_start().starts_with('{');
@@ -250,3 +265,28 @@
     let body = Limited::new(answer.into_body(), 4 << 20).collect().await.map_err(|e| told(e.to_string()))?;
     serde_json::from_slice(&body.to_bytes()).map_err(|e| told(e.to_string()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn names_out_of_use_are_forgotten_and_their_numbers_not_given_again() {
+        let mut names = Names::default();
+        let secs = Duration::from_secs;
+        for turn in 0..1000_u64 {
+            let number = names.number(secs(turn), &format!("10.0.{turn}.0/24"));
+            assert_eq!(
+                (number, names.number(secs(turn), "always")),
+                (if turn == 0 { 0 } else { turn as u32 + 1 }, 1)
+            );
+            names.forget(secs(turn.saturating_sub(20)));
+            assert!(
+                names.names.len() <= 22 && names.numbers.len() == names.names.len(),
+                "{}",
+                names.names.len()
+            );
+            assert_eq!(names.name(Level(number)), format!("10.0.{turn}.0/24"));
+        }
+    }
+}
