Further tune-ins that reached nobody count in the core's ration

Ruled out: the checker's count of viewings (25 taken, as the core counted), the module's own ration (it counts when it decides; slow connections bunch what was spread). At fault: Ration in crates/session/src/book.rs counted only what was written, so that those beside it went uncounted where bytes go out. Now one that found nobody, or whose limit came before its connection, is booked too. The checker: a request after its session's last answer is a viewing of its own; a set-up given up on its way may be read just after the next. Histories now have crowds at new starts, starts told of as draining first, and apps that ask again for what was seen to its end.

--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -32,6 +32,8 @@
 /// Viewers come for so long, and all is over after this.
 const LENGTH: Duration = Duration::from_secs(14);
 const OVER: Duration = Duration::from_secs(26);
+/// The clock's first moment: what began before has a time above zero.
+const START: Duration = Duration::from_secs(1000);
 const SEGMENT: Duration = Duration::from_secs(1);
 /// Managers are up and all is warm.
 const BEGIN: Duration = Duration::from_secs(5);
@@ -204,7 +206,7 @@
     let (settings, fleet) = (day.one("settings"), day.one("fleet"));
     let terms = terms_of(&day);
     let mut world = World {
-        now: Duration::from_secs(1000),
+        now: START,
         jobs: BTreeMap::new(),
         order: 0,
         chance: Pcg64Mcg::seed_from_u64(seed),
@@ -615,6 +617,12 @@
             }
         } else if !last {
             self.after(SEGMENT, move |w| w.watches(next, (server, key), shown, ends, n + 1));
+        } else if self.now < START + BEGIN + LENGTH && self.chance.random_bool(0.3) {
+            // The app asks again for what was seen to its end.
+            self.after(SEGMENT * 2, move |w| {
+                let ends = w.now + SEGMENT;
+                w.ask(manager, session, package, title, None, ends);
+            });
         }
     }
 
@@ -715,6 +723,10 @@
     /// The list hears of a server now, and tells of it late.
     fn list_soon(&mut self, at: ServerNo, standing: Standing) {
         let late = Duration::from_millis(self.chance.random_range(50..900));
+        self.list_after(at, standing, late);
+    }
+
+    fn list_after(&mut self, at: ServerNo, standing: Standing, late: Duration) {
         let (birth, born) = self.fleet.birth(at);
         self.after(late, move |w| {
             let old = w.rows[at.0];
@@ -858,7 +870,26 @@
         }
         self.fleet.start(self.now, at);
         self.record(What::Born { server: at });
-        self.list_soon(at, Standing::Ready);
+        // Some starts are told of as draining first; some are met by a crowd.
+        let late = Duration::from_millis(self.chance.random_range(50..900));
+        if self.chance.random_bool(0.3) {
+            self.list_after(at, Standing::Draining, late);
+        }
+        self.list_after(at, Standing::Ready, late + Duration::from_millis(200));
+        if self.chance.random_bool(0.4) {
+            let cell = at.0 as u32 % self.settings.one("network").count("places") as u32;
+            let holds = |title: &setup::Title| {
+                cell >= title.cells.first && cell < title.cells.first + title.cells.spread
+            };
+            let title = setup::titles(&self.settings).iter().position(holds).unwrap_or_default() as u64;
+            for i in 0..60 {
+                let (session, to) = (SessionId(self.chance.random()), self.chance.random_range(0..MANAGERS));
+                self.after(late + Duration::from_millis(250 + 8 * i), move |w| {
+                    let ends = w.now + Duration::from_secs(1);
+                    w.ask(to, session, 0, title, None, ends);
+                });
+            }
+        }
         let again = Duration::from_millis(100);
         (0..MANAGERS).for_each(|manager| {
             self.after(again, move |w| {
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -163,6 +163,13 @@
         let before = last.get(session).copied();
         if let Some((earlier, over, ran)) = before {
             looked += 1;
+            // What was given up on its way may be read just after the next: closed at once, it was not out any more.
+            let given_up = matches!(end, Some((at, SetUpEnd::Closed)) if at <= record.at + terms.grain)
+                && !terms.packages[*package].once;
+            let older = given_up && (key.birth, key.vw) == (earlier.birth, earlier.vw) && key.n < earlier.n;
+            if older {
+                continue;
+            }
             if over.is_none_or(|over| over > record.at + terms.grain) {
                 let at = secs(record.at);
                 broken.push(format!(
@@ -353,23 +360,26 @@
     let mut further: BTreeMap<(ManagerNo, u64), Vec<Duration>> = BTreeMap::new();
     let mut last: BTreeMap<(ManagerNo, u64, u32), (u16, Duration)> = BTreeMap::new();
     let mut taken: BTreeMap<ManagerNo, Vec<Duration>> = BTreeMap::new();
-    let mut sessions = BTreeMap::new();
+    // By session when it was asked for, and until when a request for it had no answer.
+    let mut sessions: BTreeMap<u128, (Vec<Duration>, Duration)> = BTreeMap::new();
     // A request that crosses another of its session is one viewing with it; but one that is turned away may be over
     // before the other comes, which is then a viewing of its own.
     let plays: BTreeSet<_> =
         asked.iter().filter(|ask| ask.came == Came::Answer(200)).map(|ask| ask.session).collect();
     for ask in asked.iter().filter(|ask| ask.new && ask.sent) {
-        if let Some(no) = managers.get(ask.manager).and_then(|manager| manager.no)
-            && (sessions.insert(ask.session, ask.at).is_none()
-                || ask.refresh
-                || !plays.contains(&ask.session))
-        {
+        let Some(no) = managers.get(ask.manager).and_then(|manager| manager.no) else { continue };
+        let (times, waits) = sessions.entry(ask.session).or_default();
+        let crosses = !times.is_empty() && ask.at <= *waits;
+        times.push(ask.at);
+        *waits = ask.came_at.max(*waits);
+        if !crosses || ask.refresh || !plays.contains(&ask.session) {
             taken.entry(no).or_default().push(ask.at);
         }
     }
     for record in records {
         let What::SetUp { server, key, session, .. } = &record.what else { continue };
-        let asked = sessions.get(session).copied().unwrap_or(record.at);
+        let times = sessions.get(session).map_or(&[][..], |(times, _)| times);
+        let asked = times.iter().rfind(|at| **at <= record.at).copied().unwrap_or(record.at);
         let (n, before) =
             last.insert((key.manager, key.birth, key.vw), (key.n, record.at)).unwrap_or((0, asked));
         let more = key.n.saturating_sub(n);
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -126,6 +126,13 @@
         let (rules, told) = broken(&records, &[], &[process(&[])]);
         assert_eq!(rules, if breaks { vec![1] } else { vec![] }, "{name}: {told}");
     }
+    // The first is read after the second: given up on its way, or still out.
+    for (closed, rules) in [(510, vec![]), (511, vec![1])] {
+        let mut records = vec![set_up(400, 1, 1, 1, CLIP), over(600, 1, 1, 1, Plays)];
+        records.extend([set_up(500, 0, 1, 0, CLIP), over(closed, 0, 1, 0, Closed)]);
+        records.sort_by_key(|record| record.at);
+        assert_eq!(broken(&records, &[], &[process(&[])]).0, rules, "closed at {closed}");
+    }
     for (package, how, breaks) in [(TICKET, Refused, false), (TICKET, Closed, true), (CLIP, Closed, false)] {
         let records = [set_up(100, 0, 1, 0, package), over(200, 0, 1, 0, how)];
         let asked = [asked(1, package, 0, 300, Came::Answer(503))];
@@ -265,8 +272,11 @@
     let records =
         [set_up(100, 0, 1, 1, CLIP), over(110, 0, 1, 1, SetUpEnd::Refused), set_up(200, 0, 2, 1, CLIP)];
     // A refresh of what plays no more is one.
-    for (came, refresh, breaks) in [(503, false, false), (200, false, true), (200, true, false)] {
-        let second = Asked { refresh, ..asked(1, CLIP, 51, 90, Came::Answer(came)) };
+    // And so is one that comes after the first was answered.
+    let cases =
+        [(51, 503, false, false), (51, 200, false, true), (90, 200, false, true), (51, 200, true, false)];
+    for (at, came, refresh, breaks) in cases.into_iter().chain([(91, 200, false, false)]) {
+        let second = Asked { refresh, ..asked(1, CLIP, at, at.max(90), Came::Answer(came)) };
         let twice = [asked(1, CLIP, 50, 90, Came::Answer(503)), second];
         let (rules, told) = broken(&records, &twice, &[process(&[])]);
         assert_eq!(rules.contains(&5), breaks, "{came}: {told}");
--- a/crates/session/src/book.rs
+++ b/crates/session/src/book.rs
@@ -58,6 +58,11 @@
         while self.taken.pop_front_if(|at| *at + self.terms.0 <= now).is_some() {}
     }
 
+    /// A further tune-in reached nobody. Guards against those beside ones that slow connections bunch: it was made too.
+    pub fn reached_nobody(&mut self, now: Duration) {
+        self.further.push_back(now);
+    }
+
     /// Books a further tune-in if one more is within the ration.
     pub fn allows(&mut self, now: Duration) -> bool {
         let (span, free, share) = self.terms;
--- a/crates/session/src/front.rs
+++ b/crates/session/src/front.rs
@@ -340,6 +340,9 @@
         if let Some(viewing) = self.book.viewings.get_mut(&vw).filter(|_| ending.never_ran()) {
             viewing.ran = false;
         }
+        if ending == Ending::Unreachable {
+            self.reached_nobody(now, tune_in);
+        }
         // What may have run there is not left to its lease.
         if !ending.never_ran() {
             out.release(server, self.book.birth, vw, tune_in);
@@ -348,6 +351,10 @@
         self.settle(out, now);
     }
 
+    fn reached_nobody(&mut self, now: Duration, tune_in: TuneIn) {
+        self.book.ration.iter_mut().filter(|_| tune_in.0 > 0).for_each(|ration| ration.reached_nobody(now));
+    }
+
     fn plays(&mut self, out: &mut dyn Effects, now: Duration, vw: ViewingId, tune_in: TuneIn, load: Load) {
         let Some(viewing) = self.book.viewings.get_mut(&vw) else { return };
         let Step::Out { server, tune_in: current, .. } = viewing.step else { return };
@@ -444,6 +451,8 @@
                 let ending = if written { Ending::Unanswered } else { Ending::Unreachable };
                 if written {
                     out.release(server, self.book.birth, vw, tune_in);
+                } else {
+                    self.reached_nobody(now, tune_in);
                 }
                 self.ended(out, now, Ended { vw, tune_in, server, ending }, Load::default());
                 self.settle(out, now);
--- a/crates/session/src/tests.rs
+++ b/crates/session/src/tests.rs
@@ -352,6 +352,29 @@
     assert_eq!(answers(&world).len(), 3);
 }
 
+#[test]
+fn further_tune_ins_that_reached_nobody_count_in_the_ration() {
+    // Two are free: one that found nobody, or whose limit came before its connection, and one that is sent.
+    for limit in [false, true] {
+        let mut world = World::new();
+        let mut sent = vec![];
+        for i in 1..=3 {
+            world.asks(i, session(u128::from(i)), PLAIN);
+            let (vw, n) = out(&world);
+            world.happens(vw, n, Happened::NotConnected);
+            let (vw, n) = out(&world);
+            if i == 1 && limit {
+                world.fires(Timer::Limit(vw, n));
+            } else if i == 1 {
+                world.happens(vw, n, Happened::NotConnected);
+            } else {
+                sent.push(world.sending(vw, n));
+            }
+        }
+        assert_eq!(sent, [true, false], "limit: {limit}");
+    }
+}
+
 #[test]
 fn load_comes_with_an_answer_and_breaks_nothing_when_it_is_odd() {
     for full in [0.0, 0.5, f64::NAN, f64::INFINITY, -1.0] {
