--- a/crates/session/src/tests.rs
+++ b/crates/session/src/tests.rs
@@ -518,8 +518,11 @@
     Word,
 }
 
+/// Rows of one turn, and how much of the list they are.
+type Told = (Vec<Listed>, Extent);
+
 /// Lines about one server, in the order in which they come, and whether each is one of a whole list.
-fn changes(at: ServerId, now: std::time::Duration) -> Vec<(&'static str, Vec<(Vec<Listed>, Extent)>)> {
+fn changes(at: ServerId, now: std::time::Duration) -> Vec<(&'static str, Vec<Told>)> {
     use Standing::{Draining, Gone, Ready};
     let line = |standing| World::row(at, standing);
     let new = |standing| Listed { born: Some(now), ..line(standing) };
