--- a/crates/daemon/src/paid.rs
+++ b/crates/daemon/src/paid.rs
@@ -141,6 +141,26 @@
         fs::remove_dir_all(&dir).ok();
     }
 
+    /// Known and not mended (`docs/review-of-parts.md`, 11): the record is cut only at a start.
+    #[test]
+    #[should_panic(expected = "lines for nobody")]
+    fn sessions_that_never_ran_leave_no_line_for_long() {
+        let dir = std::env::temp_dir().join(format!("ivyward-grown-{}", std::process::id()));
+        fs::create_dir_all(&dir).expect("a folder");
+        let name = dir.to_string_lossy().into_owned();
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        let (paid, _) = Paid::open(&name, Duration::ZERO).expect("a record");
+        for i in 0..300 {
+            let (session, server) = (SessionId(i), ServerId([127, 0, 0, 1, 1, 2]));
+            for until in [9, 0] {
+                runtime.block_on(paid.add((session, server, Duration::from_secs(until)))).expect("written");
+            }
+        }
+        let lines = fs::read_to_string(dir.join("paid")).expect("a record").lines().count();
+        fs::remove_dir_all(&dir).ok();
+        assert!(lines < 300, "{lines} lines for nobody");
+    }
+
     #[test]
     fn without_a_folder_nothing_is_kept() {
         let (paid, none) = Paid::open("", Duration::ZERO).expect("nothing to open");
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -809,3 +809,19 @@
         assert_eq!(desk.did.1, [why], "{package} {ending:?}");
     }
 }
+
+/// Known and not mended (`docs/review-of-parts.md`, 15): how tune-ins ended at an earlier start still makes a suspect.
+#[test]
+#[should_panic(expected = "held against the start that runs")]
+fn what_an_earlier_start_did_is_forgotten_at_the_next() {
+    let mut desk = Desk::new(None);
+    for vw in 1..4 {
+        assert_eq!(sent_to(&desk.ask(vw, 0, 0, 1)), Some(0));
+        desk.end(vw, 0, 0, Ending::Errored, true);
+    }
+    desk.now += ms(100);
+    desk.list(0, Standing::Ready, Some(desk.now));
+    desk.now += ms(1000);
+    let to: Vec<_> = (4..10).map(|vw| sent_to(&desk.ask(vw, 0, 0, 2))).collect();
+    assert!(to.contains(&Some(0)), "held against the start that runs: {to:?}");
+}
