--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -105,3 +105,34 @@
         cell: u32::try_from(row["cell"].as_u64()?).ok()?,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_start_told_without_its_age_is_cold_where_it_is_another() {
+        let (now, secs) = (Duration::from_secs(1000), Duration::from_secs);
+        // Numbers of starts and their ages as they are told; when the last of them is taken to have been.
+        let cases: [(&[(u64, Option<u64>)], Option<Duration>); 6] = [
+            (&[(1, None)], None),
+            (&[(1, Some(4000))], Some(secs(996))),
+            (&[(1, Some(4000)), (1, None)], Some(secs(996))),
+            (&[(1, Some(4000)), (1, Some(9000))], Some(secs(996))),
+            (&[(1, None), (2, None)], Some(now)),
+            (&[(1, None), (2, Some(4000))], Some(secs(996))),
+        ];
+        for (told, born) in cases {
+            let mut births = Births::new();
+            let row = |(birth, age): &(u64, Option<u64>)| {
+                json!({
+                    "server": "127.0.0.1:80", "standing": "ready", "birth": birth, "age_ms": age, "cell": 0,
+                    "weight": 1.0, "zone": 0, "kind": 0,
+                })
+            };
+            let last = told.iter().map(|one| listed(&row(one), now, &mut births)).last().flatten();
+            assert_eq!(last.map(|listed| listed.born), Some(born), "{told:?}");
+        }
+    }
+}
