--- a/crates/daemon/src/list.rs
+++ b/crates/daemon/src/list.rs
@@ -115,7 +115,8 @@
     fn a_start_told_without_its_age_is_cold_where_it_is_another() {
         let (now, secs) = (Duration::from_secs(1000), Duration::from_secs);
         // Numbers of starts and their ages as they are told; when the last of them is taken to have been.
-        let cases: [(&[(u64, Option<u64>)], Option<Duration>); 6] = [
+        type Told<'a> = &'a [(u64, Option<u64>)];
+        let cases: [(Told, Option<Duration>); 6] = [
             (&[(1, None)], None),
             (&[(1, Some(4000))], Some(secs(996))),
             (&[(1, Some(4000)), (1, None)], Some(secs(996))),
