--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -32,6 +32,11 @@
         #[arg(long)]
         listen: Option<std::net::SocketAddr>,
     },
+    /// Run a viewing manager of a platform, as its configuration says
+    Node {
+        #[arg(env = "RELAY_CONFIG")]
+        config: PathBuf,
+    },
     /// Tell all that is wrong with settings
     Check { settings: PathBuf },
     /// Mint a token for trying
@@ -142,6 +147,7 @@
     let (_log, dropped) = ivyward_daemon::log::start(filter, line.json);
     let done = match line.what {
         What::Run { settings, listen } => run(settings.as_deref(), listen, dropped),
+        What::Node { config } => ivyward_node::run(&config),
         What::Check { settings: file } => {
             settings(&file).map(|_| println!("{}: nothing wrong", file.display()))
         }
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -8,19 +8,17 @@
 use ivyward_edge::{Calendar, Doors, Errand, Gate, Seldom, Ticket, Turn};
 use ivyward_session::{Answer, Birth, Breach, Decides, Effects, Front, RequestId, SessionId, Timer, TuneIn};
 use ivyward_settings::Part;
+use ivyward_turns::{Clock, Queue, Timers, queue};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::{AbortHandle, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
-/// The clock's first moment: what began before this process still has a time above zero.
-const BEGIN: Duration = Duration::from_secs(86_400);
 /// Idle connections are looked through so often.
 const SWEEP: Duration = Duration::from_secs(5);
 /// A server whose date was not heard for so many sweeps is asked for it.
@@ -31,9 +29,6 @@
 /// Notes that may wait for their turn at the core; further ones are left out.
 const NOTES: usize = 4096;
 
-/// Something that happened, handed to the core in its turn.
-type Job = Box<dyn FnOnce(&mut Front, &mut Hands, Duration)>;
-
 /// How many lines the log has left out.
 pub type Lines = Rc<dyn Fn() -> u64>;
 
@@ -53,13 +48,13 @@
     pub paid: Paid,
     pub paid_for: Duration,
     pub gate: RefCell<Gate>,
-    begun: Instant,
+    spans: Clock,
     clock: Rc<dyn Fn() -> Duration>,
     calendar: RefCell<Calendar>,
     doors: RefCell<Doors>,
     /// Those that wait for a place at a server.
     turns: RefCell<BTreeMap<Ticket, oneshot::Sender<()>>>,
-    jobs: mpsc::UnboundedSender<(Duration, Job)>,
+    jobs: Queue<Hands>,
     /// Servers whose notes are followed.
     links: RefCell<BTreeMap<ServerId, AbortHandle>>,
     /// The list as it last came, and those of it whose clocks have gone astray.
@@ -70,8 +65,7 @@
     /// After so long it is forgotten.
     forgotten: Duration,
     requests: Cell<u64>,
-    /// What waits in the queue, and the notes that found it too long.
-    queued: Cell<usize>,
+    /// The notes that found the queue too long.
     unheard: Cell<u64>,
     tally: RefCell<Tally>,
     seldom: RefCell<Seldom>,
@@ -93,7 +87,8 @@
         let (manager, limits) = (settings.one("manager"), settings.one("limits"));
         let manifest = settings.one("manifest");
         let (clock, dropped) = outside;
-        let (jobs, mut queue) = mpsc::unbounded_channel::<(Duration, Job)>();
+        let spans = Clock::start();
+        let (jobs, turns) = queue(spans);
         let inner = Inner {
             name: manager.text("name"),
             birth,
@@ -113,7 +108,7 @@
             calendar: RefCell::new(Calendar::new(settings.one("tokens").span("skew_s"))),
             doors: RefCell::new(Doors::new(limits.count("connections"))),
             turns: RefCell::default(),
-            begun: Instant::now(),
+            spans,
             jobs,
             links: RefCell::default(),
             rows: RefCell::default(),
@@ -124,7 +119,6 @@
                 longest.unwrap_or_default().max(settings.one("tokens").span("life_s")) * 2
             },
             requests: Cell::new(0),
-            queued: Cell::new(0),
             unheard: Cell::new(0),
             tally: RefCell::default(),
             seldom: RefCell::default(),
@@ -133,7 +127,7 @@
         let shell = Shell(Rc::new(inner));
         // A player asks again after each refresh, late by the time of a segment at most.
         let idle = (manifest.span("refresh_s") + shell.0.segment) * 2 + shell.0.lease / 2;
-        let spans = (SLACK, idle, limits.span("paid_for_s"));
+        let spans = (SLACK, Some(idle), Some(limits.span("paid_for_s")));
         let mut front = Front::new(
             module,
             setup::fence(settings),
@@ -144,8 +138,7 @@
         );
         let mut hands = Hands {
             shell: shell.clone(),
-            timers: BinaryHeap::new(),
-            order: 0,
+            timers: Timers::default(),
             answers: BTreeMap::new(),
             out: BTreeMap::new(),
         };
@@ -170,52 +163,27 @@
                 clock.sweep();
             }
         });
-        let clock = shell.clone();
+        let turned = shell.clone();
         spawn_local(async move {
-            loop {
-                let due =
-                    hands.timers.peek().map_or(clock.0.begun + SWEEP * 100_000, |due| clock.instant(due.0.0));
-                tokio::select! {
-                    biased;
-                    () = sleep_until(due) => {
-                        let now = clock.now();
-                        while let Some(Reverse((_, _, timer))) = hands.timers.peek().filter(|due| due.0.0 <= now).copied() {
-                            hands.timers.pop();
-                            front.woken(&mut hands, now, timer);
-                        }
-                    }
-                    job = queue.recv() => match job {
-                        Some((told, job)) => {
-                            let now = clock.now();
-                            clock.0.queued.set(clock.0.queued.get().saturating_sub(1));
-                            clock.0.gate.borrow_mut().turn(now, now.saturating_sub(told));
-                            job(&mut front, &mut hands, now);
-                        }
-                        None => return,
-                    },
-                }
-            }
+            turns
+                .run(&mut front, &mut hands, |now, waited| turned.0.gate.borrow_mut().turn(now, waited))
+                .await;
         });
         Ok(shell)
     }
 
     pub fn now(&self) -> Duration {
-        BEGIN + self.0.begun.elapsed()
-    }
-
-    fn instant(&self, at: Duration) -> Instant {
-        self.0.begun + at.saturating_sub(BEGIN)
+        self.0.spans.now()
     }
 
     /// Puts something that happened into the queue.
     pub fn tell(&self, job: impl FnOnce(&mut Front, &mut Hands, Duration) + 'static) {
-        self.0.queued.set(self.0.queued.get() + 1);
-        self.0.jobs.send((self.now(), Box::new(job))).ok();
+        self.0.jobs.tell(job);
     }
 
     /// The same for what may be left out. Guards against servers that send notes faster than they are handled.
     pub fn tell_if_free(&self, job: impl FnOnce(&mut Front, &mut Hands, Duration) + 'static) {
-        if self.0.queued.get() < NOTES {
+        if self.0.jobs.waiting() < NOTES {
             return self.tell(job);
         }
         self.0.unheard.set(self.0.unheard.get().saturating_add(1));
@@ -247,7 +215,7 @@
             "held": {
                 "servers": self.0.rows.borrow().len(), "links": self.0.links.borrow().len(),
                 "clocks": self.0.calendar.borrow().len(), "connections": self.0.pool.count(),
-                "places": places + tickets, "queue": self.0.queued.get(),
+                "places": places + tickets, "queue": self.0.jobs.waiting(),
             },
         })
     }
@@ -430,7 +398,7 @@
             Ended { places: places + tickets, connections: self.0.pool.count(), ..Default::default() };
         let (tell, told) = oneshot::channel();
         self.tell(move |front, hands, now| {
-            (ended.viewings, ended.timers) = (front.live(), hands.timers.len());
+            (ended.viewings, ended.timers) = (front.live(), hands.timers.count());
             (ended.orphans, ended.taken_over) = front.counts();
             front.stop(hands, now);
             ended.breaches = front.breaches().values().sum();
@@ -480,9 +448,7 @@
 /// The effects of the core.
 pub struct Hands {
     shell: Shell,
-    timers: BinaryHeap<Reverse<(Duration, u64, Timer)>>,
-    /// Timers due at one time fire in the order in which they were set.
-    order: u64,
+    timers: Timers,
     answers: BTreeMap<RequestId, oneshot::Sender<Answer>>,
     out: BTreeMap<(ViewingId, TuneIn), AbortHandle>,
 }
@@ -504,6 +470,12 @@
     }
 }
 
+impl ivyward_turns::Hands for Hands {
+    fn timers(&mut self) -> &mut Timers {
+        &mut self.timers
+    }
+}
+
 impl Effects for Hands {
     fn answer(&mut self, request: RequestId, answer: Answer) {
         if let Some(waiting) = self.answers.remove(&request) {
@@ -544,8 +516,7 @@
     }
 
     fn wake(&mut self, after: Duration, timer: Timer) {
-        self.order += 1;
-        self.timers.push(Reverse((self.shell.now() + after, self.order, timer)));
+        self.timers.set(self.shell.now() + after, timer);
     }
 
     fn breach(&mut self, breach: Breach, vw: ViewingId) {
--- /dev/null
+++ b/crates/edge/src/lane.rs
@@ -0,0 +1,92 @@
+//! Which connections to servers are used, mistrusted, tested and closed.
+
+use std::time::Duration;
+
+/// A connection without use is closed after this part of the time after which servers close theirs, so that no set-up
+/// crosses such a close.
+const IDLE: f64 = 0.5;
+/// The part of a message may wait so long for its rest, in times that a connection may take to stand.
+const REST: u32 = 1;
+/// A server at which something stands and of which nothing was heard for so many of the spans in which it tells of itself
+/// at least is tested; the answer is waited for as long as a connection may take to stand, so many times.
+const QUIET: f64 = 1.2;
+const WAITED: u32 = 2;
+/// A server that no connection stands to for so many times that is lost.
+const LOST: u32 = 8;
+
+/// What is known of a connection to a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lane {
+    /// When it last brought anything, and when something was last asked on it.
+    pub heard: Duration,
+    pub asked: Duration,
+    /// Since when the part of a message waits for its rest.
+    part: Option<Duration>,
+    /// A set-up ran out of time on it, and nothing has come since.
+    suspect: bool,
+    pub tested: Option<Duration>,
+}
+
+impl Lane {
+    pub fn new(now: Duration) -> Self {
+        Lane { heard: now, ..Lane::default() }
+    }
+
+    pub fn said(&mut self, now: Duration) {
+        (self.heard, self.suspect, self.tested) = (now, false, None);
+    }
+
+    /// Whether a part of a message is left of what was said.
+    pub fn part(&mut self, now: Duration, left: bool) {
+        self.part = left.then(|| self.part.unwrap_or(now));
+    }
+
+    /// A set-up was given up on it. Guards against a connection that still stands and carries nothing any more: where
+    /// nothing was heard since the last was asked, nothing new goes there.
+    pub fn unanswered(&mut self) {
+        self.suspect = self.heard < self.asked;
+    }
+}
+
+/// Connections to servers.
+pub struct Lanes {
+    streams: usize,
+    connect: Duration,
+    keep: Duration,
+    told: Duration,
+}
+
+impl Lanes {
+    /// `streams`: set-ups on one connection; `connect`: how long one may take to stand; `keep`: after how long servers
+    /// close an idle one; `told`: the spans in which servers tell of themselves.
+    pub fn new(streams: usize, connect: Duration, keep: Duration, told: Duration) -> Self {
+        Lanes { streams, connect, keep, told }
+    }
+
+    pub fn takes(&self, lane: &Lane, open: usize) -> bool {
+        open < self.streams && !lane.suspect
+    }
+
+    /// Guards against an answer that says it is longer than it is: what comes after it would be taken for its rest.
+    pub fn stuck(&self, now: Duration, lane: &Lane) -> bool {
+        lane.part.is_some_and(|since| now >= since + self.connect * REST)
+    }
+
+    pub fn idle(&self, now: Duration, lane: &Lane) -> bool {
+        lane.suspect || now >= lane.heard.max(lane.asked) + self.keep.mul_f64(IDLE)
+    }
+
+    /// `heard`: when anything of the server was.
+    pub fn asks(&self, now: Duration, heard: Duration, lane: &Lane) -> bool {
+        lane.tested.is_none() && now >= heard + self.told.mul_f64(QUIET)
+    }
+
+    pub fn silent(&self, now: Duration, heard: Duration) -> bool {
+        now >= heard + self.told.mul_f64(QUIET) + self.connect * WAITED
+    }
+
+    /// Whether a server to which no connection stood for so long is lost.
+    pub fn lost(&self, unreached: Duration) -> bool {
+        unreached >= self.connect * LOST
+    }
+}
--- /dev/null
+++ b/crates/edge/src/visitor.rs
@@ -0,0 +1,62 @@
+//! Which connections of viewers are kept, and how much one may ask at once.
+
+use std::time::Duration;
+
+/// A connection that nothing was answered on for so long after it stood is closed, unless a set-up is open on it. Whoever
+/// can't be answered is owed that within 3 s.
+const UNANSWERED: Duration = Duration::from_millis(2000);
+/// One that nothing is open or stands on is closed after so long without a word. Viewers close theirs after 4 s.
+const IDLE: Duration = Duration::from_secs(6);
+/// The part of the descriptors that viewers' connections may take. They hold a third; strangers come beside them.
+const SHARE: f64 = 0.5;
+/// Set-ups that may be open on one connection, as a part of its descriptors.
+const OPEN: f64 = 0.125;
+
+/// What is known of a connection.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Visit {
+    pub since: Duration,
+    /// When it last said anything that could be read.
+    pub last: Duration,
+    /// Set-ups open on it, and sessions that it asked for and that stand.
+    pub open: usize,
+    pub stand: usize,
+    /// Whether anything was answered on it.
+    pub answered: bool,
+}
+
+/// Connections of viewers, within a number of descriptors.
+pub struct Visits {
+    most: usize,
+    open: usize,
+}
+
+impl Visits {
+    pub fn new(descriptors: usize) -> Self {
+        let part = |share: f64| ((descriptors as f64 * share) as usize).max(1);
+        Visits { most: part(SHARE), open: part(OPEN) }
+    }
+
+    /// Whether one more set-up may be open on it.
+    pub fn takes(&self, visit: &Visit) -> bool {
+        visit.open < self.open
+    }
+
+    /// Whether it is closed now. Guards against clients that connect and say nothing, or nothing that can be answered.
+    pub fn over(&self, now: Duration, visit: &Visit) -> bool {
+        let silent = !visit.answered && now >= visit.since + UNANSWERED;
+        let idle = visit.stand == 0 && now >= visit.last.max(visit.since) + IDLE;
+        visit.open == 0 && (silent && visit.stand == 0 || idle)
+    }
+
+    /// With so many connections, which of them gives way to a further one; none where there is room for it. Guards
+    /// against descriptors that strangers hold: who was never answered goes first, then who has been idle for longest.
+    pub fn gives_way<T: Copy + Ord>(&self, visits: impl Iterator<Item = (T, Visit)> + Clone) -> Option<T> {
+        if visits.clone().count() <= self.most {
+            return None;
+        }
+        let rank =
+            |visit: &Visit| (visit.open > 0, visit.answered, visit.stand > 0, visit.last.max(visit.since));
+        visits.min_by_key(|(id, visit)| (rank(visit), *id)).map(|(id, _)| id)
+    }
+}
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -647,7 +647,7 @@
             Some(Spoilt::Unpaced) => Box::<Random>::new(random(&settings)),
             _ => Box::new(setup::module(&settings)),
         };
-        let spans = (Duration::from_millis(40), Duration::from_secs(6), Duration::from_secs(600));
+        let spans = (Duration::from_millis(40), Some(Duration::from_secs(6)), Some(Duration::from_secs(600)));
         let birth = self.managers[manager].birth + 1;
         let (fence, terms) = (setup::fence(&settings), setup::terms(&settings));
         let front = Front::new(module, fence, terms, spans, setup::ration(&settings), Birth(birth));
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,149 @@
+//! ivyward as a viewing manager of a platform: its protocol towards viewers, video servers and the event bus, round the
+//! session core. What is decided about sockets is in `ivyward_edge`, what is written on them in `ivyward_signal`.
+
+mod bus;
+mod config;
+mod list;
+mod servers;
+mod shell;
+mod viewers;
+mod wire;
+
+use ivyward::front::Extent;
+use ivyward_edge::{Lanes, Seldom};
+use ivyward_options as options;
+use ivyward_session::{Birth, Fence, Front};
+use ivyward_turns::{Clock, Timers, queue};
+use list::List;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use serde_json::Value;
+use servers::Servers;
+use shell::Hands;
+use std::cell::Cell;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+use viewers::Viewers;
+
+/// Connections are looked after so often.
+const SWEEP: Duration = Duration::from_millis(100);
+/// Once told to end, requests still come for so long.
+const COMING: Duration = Duration::from_millis(700);
+/// A server that has gone is forgotten after so many times as its start would count as cold.
+const FORGOTTEN: u32 = 2;
+/// A start of ours is above all before, of which nothing is left.
+const BIRTH: Birth = Birth(1);
+
+/// Runs a viewing manager until it is told to end and owes nothing.
+///
+/// # Errors
+/// The configuration can't be used; the line names the file and the field. Or no socket is to be had.
+pub fn run(file: &Path) -> Result<(), String> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    LocalSet::new().block_on(&runtime, serve(file))
+}
+
+async fn serve(file: &Path) -> Result<(), String> {
+    // Before anything else: either signal would end the program as it is.
+    let mut again = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut int = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    let all = config::read(file)?;
+    let named = |error: String| format!("{}: settings: {error}", file.display());
+    let settings = all.get("settings").unwrap_or(&Value::Null);
+    let (seed, listen) = (config::seed(file, &all)?, config::address(file, &all, "listen")?);
+    let (bus, descriptors) = (config::address(file, &all, "bus")?, config::descriptors(file, &all)?);
+    let (offset, known) = config::known(file, &all)?;
+    let module = options::manager(seed, settings).map_err(named)?;
+    let (grace, slack, seats) = options::rules(settings).map_err(named)?;
+    let (streams, connect, keep) = options::connections(settings).map_err(named)?;
+    let (told, cold) = options::spans(settings).map_err(named)?;
+    let terms = options::terms(settings).map_err(named)?;
+    let longest = terms.iter().map(|(patience, _)| *patience).max().unwrap_or_default();
+    let ration = options::ration(settings);
+    let [packages, tenants, zones, kinds] = options::names(settings);
+
+    let fence = Fence::new(grace, ration, seats);
+    let mut front = Front::new(Box::new(module), fence, terms, (slack, None, None), ration, BIRTH);
+    let clock = Clock::start();
+    let (queue, turns) = queue(clock);
+    let mut hands = Hands {
+        queue: queue.clone(),
+        timers: Timers::default(),
+        list: List::new(zones, kinds),
+        viewers: Viewers::new(packages, tenants, longest, descriptors),
+        servers: Servers::new(
+            Lanes::new(streams, connect, keep, told),
+            connect,
+            BIRTH,
+            Pcg64Mcg::seed_from_u64(seed),
+        ),
+        stands: shell::Stands::default(),
+        seldom: Seldom::default(),
+        line: None,
+    };
+    front.start(&mut hands, clock.now());
+    for event in known {
+        hands.topology(&mut front, clock.now(), event, Extent::Remembered);
+    }
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    tracing::info!(%listen, %bus, offset, servers = hands.list.count(), "ready");
+    spawn_local(viewers::accept(listener, queue.clone()));
+    let (move_bus, address) = watch::channel(bus);
+    spawn_local(bus::follow(queue.clone(), address, offset, seed));
+    let (done, leaving) = (Rc::new(Notify::new()), Rc::new(Cell::new(None::<Instant>)));
+    let (tell, ends, sweeps) = (done.clone(), leaving.clone(), queue.clone());
+    spawn_local(async move {
+        loop {
+            sleep(SWEEP).await;
+            let (tell, ends) = (tell.clone(), ends.clone());
+            sweeps.tell(move |front, hands, now| {
+                hands.sweep(front, now, cold * FORGOTTEN);
+                let left = ends.get().is_some_and(|since| since.elapsed() >= COMING);
+                if left && hands.owes_nothing(front) {
+                    tell.notify_one();
+                }
+            });
+        }
+    });
+    spawn_local(async move { turns.run(&mut front, &mut hands, |_, _| ()).await });
+    loop {
+        tokio::select! {
+            _ = again.recv() => {
+                let bus = config::read(file).and_then(|all| config::address(file, &all, "bus"));
+                match bus {
+                    Ok(bus) => drop(move_bus.send(bus)),
+                    Err(error) => tracing::error!(error, "the configuration stays as it was"),
+                }
+            }
+            _ = term.recv() => leaving.set(leaving.get().or(Some(Instant::now()))),
+            _ = int.recv() => leaving.set(leaving.get().or(Some(Instant::now()))),
+            () = done.notified() => break,
+        }
+    }
+    tracing::info!("nothing is owed any more: ended");
+    sleep_until(Instant::now() + SWEEP).await;
+    Ok(())
+}
+
+impl Hands {
+    fn sweep(&mut self, front: &mut Front, now: Duration, forgotten: Duration) {
+        self.sweep_viewers(front, now);
+        self.sweep_servers(front, now);
+        let (stands, servers) = (&self.stands, &self.servers);
+        let of_use = |server| stands.at(server).next().is_some() || servers.has_links(server);
+        self.list.forget(now, forgotten, of_use);
+    }
+
+    /// Whether no set-up is without an answer and no session stands.
+    fn owes_nothing(&self, front: &Front) -> bool {
+        front.waiting() == 0 && self.viewers.count().1 == 0 && self.stands.count() == 0
+    }
+}
--- /dev/null
+++ b/crates/node/src/list.rs
@@ -0,0 +1,151 @@
+//! The list of servers as the event bus tells it. A server is known by its word: each gets an id of its own, so that one
+//! at the address of another that has gone is another.
+
+use crate::shell::Hands;
+use ivyward::front::{Extent, KindId, Listed, ServerId, Standing, ZoneId};
+use ivyward_edge::brief;
+use ivyward_session::Front;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// A server of the list.
+pub struct Row {
+    pub word: String,
+    pub address: SocketAddr,
+    pub listed: Listed,
+    /// Since when it is gone.
+    gone: Option<Duration>,
+}
+
+pub struct List {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    ids: BTreeMap<String, ServerId>,
+    rows: BTreeMap<ServerId, Row>,
+    last: u32,
+}
+
+/// When a start at that millisecond of the Unix clock was, by the clock of spans; none where it was not told.
+fn born(unix_ms: u64, unix_now: Duration, now: Duration) -> Option<Duration> {
+    let age = unix_now.checked_sub(Duration::from_millis(unix_ms)).unwrap_or_default();
+    (unix_ms > 0).then(|| now.saturating_sub(age))
+}
+
+impl List {
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> List {
+        List { zones, kinds, ids: BTreeMap::new(), rows: BTreeMap::new(), last: 0 }
+    }
+
+    pub fn row(&self, server: ServerId) -> Option<&Row> {
+        self.rows.get(&server)
+    }
+
+    pub fn id(&self, word: &str) -> Option<ServerId> {
+        self.ids.get(word).copied()
+    }
+
+    pub fn standing(&self, server: ServerId) -> Standing {
+        self.rows.get(&server).map_or(Standing::Gone, |row| row.listed.standing)
+    }
+
+    fn fresh(&mut self) -> ServerId {
+        self.last += 1;
+        let [a, b, c, d] = self.last.to_be_bytes();
+        ServerId([a, b, c, d, 0, 0])
+    }
+
+    /// A member as the list tells it; what a change leaves out stays as it was.
+    fn member(&mut self, member: &Value, unix_now: Duration, now: Duration) -> Result<Listed, &'static str> {
+        let word = member["id"].as_str().ok_or("id")?;
+        let before = self.ids.get(word).and_then(|id| self.rows.get(id)).map(|row| (row.address, row.listed));
+        let number =
+            |names: &[String], field: &str| names.iter().position(|name| member[field] == name.as_str());
+        let was = before.map(|(_, listed)| listed);
+        let address = member["host_port"].as_str().and_then(|text| text.parse().ok());
+        let address: SocketAddr = address.or(before.map(|b| b.0)).ok_or("host_port")?;
+        let zone = number(&self.zones, "locality").and_then(|zone| u8::try_from(zone).ok()).map(ZoneId);
+        let kind = number(&self.kinds, "flavor").map(KindId);
+        let cell = member["cell"].as_u64().and_then(|cell| u32::try_from(cell).ok());
+        let weight = member["size"].as_f64().filter(|weight| *weight > 0.0);
+        let told = member["up_since_ms"].as_u64();
+        let listed = Listed {
+            server: self.ids.get(word).copied().unwrap_or(ServerId([0; 6])),
+            standing: match member["phase"].as_str() {
+                Some("ready") => Standing::Ready,
+                Some("draining") => Standing::Draining,
+                Some("gone") => Standing::Gone,
+                _ => return Err("phase"),
+            },
+            // A start told again is the same, though the clocks went on unevenly since.
+            born: match (told, was) {
+                (Some(at), was) => {
+                    let born = born(at, unix_now, now);
+                    let same = |was: &Listed| {
+                        was.born.zip(born).is_some_and(|(a, b)| a.abs_diff(b) < Duration::from_millis(500))
+                    };
+                    was.filter(same).map_or(born, |was| was.born)
+                }
+                (None, was) => was.and_then(|was| was.born),
+            },
+            weight: weight.or(was.map(|was| was.weight)).ok_or("size")?,
+            zone: zone.or(was.map(|was| was.zone)).ok_or("locality")?,
+            kind: kind.or(was.map(|was| was.kind)).ok_or("flavor")?,
+            cell: cell.or(was.map(|was| was.cell)).ok_or("cell")?,
+        };
+        let server = if before.is_some() { listed.server } else { self.fresh() };
+        let listed = Listed { server, ..listed };
+        let gone = (listed.standing == Standing::Gone).then_some(now);
+        let since = self.rows.get(&server).and_then(|row| row.gone);
+        self.ids.insert(word.into(), server);
+        let gone = gone.map(|now| since.unwrap_or(now));
+        self.rows.insert(server, Row { word: word.into(), address, listed, gone });
+        Ok(listed)
+    }
+
+    /// Guards against a fleet whose machines come back under new words: who has been gone for so long is forgotten,
+    /// unless it is still of use.
+    pub fn forget(&mut self, now: Duration, after: Duration, of_use: impl Fn(ServerId) -> bool) {
+        self.rows.retain(|server, row| row.gone.is_none_or(|gone| now < gone + after) || of_use(*server));
+        let rows = &self.rows;
+        self.ids.retain(|_, server| rows.contains_key(server));
+    }
+
+    pub fn count(&self) -> usize {
+        self.rows.len()
+    }
+}
+
+impl Hands {
+    /// One event of the bus. Nothing of a list is taken of which a part can't be read.
+    pub fn told(&mut self, front: &mut Front, now: Duration, event: &Value) {
+        self.topology(front, now, event, Extent::Whole);
+    }
+
+    /// `whole`: what a whole list counts as.
+    pub fn topology(&mut self, front: &mut Front, now: Duration, event: &Value, whole: Extent) {
+        let Some(members) = event["topology"]["members"].as_array() else { return };
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut list = vec![];
+        for member in members {
+            match self.list.member(member, unix, now) {
+                Ok(listed) => list.push(listed),
+                Err(field) => {
+                    let event = brief(&event.to_string());
+                    return tracing::warn!(field, event, "an event of the bus can't be read");
+                }
+            }
+        }
+        let complete = event["topology"]["complete"] == true;
+        if complete {
+            let named: BTreeSet<_> = list.iter().map(|listed| listed.server).collect();
+            for (_, row) in self.list.rows.iter_mut().filter(|(server, _)| !named.contains(server)) {
+                row.listed.standing = Standing::Gone;
+                row.gone.get_or_insert(now);
+            }
+        }
+        tracing::debug!(complete, ?list, "the list");
+        front.listed(now, &list, if complete { whole } else { Extent::Changes });
+    }
+}
--- /dev/null
+++ b/crates/node/src/servers.rs
@@ -0,0 +1,526 @@
+//! Servers' side: connections, the set-ups open on them, and what provably became of each.
+
+use crate::shell::{Hands, Stand};
+use crate::wire::{Pen, converse, pen};
+use ivyward::front::{Load, News, ServerId, Standing, ViewingId};
+use ivyward_edge::{Lane, Lanes};
+use ivyward_options as options;
+use ivyward_session::{Birth, Front, Happened, Over, TuneIn};
+use ivyward_signal::binary::{self, Messages};
+use ivyward_signal::{Field, Kind, Ref, Signal, line};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// Causes as the protocol has them.
+const FULL: u8 = 34;
+const ERROR: u8 = 47;
+const MOOT: u8 = 102;
+const OK: u8 = 16;
+const CANCELLED: u8 = 31;
+const LOST: u8 = 41;
+/// What a test asks: a report, or only whether anybody answers.
+const REPORT: u8 = 1;
+const BARE: u8 = 0;
+/// The last so many set-ups given up on a connection: what still comes of them is nobody's.
+const GIVEN_UP: usize = 64;
+/// What is to be ended at a server that can't be reached is ended when it can, but not after so long.
+const CARED: Duration = Duration::from_secs(8);
+
+type Key = (ViewingId, TuneIn);
+
+/// A tune-in that is out, and the connection that it was written on.
+struct Attempt {
+    of: Ref,
+    server: ServerId,
+    rung: usize,
+    until: Duration,
+    link: Option<u64>,
+}
+
+struct Link {
+    server: ServerId,
+    pen: Pen,
+    task: AbortHandle,
+    messages: Messages,
+    /// Whether it stands; until then set-ups and tests wait for it.
+    up: bool,
+    waiting: Vec<Key>,
+    open: BTreeMap<Ref, Key>,
+    given_up: VecDeque<Ref>,
+    tests: BTreeSet<Ref>,
+    lane: Lane,
+}
+
+pub struct Servers {
+    links: BTreeMap<u64, Link>,
+    attempts: BTreeMap<Key, Attempt>,
+    /// Sessions to be ended at servers that could not be reached, and since when.
+    cares: BTreeMap<ServerId, BTreeMap<Ref, Duration>>,
+    /// Since when connections to a server don't stand, and when that was last tried.
+    unreached: BTreeMap<ServerId, (Duration, Duration)>,
+    lanes: Lanes,
+    connect: Duration,
+    birth: Birth,
+    chance: Pcg64Mcg,
+    last: u64,
+}
+
+impl Servers {
+    pub fn new(lanes: Lanes, connect: Duration, birth: Birth, chance: Pcg64Mcg) -> Servers {
+        Servers {
+            links: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            cares: BTreeMap::new(),
+            unreached: BTreeMap::new(),
+            lanes,
+            connect,
+            birth,
+            chance,
+            last: 0,
+        }
+    }
+
+    pub fn attempt(&mut self, key: Key, of: Ref, server: ServerId, rung: usize, until: Duration) {
+        self.attempts.insert(key, Attempt { of, server, rung, until, link: None });
+    }
+
+    /// Nobody waits for it any more; what was written is given up by `Hands::give_up`.
+    pub fn drop_attempt(&mut self, key: Key) {
+        if self.attempts.get(&key).is_some_and(|attempt| attempt.link.is_none()) {
+            self.attempts.remove(&key);
+        }
+    }
+
+    fn there(&self, server: ServerId) -> impl Iterator<Item = (u64, &Link)> {
+        self.links.iter().filter(move |(_, link)| link.server == server).map(|(id, link)| (*id, link))
+    }
+
+    /// The connection for something to a server: one that stands and isn't suspect before one that doesn't yet.
+    fn lane(&self, server: ServerId, of: Option<Ref>) -> Option<u64> {
+        let fits = |link: &Link| {
+            let given_up = of.is_some_and(|of| link.given_up.contains(&of));
+            !given_up && self.lanes.takes(&link.lane, link.open.len() + link.waiting.len())
+        };
+        let fit = self.there(server).filter(|(_, link)| fits(link));
+        fit.max_by_key(|(id, link)| (link.up, link.lane.heard, *id)).map(|(id, _)| id)
+    }
+
+    /// Any connection that stands, the one that was heard last.
+    fn any(&self, server: ServerId) -> Option<u64> {
+        let up = self.there(server).filter(|(_, link)| link.up);
+        up.max_by_key(|(id, link)| (link.lane.heard, *id)).map(|(id, _)| id)
+    }
+
+    fn write(&self, id: u64, bytes: Result<Vec<u8>, String>) -> bool {
+        let link = self.links.get(&id);
+        bytes.is_ok_and(|bytes| link.is_some_and(|link| link.pen.write(bytes)))
+    }
+
+    pub fn has_links(&self, server: ServerId) -> bool {
+        self.there(server).next().is_some() || self.cares.contains_key(&server)
+    }
+}
+
+fn release(of: Ref) -> Result<Vec<u8>, String> {
+    binary::write(Kind::Release, of, &[], Some(OK), None)
+}
+
+async fn connect(address: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    timeout(within, TcpStream::connect(address)).await?
+}
+
+impl Hands {
+    /// A new connection to a server; none where it is not listed.
+    fn open_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
+        let address = self.list.row(server)?.address;
+        self.servers.last += 1;
+        let (id, (pen, page)) = (self.servers.last, pen());
+        let (queue, within) = (self.queue.clone(), self.servers.connect);
+        let task = spawn_local(async move {
+            let stream = match connect(address, within).await {
+                Ok(stream) => stream,
+                Err(error) => {
+                    let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+                    return queue.tell(move |front, hands, now| hands.unreached(front, now, id, refused));
+                }
+            };
+            queue.tell(move |front, hands, now| hands.link_up(front, now, id));
+            let told = queue.clone();
+            let heard = move |piece: Vec<u8>, had: oneshot::Sender<()>| {
+                told.tell(move |front, hands, now| {
+                    hands.server_said(front, now, id, &piece);
+                    had.send(()).ok();
+                });
+            };
+            converse(stream, page, heard).await;
+            queue.tell(move |front, hands, now| hands.link_lost(front, now, id, "closed"));
+        });
+        let link = Link {
+            server,
+            pen,
+            task: task.abort_handle(),
+            messages: Messages::default(),
+            up: false,
+            waiting: vec![],
+            open: BTreeMap::new(),
+            given_up: VecDeque::new(),
+            tests: BTreeSet::new(),
+            lane: Lane::new(now),
+        };
+        self.servers.links.insert(id, link);
+        Some(id)
+    }
+
+    /// A set-up is to go out: on a connection that has room for it, or on a new one once that stands.
+    pub fn dispatch(&mut self, front: &mut Front, now: Duration, key: Key) {
+        let Some(attempt) = self.servers.attempts.get(&key) else { return };
+        let (server, of) = (attempt.server, attempt.of);
+        let lane = self.servers.lane(server, Some(of));
+        let Some(id) = lane.or_else(|| self.open_link(now, server)) else {
+            self.servers.attempts.remove(&key);
+            return front.happened(self, now, key.0, key.1, Happened::NotConnected, Load::default());
+        };
+        let Some(link) = self.servers.links.get_mut(&id) else { return };
+        if !link.up {
+            return link.waiting.push(key);
+        }
+        self.write_set_up(front, now, id, key);
+    }
+
+    fn write_set_up(&mut self, front: &mut Front, now: Duration, id: u64, key: Key) {
+        let Some(attempt) = self.servers.attempts.get(&key) else { return };
+        let (of, rung, left) = (attempt.of, attempt.rung, attempt.until.saturating_sub(now));
+        let bytes = self.viewers.open.get(&of).map(|open| {
+            let (left, rung) = (left.as_millis().max(1).to_string(), rung.to_string());
+            let package = (Field::Package, open.package.as_str());
+            let fields = [package, (Field::Left, &left), (Field::Title, &open.title), (Field::Rung, &rung)];
+            binary::write(Kind::SetUp, of, &fields, None, Some(&open.description))
+        });
+        let Some(Ok(bytes)) = bytes else {
+            self.servers.attempts.remove(&key);
+            return front.happened(self, now, key.0, key.1, Happened::NotWritten, Load::default());
+        };
+        if !front.sending(self, now, key.0, key.1) {
+            self.servers.attempts.remove(&key);
+            return;
+        }
+        self.servers.attempts.entry(key).and_modify(|attempt| attempt.link = Some(id));
+        let Some(link) = self.servers.links.get_mut(&id) else { return };
+        link.open.insert(of, key);
+        link.lane.asked = now;
+        if !link.pen.write(bytes) {
+            self.link_lost(front, now, id, "takes nothing");
+        }
+    }
+
+    fn link_up(&mut self, front: &mut Front, now: Duration, id: u64) {
+        let Some(link) = self.servers.links.get_mut(&id) else { return };
+        let server = link.server;
+        (link.up, link.lane.heard) = (true, now);
+        let waiting = std::mem::take(&mut link.waiting);
+        for test in link.tests.clone() {
+            self.servers.write(id, binary::write(Kind::Test, test, &[], Some(REPORT), None));
+        }
+        self.servers.unreached.remove(&server);
+        for of in self.servers.cares.remove(&server).unwrap_or_default().into_keys() {
+            // What was set up there anew meanwhile is another.
+            let anew = self.servers.attempts.values().any(|a| (a.server, a.of) == (server, of));
+            if !anew && self.stands.get(of).is_none_or(|stand| stand.server != server) {
+                self.servers.write(id, release(of));
+            }
+        }
+        for key in waiting {
+            self.write_set_up(front, now, id, key);
+        }
+    }
+
+    /// A connection didn't come about: nothing that waited for it ran. Refused, the process there is dead, and what
+    /// played there is over.
+    fn unreached(&mut self, front: &mut Front, now: Duration, id: u64, refused: bool) {
+        let Some(link) = self.servers.links.remove(&id) else { return };
+        let server = link.server;
+        for key in link.waiting {
+            if self.servers.attempts.remove(&key).is_some() {
+                front.happened(self, now, key.0, key.1, Happened::NotConnected, Load::default());
+            }
+        }
+        self.fail_tests(front, now, server, link.tests);
+        let since = self.servers.unreached.entry(server).or_insert((now, now));
+        since.1 = now;
+        let lost = self.servers.lanes.lost(now.saturating_sub(since.0));
+        if refused && self.list.standing(server) != Standing::Draining || lost {
+            self.servers.cares.remove(&server);
+            self.servers.unreached.remove(&server);
+            self.all_lost(front, now, server);
+        }
+    }
+
+    fn all_lost(&mut self, front: &mut Front, now: Duration, server: ServerId) {
+        let there: Vec<_> = self.stands.at(server).map(|(of, _)| of).collect();
+        if !there.is_empty() {
+            tracing::info!(server = self.word(server), sessions = there.len(), "a server is lost");
+        }
+        for of in there {
+            self.stood(front, now, server, of, LOST, Over::Lost);
+        }
+    }
+
+    fn word(&self, server: ServerId) -> &str {
+        self.list.row(server).map_or("", |row| &row.word)
+    }
+
+    /// A session that stood there is over.
+    fn stood(&mut self, front: &mut Front, now: Duration, server: ServerId, of: Ref, cause: u8, why: Over) {
+        if self.stands.get(of).is_none_or(|stand| stand.server != server) {
+            return;
+        }
+        let Some(stand) = self.stands.remove(of) else { return };
+        self.tell_viewer(now, of, stand.visit, cause);
+        front.over(self, now, server, stand.key, why);
+    }
+
+    /// A connection is over: what was open on it may have run.
+    fn link_lost(&mut self, front: &mut Front, now: Duration, id: u64, why: &str) {
+        let Some(link) = self.servers.links.remove(&id) else { return };
+        link.task.abort();
+        let server = link.server;
+        if !link.open.is_empty() || why != "closed" {
+            tracing::debug!(server = self.word(server), open = link.open.len(), why, "a connection is lost");
+        }
+        for key in link.waiting {
+            if self.servers.attempts.remove(&key).is_some() {
+                front.happened(self, now, key.0, key.1, Happened::NotConnected, Load::default());
+            }
+        }
+        for key in link.open.into_values() {
+            front.happened(self, now, key.0, key.1, Happened::Broke, Load::default());
+        }
+        self.fail_tests(front, now, server, link.tests);
+        self.reach(server);
+    }
+
+    /// Sees to a connection to a server at which something stands or is to be ended.
+    pub fn reach(&mut self, server: ServerId) {
+        let wanted = self.stands.at(server).next().is_some() || self.servers.cares.contains_key(&server);
+        let tried = self.servers.unreached.get(&server).map(|(_, last)| *last);
+        let now = self.queue.now();
+        let again = tried.is_none_or(|last| now >= last + self.servers.connect);
+        if wanted && again && self.servers.there(server).next().is_none() {
+            self.open_link(now, server);
+        }
+    }
+
+    /// Nobody waits any more for what was written.
+    pub fn give_up(&mut self, key: Key) {
+        let Some(attempt) = self.servers.attempts.remove(&key) else { return };
+        let (server, of) = (attempt.server, attempt.of);
+        let link = attempt.link.and_then(|id| self.servers.links.get_mut(&id));
+        let Some(link) = link else { return self.end_there(server, of) };
+        link.open.remove(&of);
+        if link.given_up.len() == GIVEN_UP {
+            link.given_up.pop_front();
+        }
+        link.given_up.push_back(of);
+        link.lane.unanswered();
+        if let Ok(bytes) = release(of) {
+            link.pen.write(bytes);
+        }
+    }
+
+    /// Ends a session at its server, now or once that can be reached.
+    pub fn end_there(&mut self, server: ServerId, of: Ref) {
+        let there = self.servers.any(server);
+        if there.is_none_or(|id| !self.servers.write(id, release(of))) && self.list.row(server).is_some() {
+            self.servers.cares.entry(server).or_default().insert(of, self.queue.now());
+            self.reach(server);
+        }
+    }
+
+    pub fn new_rung(&mut self, server: ServerId, of: Ref, rung: usize) {
+        let bytes = binary::write(Kind::Rung, of, &[(Field::Rung, &rung.to_string())], None, None);
+        if let Some(id) = self.servers.any(server) {
+            self.servers.write(id, bytes);
+        }
+    }
+
+    /// Asks a server for its load.
+    pub fn probe_there(&mut self, front: &mut Front, now: Duration, server: ServerId) {
+        let of = Ref(self.servers.chance.random());
+        let Some(id) = self.servers.lane(server, None).or_else(|| self.open_link(now, server)) else {
+            return front.probed(self, now, server, None);
+        };
+        let Some(link) = self.servers.links.get_mut(&id) else { return };
+        link.tests.insert(of);
+        if link.up {
+            self.servers.write(id, binary::write(Kind::Test, of, &[], Some(REPORT), None));
+        }
+        let (queue, within) = (self.queue.clone(), self.servers.connect);
+        spawn_local(async move {
+            sleep(within).await;
+            queue.tell(move |front, hands, now| {
+                let link = hands.servers.links.get_mut(&id);
+                if link.is_some_and(|link| link.tests.remove(&of)) {
+                    front.probed(hands, now, server, None);
+                }
+            });
+        });
+    }
+
+    fn fail_tests(&mut self, front: &mut Front, now: Duration, server: ServerId, tests: BTreeSet<Ref>) {
+        for _ in tests {
+            front.probed(self, now, server, None);
+        }
+    }
+
+    fn server_said(&mut self, front: &mut Front, now: Duration, id: u64, piece: &[u8]) {
+        let Some(link) = self.servers.links.get_mut(&id) else { return };
+        link.messages.push(piece);
+        link.lane.said(now);
+        loop {
+            let Some(link) = self.servers.links.get_mut(&id) else { return };
+            let server = link.server;
+            let message = match link.messages.cut() {
+                Ok(None) => return link.lane.part(now, link.messages.begun()),
+                Ok(Some(message)) => message.to_vec(),
+                Err(wrong) => return self.spoilt(front, now, id, &wrong),
+            };
+            let done = match binary::read(&message) {
+                Ok(signal) => self.heard(front, now, (id, server), &signal),
+                Err(wrong) => Err(wrong),
+            };
+            if let Err(wrong) = done {
+                return self.spoilt(front, now, id, &wrong);
+            }
+        }
+    }
+
+    /// What came can't be read: nothing more on this connection can be believed.
+    fn spoilt(&mut self, front: &mut Front, now: Duration, id: u64, wrong: &str) {
+        if let Some(left_out) = self.seldom.line(now, "a server's message") {
+            tracing::info!(wrong, left_out, "a server's message can't be read");
+        }
+        self.link_lost(front, now, id, "spoilt");
+    }
+
+    fn heard(
+        &mut self, front: &mut Front, now: Duration, (id, server): (u64, ServerId), signal: &Signal,
+    ) -> Result<(), String> {
+        let of = signal.of;
+        let load = signal.text(Field::Report).map(options::load);
+        if let Some(load) = load {
+            tracing::debug!(server = self.word(server), ?load, "a report");
+        }
+        let load = load.unwrap_or_default();
+        let Some(link) = self.servers.links.get_mut(&id) else { return Ok(()) };
+        match signal.kind {
+            Kind::Answer => {
+                // A second copy, or one for what is nobody's any more, is left alone.
+                let Some(key) = link.open.get(&of).copied() else { return Ok(()) };
+                let text = signal.description.as_deref().and_then(|d| std::str::from_utf8(d).ok());
+                let text = text.ok_or("an answer without a description that can be passed on")?;
+                let line = line::write(Kind::Answer, of, &[], None, Some(text))?;
+                link.open.remove(&of);
+                self.servers.attempts.remove(&key);
+                let stand = Stand { server, key: (self.servers.birth, key.0, key.1), visit: None };
+                self.stands.insert(of, stand);
+                self.line = Some(line);
+                front.happened(self, now, key.0, key.1, Happened::Plays, load);
+                self.line = None;
+            }
+            Kind::Release => {
+                let cause = signal.cause.ok_or("a release without a cause")?;
+                if let Some(key) = link.open.remove(&of) {
+                    self.servers.attempts.remove(&key);
+                    let what = match cause {
+                        FULL => Happened::Refused,
+                        MOOT => Happened::NotWritten,
+                        ERROR => Happened::Errored,
+                        _ => Happened::Broke,
+                    };
+                    tracing::debug!(server = self.word(server), cause, ?what, "a set-up ended");
+                    front.happened(self, now, key.0, key.1, what, load);
+                } else {
+                    front.reported(now, server, load);
+                    let why = match cause {
+                        OK => Over::Ended,
+                        CANCELLED => Over::Left,
+                        _ => Over::Lost,
+                    };
+                    self.stood(front, now, server, of, cause, why);
+                }
+            }
+            Kind::Tested => {
+                if link.tests.remove(&of) {
+                    front.probed(self, now, server, (signal.cause == Some(1)).then_some(load));
+                }
+            }
+            Kind::Test => {
+                self.servers.write(id, binary::write(Kind::Tested, of, &[], Some(1), None));
+            }
+            Kind::Note => {
+                let open = link.open.get(&of).map(|key| key.0);
+                let stand = self.stands.get(of).filter(|stand| stand.server == server);
+                let vw = open.or(stand.map(|stand| stand.key.1));
+                let figure = signal.number(Field::Figure).ok_or("a note without a figure")?;
+                let news = match signal.text(Field::Note) {
+                    Some("share") => News::Share(figure),
+                    Some("step") => News::Rung(figure.max(0.0) as usize),
+                    Some("asked") => News::Link(figure),
+                    Some("rack") => News::Uplink(figure),
+                    _ => return Ok(()),
+                };
+                tracing::debug!(server = self.word(server), ?news, "a note");
+                vw.into_iter().for_each(|vw| front.news(now, server, vw, news));
+            }
+            Kind::SetUp | Kind::Progress | Kind::Heard | Kind::Move | Kind::Rung => {}
+        }
+        Ok(())
+    }
+
+    /// Looks after connections to servers.
+    pub fn sweep_servers(&mut self, front: &mut Front, now: Duration) {
+        let late = |cares: &mut BTreeMap<Ref, Duration>| cares.retain(|_, since| now < *since + CARED);
+        self.servers.cares.values_mut().for_each(late);
+        self.servers.cares.retain(|_, cares| !cares.is_empty());
+        let all: BTreeSet<_> = self.servers.links.values().map(|link| link.server).collect();
+        for server in all {
+            let stand = self.stands.at(server).next().is_some();
+            let links: Vec<_> =
+                self.servers.there(server).filter(|(_, link)| link.up).map(|(id, _)| id).collect();
+            let heard = links.iter().map(|id| self.servers.links[id].lane.heard).max().unwrap_or(now);
+            let mut left = links.len();
+            for id in links {
+                let Some(link) = self.servers.links.get_mut(&id) else { continue };
+                if self.servers.lanes.stuck(now, &link.lane) {
+                    self.spoilt(front, now, id, "the rest of a message doesn't come");
+                    left -= 1;
+                    continue;
+                }
+                let idle = link.open.is_empty() && link.tests.is_empty();
+                if idle && (left > 1 || !stand) && self.servers.lanes.idle(now, &link.lane) {
+                    self.link_lost(front, now, id, "closed");
+                    left -= 1;
+                } else if stand && self.servers.lanes.asks(now, heard, &link.lane) {
+                    link.lane.tested = Some(now);
+                    let of = Ref(self.servers.chance.random());
+                    self.servers.write(id, binary::write(Kind::Test, of, &[], Some(BARE), None));
+                }
+            }
+            if stand && self.servers.lanes.silent(now, heard) && self.servers.there(server).all(|(_, l)| l.up)
+            {
+                // Guards against a machine that has vanished: its connections stay and say nothing, new ones don't stand.
+                self.open_link(now, server);
+            }
+        }
+        let servers: BTreeSet<_> = self.stands.servers().chain(self.servers.cares.keys().copied()).collect();
+        servers.into_iter().for_each(|server| self.reach(server));
+    }
+}
--- /dev/null
+++ b/crates/node/src/shell.rs
@@ -0,0 +1,137 @@
+//! What a viewing manager holds round the session core, and the core's effects on it. Only the queue's task touches it:
+//! connections hand over what came, and write what they are given.
+
+use crate::list::List;
+use crate::servers::Servers;
+use crate::viewers::Viewers;
+use ivyward::front::{PackageId, ServerId, TitleId, ViewingId};
+use ivyward_edge::Seldom;
+use ivyward_session::{Answer, Birth, Breach, Effects, SessionId, Timer, TuneIn};
+use ivyward_signal::Ref;
+use ivyward_turns::{Queue, Timers};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A session that stands: where, as which tune-in of which viewing, and on which connection its viewer asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stand {
+    pub server: ServerId,
+    pub key: (Birth, ViewingId, TuneIn),
+    pub visit: Option<u64>,
+}
+
+/// All sessions that stand, by what names them on the wire and by their viewings.
+#[derive(Default)]
+pub struct Stands {
+    by_ref: BTreeMap<Ref, Stand>,
+    refs: BTreeMap<ViewingId, Ref>,
+}
+
+impl Stands {
+    pub fn insert(&mut self, of: Ref, stand: Stand) {
+        self.refs.insert(stand.key.1, of);
+        self.by_ref.insert(of, stand);
+    }
+
+    pub fn remove(&mut self, of: Ref) -> Option<Stand> {
+        let stand = self.by_ref.remove(&of)?;
+        self.refs.remove(&stand.key.1);
+        Some(stand)
+    }
+
+    pub fn get(&self, of: Ref) -> Option<&Stand> {
+        self.by_ref.get(&of)
+    }
+
+    pub fn get_mut(&mut self, of: Ref) -> Option<&mut Stand> {
+        self.by_ref.get_mut(&of)
+    }
+
+    pub fn of(&self, vw: ViewingId) -> Option<Ref> {
+        self.refs.get(&vw).copied()
+    }
+
+    pub fn at(&self, server: ServerId) -> impl Iterator<Item = (Ref, &Stand)> {
+        self.by_ref.iter().filter(move |(_, stand)| stand.server == server).map(|(of, stand)| (*of, stand))
+    }
+
+    pub fn servers(&self) -> impl Iterator<Item = ServerId> {
+        self.by_ref.values().map(|stand| stand.server)
+    }
+
+    /// The connections on which they were asked for, where those stand.
+    pub fn visits(&self) -> impl Iterator<Item = u64> {
+        self.by_ref.values().filter_map(|stand| stand.visit)
+    }
+
+    pub fn count(&self) -> usize {
+        self.by_ref.len()
+    }
+}
+
+pub struct Hands {
+    pub queue: Queue<Hands>,
+    pub timers: Timers,
+    pub list: List,
+    pub viewers: Viewers,
+    pub servers: Servers,
+    pub stands: Stands,
+    pub seldom: Seldom,
+    /// The line for the viewer whose answer is being told to the core.
+    pub line: Option<Vec<u8>>,
+}
+
+impl ivyward_turns::Hands for Hands {
+    fn timers(&mut self) -> &mut Timers {
+        &mut self.timers
+    }
+}
+
+impl Effects for Hands {
+    fn answer(&mut self, request: ivyward_session::RequestId, answer: Answer) {
+        self.answered(request, answer);
+    }
+
+    fn set_up(
+        &mut self, who: (SessionId, usize), vw: ViewingId, tune_in: TuneIn, server: ServerId, rung: usize,
+        _: (PackageId, TitleId), limit: Duration,
+    ) {
+        let of = Ref(who.0.0 as u64);
+        self.servers.attempt((vw, tune_in), of, server, rung, self.queue.now() + limit);
+        self.queue.tell(move |front, hands, now| hands.dispatch(front, now, (vw, tune_in)));
+    }
+
+    fn drop_set_up(&mut self, vw: ViewingId, tune_in: TuneIn) {
+        self.servers.drop_attempt((vw, tune_in));
+    }
+
+    fn release(&mut self, server: ServerId, _: Birth, vw: ViewingId, tune_in: TuneIn) {
+        if let Some(of) = self.stands.of(vw) {
+            self.stands.remove(of);
+            return self.end_there(server, of);
+        }
+        self.give_up((vw, tune_in));
+    }
+
+    fn rung(&mut self, server: ServerId, _: Birth, vw: ViewingId, _: TuneIn, rung: usize) {
+        if let Some(of) = self.stands.of(vw) {
+            self.new_rung(server, of, rung);
+        }
+    }
+
+    fn probe(&mut self, server: ServerId) {
+        self.queue.tell(move |front, hands, now| hands.probe_there(front, now, server));
+    }
+
+    fn fetched(&mut self, _: ServerId, _: Birth, _: ViewingId, _: TuneIn) {}
+
+    fn wake(&mut self, after: Duration, timer: Timer) {
+        self.timers.set(self.queue.now() + after, timer);
+    }
+
+    fn breach(&mut self, breach: Breach, vw: ViewingId) {
+        if let Some(left_out) = self.seldom.line(self.queue.now(), "a rule") {
+            tracing::error!(?breach, viewing = vw.0, left_out, "a rule is broken");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/viewers.rs
@@ -0,0 +1,369 @@
+//! Viewers' side: their connections, what they ask, what they are answered.
+
+use crate::shell::{Hands, Stand};
+use crate::wire::{Pen, converse, pen};
+use ivyward::front::{Cells, PackageId, TitleId};
+use ivyward_edge::{Visit, Visits, brief};
+use ivyward_session::{Answer, Front, Over, RequestId, SessionId};
+use ivyward_signal::line::{self, Lines};
+use ivyward_signal::{Field, Kind, Ref, Signal, binary, id};
+use ivyward_turns::Queue;
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Causes as the protocol has them: refused, so that trying again is harmless; failed; what can't be used.
+const REFUSED: u8 = 34;
+const FAILED: u8 = 41;
+const UNUSABLE: u8 = 100;
+/// A session that is over is told to its viewer within so long, or not at all.
+const OWED: Duration = Duration::from_secs(8);
+/// No package's patience is longer than so many of the longest: more is no number of milliseconds.
+const PATIENT: u32 = 2;
+
+struct Connection {
+    pen: Pen,
+    lines: Lines,
+    visit: Visit,
+    from: IpAddr,
+}
+
+/// A set-up without an answer.
+pub struct Open {
+    visit: u64,
+    request: RequestId,
+    pub package: String,
+    pub title: String,
+    pub description: Vec<u8>,
+}
+
+pub struct Viewers {
+    connections: BTreeMap<u64, Connection>,
+    visits: Visits,
+    pub open: BTreeMap<Ref, Open>,
+    requests: BTreeMap<RequestId, Ref>,
+    /// Ends that no connection could be found for, with their causes and when they were.
+    owed: BTreeMap<Ref, (u8, Duration)>,
+    packages: Vec<String>,
+    tenants: Vec<String>,
+    longest: Duration,
+    last: u64,
+    asked: u64,
+}
+
+impl Viewers {
+    pub fn new(
+        packages: Vec<String>, tenants: Vec<String>, longest: Duration, descriptors: usize,
+    ) -> Viewers {
+        Viewers {
+            connections: BTreeMap::new(),
+            visits: Visits::new(descriptors),
+            open: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            owed: BTreeMap::new(),
+            packages,
+            tenants,
+            longest,
+            last: 0,
+            asked: 0,
+        }
+    }
+
+    pub fn count(&self) -> (usize, usize) {
+        (self.connections.len(), self.open.len())
+    }
+
+    /// Writes on a connection; false where it is gone or reads too slowly.
+    fn say(&mut self, visit: u64, line: Vec<u8>) -> bool {
+        self.connections.get(&visit).is_some_and(|connection| connection.pen.write(line))
+    }
+
+    fn refuse(&mut self, visit: u64, of: Ref, cause: u8) {
+        if let Ok(line) = line::write(Kind::Release, of, &[], Some(cause), None) {
+            self.say(visit, line);
+        }
+        self.connections.entry(visit).and_modify(|c| c.visit.answered = true);
+    }
+
+    /// What names no package or tenant of ours, or holds figures out of range.
+    fn wrong(&self, signal: &Signal) -> Option<&'static str> {
+        let known = |names: &[String], field| {
+            signal.text(field).is_some_and(|text| names.iter().any(|name| name == text))
+        };
+        let left = signal.whole(Field::Left).map(Duration::from_millis);
+        let extra = |name, least: u64| {
+            signal.extra(name).is_some_and(|text| text.parse::<u32>().is_ok_and(|n| u64::from(n) >= least))
+        };
+        let title = signal.text(Field::Title).and_then(id).is_some();
+        let fits = signal.description.as_deref().is_some_and(|description| {
+            let fields =
+                [Field::Package, Field::Title].map(|field| (field, signal.text(field).unwrap_or_default()));
+            let fields = [fields[0], fields[1], (Field::Left, "4294967295"), (Field::Rung, "255")];
+            binary::write(Kind::SetUp, signal.of, &fields, None, Some(description)).is_ok()
+        });
+        let stands = signal.extra("at").is_some();
+        [
+            ("class", known(&self.packages, Field::Package)),
+            ("tenant", self.tenants.is_empty() || known(&self.tenants, Field::Tenant)),
+            ("left", stands || left.is_some_and(|left| !left.is_zero() && left <= self.longest * PATIENT)),
+            ("key", title),
+            ("home", extra("home", 0)),
+            ("copies", extra("copies", 1)),
+            ("top", extra("top", 0)),
+            ("description", stands || fits),
+        ]
+        .into_iter()
+        .find(|(_, right)| !right)
+        .map(|(field, _)| field)
+    }
+}
+
+/// Takes viewers' connections for as long as the program runs.
+pub async fn accept(listener: TcpListener, queue: Queue<Hands>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => queue.tell(move |front, hands, now| {
+                hands.visited(front, now, stream, from.ip());
+            }),
+            // Guards against descriptors that have run out: some come free.
+            Err(error) => {
+                tracing::warn!(%error, "no connection can be taken");
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+impl Hands {
+    fn visited(&mut self, front: &mut Front, now: Duration, stream: tokio::net::TcpStream, from: IpAddr) {
+        self.viewers.last += 1;
+        let (visit, (pen, page)) = (self.viewers.last, pen());
+        let about = Visit { since: now, last: now, ..Visit::default() };
+        let connection = Connection { pen, lines: Lines::default(), visit: about, from };
+        self.viewers.connections.insert(visit, connection);
+        let queue = self.queue.clone();
+        spawn_local(async move {
+            let heard = |piece: Vec<u8>, had: tokio::sync::oneshot::Sender<()>| {
+                queue.tell(move |front, hands, now| {
+                    hands.viewer_said(front, now, visit, &piece);
+                    had.send(()).ok();
+                });
+            };
+            converse(stream, page, heard).await;
+            queue.tell(move |front, hands, now| hands.left(front, now, visit));
+        });
+        let visits = self.viewers.connections.iter().map(|(id, connection)| (*id, connection.visit));
+        if let Some(way) = self.viewers.visits.gives_way(visits) {
+            self.left(front, now, way);
+        }
+    }
+
+    /// A viewers' connection is over: nobody waits any more for what is open on it.
+    fn left(&mut self, front: &mut Front, now: Duration, visit: u64) {
+        if self.viewers.connections.remove(&visit).is_none() {
+            return;
+        }
+        let open = self.viewers.open.iter().filter(|(_, open)| open.visit == visit).map(|(of, _)| *of);
+        for of in open.collect::<Vec<_>>() {
+            self.given_up(front, now, of);
+        }
+    }
+
+    fn given_up(&mut self, front: &mut Front, now: Duration, of: Ref) {
+        let Some(open) = self.viewers.open.remove(&of) else { return };
+        self.viewers.requests.remove(&open.request);
+        self.viewers.connections.entry(open.visit).and_modify(|c| c.visit.open -= 1);
+        front.closed(self, now, SessionId(of.0.into()), open.request);
+    }
+
+    fn viewer_said(&mut self, front: &mut Front, now: Duration, visit: u64, piece: &[u8]) {
+        let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
+        connection.lines.push(piece);
+        loop {
+            let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
+            let signal = match connection.lines.cut() {
+                Ok(None) => return,
+                Ok(Some(text)) => line::read(text),
+                Err(wrong) => Err(wrong),
+            };
+            let signal = match signal {
+                Ok(signal) => signal,
+                Err(wrong) => {
+                    if let Some(left_out) = self.seldom.line(now, "a viewer's line") {
+                        let (from, wrong) = (connection.from, brief(&wrong));
+                        tracing::info!(%from, wrong, left_out, "a viewer's line can't be read");
+                    }
+                    return self.left(front, now, visit);
+                }
+            };
+            connection.visit.last = now;
+            match signal.kind {
+                Kind::SetUp => self.asked(front, now, visit, &signal),
+                Kind::Release => self.viewer_ends(front, now, visit, signal.of),
+                Kind::Test => {
+                    connection.visit.answered = true;
+                    if let Ok(line) = line::write(Kind::Tested, signal.of, &[], Some(1), None) {
+                        self.viewers.say(visit, line);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn asked(&mut self, front: &mut Front, now: Duration, visit: u64, signal: &Signal) {
+        let of = signal.of;
+        let wrong = self.viewers.wrong(signal);
+        let known = self.viewers.open.contains_key(&of) || self.stands.get(of).is_some();
+        if let Some(word) = signal.extra("at") {
+            // No answer is wanted, and it may name what is held already.
+            if wrong.is_none() && !known {
+                self.handed(front, now, visit, signal, word);
+            }
+            return;
+        }
+        let takes = self.viewers.connections.get(&visit).is_some_and(|c| self.viewers.visits.takes(&c.visit));
+        let cause = match (wrong, known, takes) {
+            (None, false, true) => None,
+            (None, false, false) => Some(("too many are open", REFUSED)),
+            (None, true, _) => Some(("its number is in use", UNUSABLE)),
+            (Some(field), ..) => Some((field, UNUSABLE)),
+        };
+        if let Some((wrong, cause)) = cause {
+            if let Some(left_out) = self.seldom.line(now, "a set-up") {
+                tracing::info!(wrong, left_out, "a set-up is turned away");
+            }
+            return self.viewers.refuse(visit, of, cause);
+        }
+        self.viewers.asked += 1;
+        let request = RequestId(self.viewers.asked);
+        let text = |field| signal.text(field).unwrap_or_default().to_string();
+        let open = Open {
+            visit,
+            request,
+            package: text(Field::Package),
+            title: text(Field::Title),
+            description: signal.description.as_deref().unwrap_or_default().to_vec(),
+        };
+        let (package, title, top) = self.about(signal);
+        let cells = |name| signal.extra(name).and_then(|text| text.parse().ok()).unwrap_or_default();
+        let about = (package, title, Cells { first: cells("home"), spread: cells("copies") }, top);
+        let left = Duration::from_millis(signal.whole(Field::Left).unwrap_or_default());
+        self.viewers.open.insert(of, open);
+        self.viewers.requests.insert(request, of);
+        self.viewers.connections.entry(visit).and_modify(|c| c.visit.open += 1);
+        front.asked_once(self, now, request, SessionId(of.0.into()), about, left);
+        self.pay(now, visit);
+    }
+
+    fn about(&self, signal: &Signal) -> (PackageId, TitleId, usize) {
+        let package = signal.text(Field::Package);
+        let package = self.viewers.packages.iter().position(|name| Some(name.as_str()) == package);
+        let title = signal.text(Field::Title).and_then(id).unwrap_or_default();
+        let top = signal.extra("top").and_then(|text| text.parse().ok()).unwrap_or_default();
+        (PackageId(package.unwrap_or(usize::MAX)), TitleId(title), top)
+    }
+
+    /// A session that plays at a server already.
+    fn handed(&mut self, front: &mut Front, now: Duration, visit: u64, signal: &Signal, word: &str) {
+        let Some(server) = self.list.id(word) else {
+            return tracing::info!(
+                word = brief(word),
+                "a session that is handed over plays at a server not listed"
+            );
+        };
+        let (package, title, top) = self.about(signal);
+        // Its rung comes in a note.
+        let session = SessionId(signal.of.0.into());
+        if let Some(key) = front.handed(self, now, server, session, (package, title, (0, top))) {
+            self.stands.insert(signal.of, Stand { server, key, visit: Some(visit) });
+            self.reach(server);
+        }
+    }
+
+    /// A viewer gives a set-up up, or ends a session that stands.
+    fn viewer_ends(&mut self, front: &mut Front, now: Duration, visit: u64, of: Ref) {
+        if self.viewers.open.get(&of).is_some_and(|open| open.visit == visit) {
+            return self.given_up(front, now, of);
+        }
+        if let Some(stand) = self.stands.remove(of) {
+            self.end_there(stand.server, of);
+            front.over(self, now, stand.server, stand.key, Over::Left);
+        }
+        self.viewers.owed.remove(&of);
+        if let Ok(line) = line::write(Kind::Heard, of, &[], None, None) {
+            self.viewers.say(visit, line);
+        }
+    }
+
+    /// The one answer to a set-up.
+    pub fn answered(&mut self, request: RequestId, answer: Answer) {
+        let Some(of) = self.viewers.requests.remove(&request) else { return };
+        let Some(open) = self.viewers.open.remove(&of) else { return };
+        let connection = self.viewers.connections.get_mut(&open.visit);
+        connection.into_iter().for_each(|c| (c.visit.open, c.visit.answered) = (c.visit.open - 1, true));
+        match (answer, self.line.take()) {
+            (Answer::Plays { .. }, Some(line)) => {
+                if let Some(stand) = self.stands.get_mut(of) {
+                    stand.visit = Some(open.visit);
+                }
+                if !self.viewers.say(open.visit, line) {
+                    // Guards against a viewer that takes no answer: nobody watches.
+                    self.queue.tell(move |front, hands, now| {
+                        hands.left(front, now, open.visit);
+                        hands.viewer_ends(front, now, open.visit, of);
+                    });
+                }
+            }
+            (Answer::Blocked { why, .. }, _) => {
+                tracing::debug!(of = of.0, ?why, "blocked");
+                self.viewers.refuse(open.visit, of, REFUSED);
+            }
+            (answer, _) => {
+                tracing::debug!(of = of.0, ?answer, "aborted");
+                self.viewers.refuse(open.visit, of, FAILED);
+            }
+        }
+    }
+
+    /// A session that stood is over: its viewer is told on the connection on which it asked, else on another from there.
+    pub fn tell_viewer(&mut self, now: Duration, of: Ref, visit: Option<u64>, cause: u8) {
+        let Ok(line) = line::write(Kind::Release, of, &[], Some(cause), None) else { return };
+        if visit.is_some_and(|visit| self.viewers.say(visit, line.clone())) {
+            return;
+        }
+        let answered = self.viewers.connections.iter().filter(|(_, c)| c.visit.stand > 0 || c.visit.answered);
+        let last = answered.max_by_key(|(id, c)| (c.visit.last, **id)).map(|(id, _)| *id);
+        if !last.is_some_and(|visit| self.viewers.say(visit, line)) {
+            self.viewers.owed.insert(of, (cause, now));
+        }
+    }
+
+    /// Tells on a connection what could not be told before.
+    fn pay(&mut self, now: Duration, visit: u64) {
+        for (of, (cause, since)) in std::mem::take(&mut self.viewers.owed) {
+            if now < since + OWED {
+                self.tell_viewer(since, of, Some(visit), cause);
+            }
+        }
+    }
+
+    /// Closes connections that are of no use.
+    pub fn sweep_viewers(&mut self, front: &mut Front, now: Duration) {
+        self.viewers.owed.retain(|_, (_, since)| now < *since + OWED);
+        let mut stand = BTreeMap::new();
+        for visit in self.stands.visits() {
+            *stand.entry(visit).or_insert(0) += 1;
+        }
+        let over = self.viewers.connections.iter_mut().filter_map(|(id, connection)| {
+            connection.visit.stand = stand.get(id).copied().unwrap_or_default();
+            self.viewers.visits.over(now, &connection.visit).then_some(*id)
+        });
+        for visit in over.collect::<Vec<_>>() {
+            self.left(front, now, visit);
+        }
+    }
+}
--- a/crates/session/src/book.rs
+++ b/crates/session/src/book.rs
@@ -94,6 +94,8 @@
     pub fence: Fence,
     pub last: u32,
     pub birth: Birth,
+    /// Whether paid sessions that may have run are remembered.
+    remembers: bool,
 }
 
 /// An answer for one request: each manifest carries a token of its own turn.
@@ -105,7 +107,7 @@
 }
 
 impl Book {
-    pub fn new(ration: Option<(Duration, f64, f64)>, fence: Fence, birth: Birth) -> Self {
+    pub fn new(ration: Option<(Duration, f64, f64)>, fence: Fence, birth: Birth, remembers: bool) -> Self {
         Book {
             viewings: BTreeMap::new(),
             sessions: BTreeMap::new(),
@@ -117,6 +119,7 @@
             // Ids of different starts lie apart, so that what an earlier one left keeps its own.
             last: (birth.0 as u32).wrapping_mul(0x9E37_79B9),
             birth,
+            remembers,
         }
     }
 
@@ -152,7 +155,7 @@
         if self.sessions.get(&viewing.session) == Some(&vw) {
             self.sessions.remove(&viewing.session);
         }
-        if viewing.once && viewing.ran {
+        if viewing.once && viewing.ran && self.remembers {
             self.spend(viewing.session, viewing.valid, None);
         }
     }
--- a/crates/session/src/front.rs
+++ b/crates/session/src/front.rs
@@ -17,7 +17,7 @@
 type About = (PackageId, TitleId, Cells, usize);
 
 /// One that waits for a server's word: its session, what it is about, the token that it showed, until when that is
-/// valid, and since when it waits.
+/// valid, and when its viewer's patience ends.
 struct Word {
     request: RequestId,
     server: ServerId,
@@ -25,7 +25,7 @@
     about: About,
     shown: Shown,
     valid: Duration,
-    since: Duration,
+    ends: Duration,
 }
 
 /// A session manager without its sockets.
@@ -36,10 +36,11 @@
     terms: Vec<(Duration, bool)>,
     /// How long after the patience an answer is still in time.
     slack: Duration,
-    /// A paid session that may have run is remembered for so long, whatever tokens it comes with.
-    paid: Duration,
-    /// A player that asks for no manifest and fetches nothing for so long has left.
-    idle: Duration,
+    /// A paid session that may have run is remembered for so long, whatever tokens it comes with; none where each
+    /// request is a session of its own.
+    paid: Option<Duration>,
+    /// A player that asks for no manifest and fetches nothing for so long has left; none where its leaving is told.
+    idle: Option<Duration>,
     stopping: bool,
     /// Servers that have told what they play of earlier starts of ours, or have nothing.
     heard: BTreeSet<ServerId>,
@@ -50,15 +51,15 @@
 
 impl Front {
     /// `terms`: by package, the viewer's patience and whether it is paid at set-up; `slack`: how long after the patience
-    /// an answer is still in time; `idle`: a player that neither asks nor fetches for so long has left; `paid`: how long a
-    /// paid session that may have run is remembered at least; `ration`: span, free and share of further
+    /// an answer is still in time; `idle`: a player that neither asks nor fetches for so long has left, none where that is
+    /// told; `paid`: how long a paid session that may have run is remembered at least, none where none comes again; `ration`: span, free and share of further
     /// tune-ins; `birth`: this start, above all before.
     pub fn new(
         module: Box<dyn Decides>, fence: Fence, terms: Vec<(Duration, bool)>,
-        (slack, idle, paid): (Duration, Duration, Duration), ration: Option<(Duration, f64, f64)>,
-        birth: Birth,
+        (slack, idle, paid): (Duration, Option<Duration>, Option<Duration>),
+        ration: Option<(Duration, f64, f64)>, birth: Birth,
     ) -> Self {
-        let book = Book::new(ration, fence, birth);
+        let book = Book::new(ration, fence, birth, paid.is_some());
         let (heard, words) = (BTreeSet::new(), vec![]);
         Front { module, book, terms, slack, paid, idle, stopping: false, heard, words, counts: (0, 0) }
     }
@@ -98,17 +99,33 @@
         {
             // Guards against a second set-up of what plays on from before our start.
             out.wake(patience.mul_f64(WORD), Timer::Word(request));
-            return self.words.push(Word { request, server, session, about, shown, valid, since: now });
+            return self.words.push(Word {
+                request,
+                server,
+                session,
+                about,
+                shown,
+                valid,
+                ends: now + patience,
+            });
         }
-        self.taken(out, now, request, session, about, shown, valid, now);
+        self.taken(out, now, request, session, about, shown, valid, now + patience);
     }
 
-    /// The same once nothing has to be waited for. `since`: when it was asked.
+    /// A viewer asks once, by a request that says itself how long it waits; the session is that request's.
+    pub fn asked_once(
+        &mut self, out: &mut dyn Effects, now: Duration, request: RequestId, session: SessionId,
+        about: About, patience: Duration,
+    ) {
+        self.taken(out, now, request, session, about, Shown::App { issued: now }, now, now + patience);
+    }
+
+    /// The same once nothing has to be waited for. `ends`: when the viewer's patience does.
     fn taken(
         &mut self, out: &mut dyn Effects, now: Duration, request: RequestId, session: SessionId,
-        (package, title, cells, top): About, shown: Shown, valid: Duration, since: Duration,
+        (package, title, cells, top): About, shown: Shown, valid: Duration, ends: Duration,
     ) {
-        let Some(&(patience, once)) = self.terms.get(package.0) else {
+        let Some(&(_, once)) = self.terms.get(package.0) else {
             return out.answer(request, Answer::Conflict);
         };
         if let Some(&vw) = self.book.sessions.get(&session) {
@@ -137,13 +154,12 @@
             seen: now,
             ran: false,
             line: Line::new(shown),
-            valid: valid.max(now + self.paid),
+            valid: valid.max(now + self.paid.unwrap_or_default()),
         };
         self.book.viewings.insert(vw, viewing);
         self.book.sessions.insert(session, vw);
         self.book.fence.taken(now);
         self.book.ration.iter_mut().for_each(|ration| ration.taken(now));
-        let ends = since + patience;
         out.wake((ends + self.slack).saturating_sub(now), Timer::Answer(vw));
         let hand = &mut Hand { book: &mut self.book, out };
         self.module.asked(hand, now, vw, package, title, cells, top, ends);
@@ -164,7 +180,7 @@
             return out.answer(request, Answer::Replayed);
         }
         viewing.seen = now;
-        viewing.valid = viewing.valid.max(valid).max(now + self.paid);
+        viewing.valid = viewing.valid.max(valid).max(now + self.paid.unwrap_or_default());
         let (rung, answered) = (viewing.rung, viewing.answered);
         match viewing.step {
             Step::Plays { server, birth, tune_in } => {
@@ -193,8 +209,8 @@
     }
 
     fn go_on(&mut self, out: &mut dyn Effects, now: Duration, words: Vec<Word>) {
-        for Word { request, session, about, shown, valid, since, .. } in words {
-            self.taken(out, now, request, session, about, shown, valid, since);
+        for Word { request, session, about, shown, valid, ends, .. } in words {
+            self.taken(out, now, request, session, about, shown, valid, ends);
         }
     }
 
@@ -235,12 +251,12 @@
             seen: now,
             ran: true,
             line: Line::unknown(),
-            valid: now + self.paid,
+            valid: now + self.paid.unwrap_or_default(),
         };
         self.book.viewings.insert(vw, viewing);
         self.book.sessions.insert(session, vw);
         self.book.fence.holds(package.0, title, true);
-        out.wake(self.idle, Timer::Seen(vw));
+        self.idle.into_iter().for_each(|idle| out.wake(idle, Timer::Seen(vw)));
         self.module.playing(now, vw, server, package, title, (rung, top));
     }
 
@@ -372,7 +388,7 @@
             out.release(server, birth, vw, tune_in);
             return self.over(out, now, server, (birth, vw, tune_in), Over::Left);
         }
-        out.wake(self.idle, Timer::Seen(vw));
+        self.idle.into_iter().for_each(|idle| out.wake(idle, Timer::Seen(vw)));
         self.book.answer(out, vw, Answer::Plays { server, birth, vw, tune_in, rung, turn: 0 });
     }
 
@@ -419,15 +435,32 @@
             return;
         };
         viewing.seen = viewing.seen.max(now.saturating_sub(quiet.unwrap_or(now)));
-        let quiet = now.saturating_sub(viewing.seen);
-        if quiet < self.idle {
-            return out.wake(self.idle - quiet, Timer::Seen(vw));
+        let (quiet, idle) = (now.saturating_sub(viewing.seen), self.idle.unwrap_or(Duration::MAX));
+        if quiet < idle {
+            return out.wake(idle - quiet, Timer::Seen(vw));
         }
         // Guards against a place held for nobody where the server itself stands still and says nothing.
         out.release(server, birth, vw, tune_in);
         self.over(out, now, server, (birth, vw, tune_in), Over::Left);
     }
 
+    /// A viewing that another start, or nobody of ours, set up plays there and is handed to us. None where its session
+    /// has a viewing here already.
+    pub fn handed(
+        &mut self, out: &mut dyn Effects, now: Duration, server: ServerId, session: SessionId,
+        (package, title, rungs): (PackageId, TitleId, (usize, usize)),
+    ) -> Option<(Birth, ViewingId, TuneIn)> {
+        let key = (Birth(self.book.birth.0.checked_sub(1)?), self.book.fresh(), TuneIn(0));
+        let unknown = !self.book.sessions.contains_key(&session) && self.terms.get(package.0).is_some();
+        unknown.then(|| self.found(out, now, server, key, session, (package, title, rungs)))?;
+        Some(key)
+    }
+
+    /// A load report that came with neither an ending nor a probe.
+    pub fn reported(&mut self, now: Duration, server: ServerId, load: Load) {
+        self.module.reported(now, server, load);
+    }
+
     pub fn news(&mut self, now: Duration, server: ServerId, vw: ViewingId, news: News) {
         self.module.news(now, vw, server, news);
     }
@@ -460,9 +493,9 @@
             Timer::Seen(vw) => {
                 let Some(viewing) = self.book.viewings.get(&vw) else { return };
                 let Step::Plays { server, birth, tune_in } = viewing.step else { return };
-                let quiet = now.saturating_sub(viewing.seen);
-                if quiet < self.idle {
-                    return out.wake(self.idle - quiet, Timer::Seen(vw));
+                let (quiet, idle) = (now.saturating_sub(viewing.seen), self.idle.unwrap_or(Duration::MAX));
+                if quiet < idle {
+                    return out.wake(idle - quiet, Timer::Seen(vw));
                 }
                 out.fetched(server, birth, vw, tune_in);
             }
--- a/crates/session/src/tests/world.rs
+++ b/crates/session/src/tests/world.rs
@@ -119,8 +119,14 @@
         );
         let fence = fence();
         let terms = vec![(ms(3000), false), (ms(3000), true), (ms(3000), false)];
-        let front =
-            Front::new(Box::new(module), fence, terms, (ms(40), ms(9000), ms(600_000)), Some(RATION), BIRTH);
+        let front = Front::new(
+            Box::new(module),
+            fence,
+            terms,
+            (ms(40), Some(ms(9000)), Some(ms(600_000))),
+            Some(RATION),
+            BIRTH,
+        );
         let mut world = World { front, did: vec![], now: BEGIN, timers: BTreeMap::new(), order: 0 };
         world.turn(|front, hands, now| front.start(hands, now));
         let all: Vec<_> = (0..6).map(|i| (server(i), Standing::Ready)).collect();
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,9 +1,9 @@
 //! The instances of one process, and the calls that each event record becomes.
 
 use crate::frame::{self, Frame, Record, Reply};
-use crate::settings;
 use ivyward::front::*;
 use ivyward::policy::Manager;
+use ivyward_options as options;
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 
 struct Instance {
     manager: Manager,
-    report: Vec<settings::Gauge>,
+    report: Vec<options::Gauge>,
 }
 
 #[derive(Default)]
@@ -70,7 +70,7 @@
     })
 }
 
-fn load(record: &Record, at: usize, report: &[settings::Gauge]) -> Result<Load, String> {
+fn load(record: &Record, at: usize, report: &[options::Gauge]) -> Result<Load, String> {
     let mut load = Load::default();
     let values = usize::from(record.u8(at, "gauge")?);
     if values > 4 {
@@ -79,9 +79,9 @@
     for (i, gauge) in report.iter().enumerate().take(values) {
         let value = Some(record.f32(at + 1 + 4 * i, "gauge")?);
         match gauge {
-            settings::Gauge::Link => load.link = value,
-            settings::Gauge::Uplink => load.uplink = value,
-            settings::Gauge::Other => {}
+            options::Gauge::Link => load.link = value,
+            options::Gauge::Uplink => load.uplink = value,
+            options::Gauge::Other => {}
         }
     }
     Ok(load)
@@ -146,7 +146,8 @@
         let act = &mut Hand { who, reply };
         if code == 3 {
             let seed = r.u64(2, "prng")?;
-            let (mut manager, report) = settings::manager(seed, r.tail(10, 1, "options")?)?;
+            let all = options::read(r.tail(10, 1, "options")?)?;
+            let (mut manager, report) = (options::manager(seed, &all)?, options::report(&all));
             manager.start(act, now);
             self.instances.insert(who, Instance { manager, report });
             return Ok(());
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,7 +2,6 @@
 
 mod frame;
 mod host;
-mod settings;
 
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::process::ExitCode;
