--- /dev/null
+++ b/crates/daemon/tests/node.rs
@@ -0,0 +1,679 @@
+//! The program as a viewing manager, on loopback, over stand-ins that speak the platform's protocol.
+
+use ivyward_fleet::{Cold, Key, ManagerNo, ServerNo};
+use ivyward_rules::{Asked, Came, History, Life, Package, Record, Terms, What, judge, table};
+use ivyward_signal::{Field, Kind, Ref, line};
+use ivyward_standin::platform::{Bus, Does, Server, Viewer, answer};
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use std::{env, fs, process};
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=video \u{e4}\"\\ 0\r\n";
+/// Servers of the small platform; each title lies on all.
+const SERVERS: usize = 3;
+static WORLDS: AtomicU32 = AtomicU32::new(0);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Two packages, `clip` and the paid `ticket`; servers warm after a tenth of a second.
+fn settings() -> Value {
+    json!({
+        "azs": ["east"], "kinds": ["std"], "siblings": 1, "my-zone": 0,
+        "guarantees": {"answer-slack-us": 40000, "cold-from": 0.5, "cold-us": 100_000, "drain-grace-us": 250_000,
+            "fall-us": 1_000_000, "tip-multiple": 2.0, "budget-span-us": 5_000_000, "min-extra": 5,
+            "further-ratio": 0.2},
+        "limits": {"cancelling": true, "connect-timeout-us": 250_000, "keepalive-us": 15_000_000, "max-attempts": 3,
+            "may-probe": false, "retry-after": false, "streams-per-conn": 32, "max-retry-after-us": 2_000_000},
+        "prices": {"cross-zone": 0.0},
+        "profiles": [
+            {"name": "clip", "slo-us": 800_000, "hard-limit-us": 4_000_000, "worth": 1.0, "semantics": "read_like"},
+            {"name": "ticket", "slo-us": 800_000, "hard-limit-us": 4_000_000, "worth": 3.0,
+                "semantics": "non_idempotent"}],
+        "projects": [{"name": "acme"}],
+        "report": {"fields": ["rif", "x0", "x1"], "how": "inline"},
+        "specifics": {"class-scale": [1, 1], "class-seats": [0, 0], "floor-by-class": [0, 0], "top-by-class": [3, 3],
+            "kind-streams": [1000], "links-kb": 3_000_000.0, "places": SERVERS, "rack-link-kb": 1_000_000.0,
+            "rates-kb": [220, 453, 931, 1913], "rung-worth": [0.24, 0.52, 0.77, 1.0], "seen-after-us": 900_000,
+            "shelves": 1, "switch-s": 0.6, "told-every-us": 1_000_000, "weight-kb": 500_000.0},
+    })
+}
+
+fn member(server: &Server, cell: usize, phase: &str) -> Value {
+    json!({"id": server.word, "host_port": server.address.to_string(), "locality": "east", "flavor": "std",
+        "cell": cell, "phase": phase, "size": 4, "up_since_ms": 0})
+}
+
+fn event(offset: u64, complete: bool, members: &[Value]) -> Value {
+    json!({"offset": offset, "topology": {"revision": offset, "complete": complete, "members": members}})
+}
+
+/// A manager in a process of its own, and the platform round it.
+struct World {
+    servers: Vec<Rc<Server>>,
+    bus: Rc<Bus>,
+    config: Value,
+    file: PathBuf,
+    address: SocketAddr,
+    program: Child,
+}
+
+impl World {
+    async fn new(does: Does) -> World {
+        let mut servers = vec![];
+        for i in 0..SERVERS {
+            servers.push(Server::start(&format!("s-{i:08x}"), does).await.expect("a server"));
+        }
+        let bus = Bus::start().await.expect("a bus");
+        let free = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        let address = free.local_addr().expect("its address");
+        drop(free);
+        let members: Vec<_> =
+            servers.iter().enumerate().map(|(i, server)| member(server, i, "ready")).collect();
+        let config = json!({
+            "name": "n0", "listen": address.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "bus": bus.address.to_string(),
+            "known": {"offset": 1, "batch": [event(1, true, &members)]}, "settings": settings(),
+        });
+        let number = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let file = env::temp_dir().join(format!("ivyward-node-{}-{number}.json", process::id()));
+        fs::write(&file, config.to_string()).expect("written");
+        let program = Command::new(env!("CARGO_BIN_EXE_ivyward"))
+            .arg("node")
+            .env("RELAY_CONFIG", &file)
+            .env("IVYWARD_LOG", "error")
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the program runs");
+        let world = World { servers, bus, config, file, address, program };
+        // Ready, and its servers warm.
+        let mut test = world.viewer().await;
+        assert!(test.says(Kind::Test, Ref(1), Some(0)).await);
+        let tested = test.hears(ms(2000)).await.expect("an answer to the test");
+        assert_eq!((tested.kind, tested.of, tested.cause), (Kind::Tested, Ref(1), Some(1)));
+        sleep(ms(200)).await;
+        world
+    }
+
+    async fn viewer(&self) -> Viewer {
+        let until = Instant::now() + ms(5000);
+        loop {
+            match Viewer::connect(self.address).await {
+                Ok(viewer) => return viewer,
+                Err(_) if Instant::now() < until => sleep(ms(10)).await,
+                Err(error) => panic!("no connection: {error}"),
+            }
+        }
+    }
+
+    fn of(&self, kind: Kind) -> usize {
+        self.servers.iter().map(|server| server.of(kind).len()).sum()
+    }
+
+    /// The server that something stands at or is out to, as the only one that got a set-up.
+    fn holder(&self) -> Rc<Server> {
+        let holder = self.servers.iter().find(|server| !server.of(Kind::SetUp).is_empty());
+        holder.expect("a set-up somewhere").clone()
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.program.id().expect("it runs").to_string();
+        assert!(process::Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    fn configure(&self, change: impl FnOnce(&mut Value)) {
+        let mut config = self.config.clone();
+        change(&mut config);
+        fs::write(&self.file, config.to_string()).expect("written");
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        fs::remove_file(&self.file).ok();
+    }
+}
+
+fn with<F: Future<Output = ()>>(does: Does, test: impl FnOnce(World) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async { test(World::new(does).await).await });
+}
+
+/// A set-up as a viewer sends it; `tweak` may spoil the text.
+fn asks(of: Ref, package: &str, left: u64, more: &str) -> Vec<u8> {
+    let (left, extras) = (left.to_string(), format!("home:0;copies:3;top:3;viewer:00000000b4d65521{more}"));
+    let fields = [
+        (Field::Package, package),
+        (Field::Left, &left),
+        (Field::Tenant, "acme"),
+        (Field::Title, "7f3a9c21e0b4d655"),
+        (Field::Extras, &extras),
+    ];
+    line::write(Kind::SetUp, of, &fields, None, Some(DESCRIPTION)).expect("short")
+}
+
+async fn waits(what: &str, until: impl Fn() -> bool) {
+    let end = Instant::now() + ms(5000);
+    while !until() {
+        assert!(Instant::now() < end, "{what}");
+        sleep(ms(5)).await;
+    }
+}
+
+#[test]
+fn what_servers_do_with_set_ups() {
+    // What all servers do; the answer to a clip and to a paid ticket, as a kind and a cause; how many set-ups of the
+    // ticket there may be.
+    let (up, refused, failed) = ((Kind::Answer, None), (Kind::Release, Some(34)), (Kind::Release, Some(41)));
+    let cases = [
+        (Does::Plays, up, up, 1),
+        (Does::PlaysTwice, up, up, 1),
+        (Does::Ahead, up, up, 1),
+        (Does::Releases(34), refused, refused, 3),
+        (Does::Releases(102), refused, refused, 3),
+        (Does::Releases(47), refused, failed, 1),
+        (Does::Releases(41), refused, failed, 1),
+        (Does::Resets, refused, failed, 1),
+        (Does::Nothing, refused, failed, 1),
+        (Does::Noise, refused, failed, 1),
+        (Does::StopsShort, refused, failed, 1),
+        (Does::Huge, refused, failed, 1),
+        (Does::Bare, refused, failed, 1),
+    ];
+    for (does, clip, ticket, most) in cases {
+        with(does, |world| async move {
+            for (of, package, wanted) in [(Ref(0xa1), "clip", clip), (Ref(0xa2), "ticket", ticket)] {
+                let mut viewer = world.viewer().await;
+                assert!(viewer.write(&asks(of, package, 1500, "")).await);
+                let came = viewer.hears(ms(2500)).await.expect("an answer");
+                assert_eq!((came.of, (came.kind, came.cause)), (of, wanted), "{does:?} {package}");
+                if came.kind == Kind::Answer {
+                    assert_eq!(
+                        came.description.as_deref(),
+                        Some(&answer(DESCRIPTION.as_bytes())[..]),
+                        "{does:?}"
+                    );
+                }
+                assert_eq!(viewer.hears(ms(100)).await, None, "{does:?} {package}: one answer only");
+            }
+            let set_ups: Vec<_> = world.servers.iter().flat_map(|server| server.of(Kind::SetUp)).collect();
+            let paid = set_ups.iter().filter(|seen| seen.of == Ref(0xa2)).count();
+            assert!((1..=most).contains(&paid), "{does:?}: {paid} set-ups of a ticket");
+            let same = |description: &Option<Vec<u8>>| description.as_deref() == Some(DESCRIPTION.as_bytes());
+            assert!(set_ups.iter().all(|seen| same(&seen.description)), "{does:?}: descriptions unchanged");
+        });
+    }
+}
+
+#[test]
+fn a_give_up_that_crosses_an_answer_is_released() {
+    with(Does::Nothing, |world| async move {
+        let (mut viewer, of) = (world.viewer().await, Ref(0xb1));
+        assert!(viewer.write(&asks(of, "ticket", 3000, "")).await);
+        waits("a set-up", || world.of(Kind::SetUp) == 1).await;
+        let server = world.holder();
+        let seen = server.of(Kind::SetUp)[0].clone();
+        assert!(viewer.says(Kind::Release, of, Some(16)).await);
+        let up = ivyward_signal::binary::write(Kind::Answer, of, &[], None, Some(b"late")).expect("short");
+        server.say(seen.connection, up);
+        waits("the give-up", || server.of(Kind::Release).len() == 1).await;
+        assert_eq!(server.of(Kind::Release)[0].cause, Some(16));
+        assert_eq!(viewer.hears(ms(200)).await, None, "nothing is owed any more");
+        world.servers.iter().for_each(|server| server.does.set(Does::Plays));
+        assert!(viewer.write(&asks(Ref(0xb2), "clip", 3000, "")).await);
+        assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+    });
+}
+
+#[test]
+fn what_stands_ends_on_whatever_connection() {
+    // Who ends it, on which connection: the server on the one of the set-up or a later one; the viewer on its own or
+    // another.
+    for (by_server, same) in [(true, true), (true, false), (false, true), (false, false)] {
+        with(Does::Plays, |world| async move {
+            let (mut first, mut second, of) = (world.viewer().await, world.viewer().await, Ref(0xc1));
+            assert!(first.write(&asks(of, "clip", 3000, "")).await);
+            assert_eq!(first.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+            assert!(second.says(Kind::Test, Ref(2), Some(0)).await && second.hears(ms(1000)).await.is_some());
+            let server = world.holder();
+            if by_server {
+                if !same {
+                    drop(first);
+                    server.reset(0);
+                    waits("another connection", || server.connections() == 2).await;
+                    sleep(ms(50)).await;
+                    server.release(1, of, 16);
+                    let came = second.hears(ms(1000)).await.expect("the release");
+                    assert_eq!((came.kind, came.of), (Kind::Release, of));
+                    return;
+                }
+                server.release(0, of, 16);
+                let came = first.hears(ms(1000)).await.expect("the release");
+                assert_eq!((came.kind, came.of), (Kind::Release, of));
+                assert_eq!(second.hears(ms(100)).await, None);
+            } else {
+                let by = if same { &mut first } else { &mut second };
+                assert!(by.says(Kind::Release, of, Some(16)).await);
+                waits("the release", || server.of(Kind::Release).iter().any(|seen| seen.of == of)).await;
+                assert_eq!(first.hears(ms(100)).await.filter(|came| came.kind == Kind::Release), None);
+            }
+        });
+    }
+}
+
+#[test]
+fn a_spoilt_connection_takes_what_is_open_on_it_and_no_more() {
+    with(Does::Nothing, |world| async move {
+        let mut viewer = world.viewer().await;
+        let all: Vec<_> = (0..12).map(|i| Ref(0xd0 + i)).collect();
+        for of in &all {
+            assert!(viewer.write(&asks(*of, "ticket", 3000, "")).await);
+        }
+        waits("all set-ups", || world.of(Kind::SetUp) == all.len()).await;
+        let server = world.holder();
+        let lost: Vec<_> = server.of(Kind::SetUp).iter().map(|seen| seen.of).collect();
+        server.say(0, vec![0xff; 64]);
+        for _ in &lost {
+            let came = viewer.hears(ms(1000)).await.expect("an answer");
+            assert_eq!((came.kind, came.cause), (Kind::Release, Some(41)));
+            assert!(lost.contains(&came.of), "{:?} was elsewhere", came.of);
+        }
+        assert_eq!(viewer.hears(ms(100)).await, None);
+        let others: Vec<_> = world.servers.iter().filter(|other| !Rc::ptr_eq(other, &server)).collect();
+        for seen in others.iter().flat_map(|other| other.of(Kind::SetUp).into_iter().map(move |s| (other, s)))
+        {
+            let up = ivyward_signal::binary::write(Kind::Answer, seen.1.of, &[], None, Some(b"late"));
+            seen.0.say(seen.1.connection, up.expect("short"));
+            let came = viewer.hears(ms(1000)).await.expect("an answer");
+            assert_eq!((came.kind, came.of), (Kind::Answer, seen.1.of));
+        }
+        // What may have run there is ended on another connection.
+        waits("releases of all", || server.of(Kind::Release).len() == lost.len()).await;
+    });
+}
+
+#[test]
+fn what_plays_before_the_start_is_taken_over() {
+    with(Does::Plays, |world| async move {
+        let (mut viewer, of) = (world.viewer().await, Ref(0xe1));
+        for word in ["s-00000001", "s-00000001", "s-none"] {
+            assert!(viewer.write(&asks(of, "ticket", 3000, &format!(";at:{word}"))).await);
+        }
+        assert_eq!(viewer.hears(ms(200)).await, None, "no answer is wanted");
+        let server = &world.servers[1];
+        waits("a connection to what plays", || server.connections() == 1).await;
+        sleep(ms(50)).await;
+        server.release(0, of, 16);
+        let came = viewer.hears(ms(1000)).await.expect("the release");
+        assert_eq!((came.kind, came.of), (Kind::Release, of));
+        assert_eq!(world.of(Kind::SetUp), 0);
+    });
+}
+
+#[test]
+fn sessions_of_a_dead_server_are_told_to_their_viewers() {
+    with(Does::Plays, |world| async move {
+        let (mut viewer, of) = (world.viewer().await, Ref(0xf1));
+        // Where nobody listens any more.
+        let dead =
+            TcpListener::bind("127.0.0.1:0").await.expect("a socket").local_addr().expect("its address");
+        let gone = json!({"id": "s-dead", "host_port": dead.to_string(), "locality": "east", "flavor": "std",
+            "cell": 0, "phase": "ready", "size": 4, "up_since_ms": 0});
+        world.bus.tell(2, &event(2, false, &[gone]), 1);
+        sleep(ms(100)).await;
+        assert!(viewer.write(&asks(of, "clip", 3000, ";at:s-dead")).await);
+        let came = viewer.hears(ms(1000)).await.expect("the release");
+        assert_eq!((came.kind, came.of), (Kind::Release, of));
+    });
+}
+
+#[test]
+fn nothing_new_goes_where_a_drain_was_told() {
+    for phase in ["draining", "gone"] {
+        with(Does::Plays, |world| async move {
+            let left: Vec<_> = (0..SERVERS - 1).map(|i| member(&world.servers[i], i, phase)).collect();
+            world.bus.tell(2, &event(2, false, &left), 2);
+            sleep(ms(100)).await;
+            let mut viewer = world.viewer().await;
+            for i in 0..20 {
+                assert!(viewer.write(&asks(Ref(0x100 + i), "clip", 3000, "")).await);
+                assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+            }
+            assert_eq!(world.servers[SERVERS - 1].of(Kind::SetUp).len(), 20, "{phase}");
+        });
+    }
+}
+
+#[test]
+fn a_new_server_at_an_old_address_is_another() {
+    with(Does::Plays, |world| async move {
+        let old = &world.servers[0];
+        let anew = json!({"id": "s-new", "host_port": old.address.to_string(), "locality": "east", "flavor": "std",
+            "cell": 0, "phase": "ready", "size": 4, "up_since_ms": 0});
+        let all = [
+            member(old, 0, "gone"),
+            member(&world.servers[1], 1, "gone"),
+            member(&world.servers[2], 2, "gone"),
+        ];
+        world.bus.tell(2, &event(2, false, &[&all[..], &[anew]].concat()), 1);
+        sleep(ms(100)).await;
+        let mut viewer = world.viewer().await;
+        assert!(viewer.write(&asks(Ref(0x200), "clip", 3000, "")).await);
+        assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+        assert_eq!(old.of(Kind::SetUp).len(), 1);
+    });
+}
+
+#[test]
+fn the_bus_breaks_stops_and_moves() {
+    with(Does::Plays, |world| async move {
+        let drain = |i: usize| vec![member(&world.servers[i], i, "draining")];
+        waits("the first question", || *world.bus.asked.borrow() == [1]).await;
+        // In the middle of an event, which doesn't count; then it is there for whoever asks.
+        world.bus.write("id: 2\ndata: {\"offset\":2,");
+        world.bus.breaks();
+        waits("asked again from the last whole event", || *world.bus.asked.borrow() == [1, 1]).await;
+        world.bus.tell(2, &event(2, false, &drain(0)), 2);
+        sleep(ms(50)).await;
+        // Silent but open.
+        world.bus.comments.set(false);
+        waits("asked again after silence", || *world.bus.asked.borrow() == [1, 1, 2]).await;
+        world.bus.comments.set(true);
+        // At another address; a file that can't be read changes nothing.
+        let (other, before) = (Bus::start().await.expect("a bus"), world.bus.asked.borrow().len());
+        fs::write(&world.file, "{").expect("written");
+        world.signal("-HUP");
+        sleep(ms(200)).await;
+        assert_eq!(world.bus.asked.borrow().len(), before, "the old address stays");
+        world.configure(|config| config["bus"] = other.address.to_string().into());
+        world.signal("-HUP");
+        waits("asked at the new address", || *other.asked.borrow() == [2]).await;
+        other.tell(3, &event(3, false, &drain(1)), 1);
+        sleep(ms(100)).await;
+        let mut viewer = world.viewer().await;
+        for i in 0..10 {
+            assert!(viewer.write(&asks(Ref(0x300 + i), "clip", 3000, "")).await);
+            assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+        }
+        assert_eq!(world.servers[2].of(Kind::SetUp).len(), 10, "both drains were told");
+    });
+}
+
+#[test]
+fn told_to_end_it_answers_what_still_comes_and_then_ends() {
+    with(Does::Nothing, |mut world| async move {
+        let mut viewer = world.viewer().await;
+        assert!(viewer.write(&asks(Ref(0x400), "ticket", 2000, "")).await);
+        waits("a set-up", || world.of(Kind::SetUp) == 1).await;
+        world.signal("-TERM");
+        sleep(ms(300)).await;
+        let mut late = world.viewer().await;
+        assert!(late.write(&asks(Ref(0x401), "ticket", 1500, "")).await);
+        sleep(ms(300)).await;
+        assert!(late.write(&asks(Ref(0x402), "ticket", 1500, "")).await);
+        let mut answered = vec![];
+        for viewer in [&mut viewer, &mut late] {
+            while let Some(came) = viewer.hears(ms(2500)).await {
+                answered.push(came.of.0);
+                if answered.len() == 1 || answered.len() == 3 {
+                    break;
+                }
+            }
+        }
+        answered.sort_unstable();
+        assert_eq!(answered, [0x400, 0x401, 0x402]);
+        let ended =
+            tokio::time::timeout(ms(2000), world.program.wait()).await.expect("it ends").expect("its status");
+        assert!(ended.success());
+    });
+}
+
+#[test]
+fn bad_clients_are_turned_away_and_others_served_beside_them() {
+    let good = String::from_utf8(asks(Ref(0x500), "clip", 2000, "")).expect("text");
+    let ids = "0000000000000500";
+    // What is written, and whether the connection is closed rather than the set-up turned away.
+    let cases: [(&str, Vec<u8>, bool); 14] = [
+        ("noise", vec![0xfe; 3000], true),
+        ("no end", vec![b'x'; 40_000], true),
+        ("nothing", vec![], true),
+        ("half a request", good.as_bytes()[..40].to_vec(), true),
+        ("no id", good.replace(ids, "").into_bytes(), true),
+        ("a short id", good.replace(ids, "500").into_bytes(), true),
+        ("no object", b"[1,2]\n".to_vec(), true),
+        ("a package that is none", good.replace("clip", "clap").into_bytes(), false),
+        ("a tenant that is none", good.replace("acme", "acne").into_bytes(), false),
+        ("a negative patience", good.replace("\"2000\"", "-2000").into_bytes(), false),
+        ("a huge patience", good.replace("\"2000\"", "99999999999999999999").into_bytes(), false),
+        ("no number", good.replace("copies:3", "copies:x").into_bytes(), false),
+        ("no copies", good.replace("copies:3", "copies:0").into_bytes(), false),
+        ("a title that is none", good.replace("7f3a9c21e0b4d655", "7f3a").into_bytes(), false),
+    ];
+    with(Does::Plays, |world| async move {
+        for (name, bytes, closes) in cases {
+            let (mut bad, begun) = (world.viewer().await, Instant::now());
+            bad.write(&bytes).await;
+            if closes {
+                assert!(bad.closes(ms(3000)).await, "{name}");
+            } else {
+                let came = bad.hears(ms(1000)).await.expect(name);
+                assert_eq!((came.kind, came.of), (Kind::Release, Ref(0x500)), "{name}");
+            }
+            assert!(begun.elapsed() < ms(3000), "{name}");
+        }
+        assert_eq!(world.of(Kind::SetUp), 0, "nothing of it reached a server");
+        let mut viewer = world.viewer().await;
+        assert!(viewer.write(&asks(Ref(0x501), "clip", 2000, "")).await);
+        assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+    });
+}
+
+#[test]
+fn a_number_in_use_is_turned_away_without_touching_the_first() {
+    with(Does::Nothing, |world| async move {
+        let (mut first, mut second, of) = (world.viewer().await, world.viewer().await, Ref(0x600));
+        assert!(first.write(&asks(of, "ticket", 3000, "")).await);
+        waits("a set-up", || world.of(Kind::SetUp) == 1).await;
+        assert!(second.write(&asks(of, "ticket", 3000, "")).await);
+        assert_eq!(second.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Release));
+        drop(second);
+        let server = world.holder();
+        let up = ivyward_signal::binary::write(Kind::Answer, of, &[], None, Some(b"here")).expect("short");
+        server.say(0, up);
+        let came = first.hears(ms(1000)).await.expect("an answer");
+        assert_eq!((came.kind, came.of), (Kind::Answer, of));
+    });
+}
+
+#[test]
+fn silent_connections_hold_no_descriptors_that_viewers_need() {
+    with(Does::Plays, |world| async move {
+        let mut silent = vec![];
+        for _ in 0..400 {
+            silent.push(world.viewer().await);
+        }
+        let (mut viewer, begun) = (world.viewer().await, Instant::now());
+        assert!(viewer.write(&asks(Ref(0x700), "clip", 2000, "")).await);
+        assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+        for one in &mut silent {
+            assert!(one.closes(ms(3000)).await);
+        }
+        assert!(begun.elapsed() < ms(3000));
+        assert_eq!(viewer.hears(ms(100)).await, None, "the viewer's stays");
+    });
+}
+
+#[test]
+fn a_flood_on_one_connection_is_bounded_and_others_are_served() {
+    with(Does::Nothing, |world| async move {
+        let mut flood = world.viewer().await;
+        let all: Vec<_> = (0..400).flat_map(|i| asks(Ref(0x8000 + i), "clip", 3000, "")).collect();
+        assert!(flood.write(&all).await);
+        sleep(ms(100)).await;
+        world.servers.iter().for_each(|server| server.does.set(Does::Plays));
+        let (mut viewer, begun) = (world.viewer().await, Instant::now());
+        assert!(viewer.write(&asks(Ref(0x800), "clip", 2000, "")).await);
+        assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+        assert!(begun.elapsed() < ms(500));
+        let first: Vec<_> = world.servers.iter().flat_map(|s| s.of(Kind::SetUp)).collect();
+        let open: std::collections::BTreeSet<_> = first.iter().map(|seen| seen.of).collect();
+        assert!(open.len() < 100, "{} of 400 reached servers", open.len());
+    });
+}
+
+/// The checker of the six rules over what the stand-ins saw of one run with servers that fail in all their ways.
+#[test]
+fn the_rules_are_kept_over_a_run_with_failures() {
+    with(Does::Plays, |world| async move {
+        let begun = Instant::now();
+        let asked: Rc<std::cell::RefCell<Vec<Asked>>> = Rc::default();
+        let left = Rc::new(Cell::new(0));
+        let ways =
+            [Does::Plays, Does::Releases(34), Does::Releases(47), Does::Resets, Does::Nothing, Does::Noise];
+        for i in 0..120u64 {
+            let turn = (i / 10) as usize;
+            for (n, server) in world.servers.iter().enumerate() {
+                server.does.set(if n == turn % SERVERS { ways[turn % ways.len()] } else { Does::Plays });
+            }
+            let (package, name) = if i % 3 == 0 { (1, "ticket") } else { (0, "clip") };
+            let (mut viewer, told, waiting) = (world.viewer().await, asked.clone(), left.clone());
+            waiting.set(waiting.get() + 1);
+            spawn_local(async move {
+                let at = begun.elapsed();
+                viewer.write(&asks(Ref(0x9000 + i), name, 1500, "")).await;
+                let came = viewer.hears(ms(2500)).await;
+                let came_at = begun.elapsed();
+                let more = usize::from(viewer.hears(ms(200)).await.is_some());
+                // Answers as the checker knows them: playing, refused, failed.
+                let came = came.map_or(Came::Nothing, |came| match (came.kind, came.cause) {
+                    (Kind::Answer, _) => Came::Answer(200),
+                    (_, Some(34 | 42 | 102)) => Came::Answer(503),
+                    _ => Came::Answer(502),
+                });
+                let session = u128::from(0x9000 + i);
+                told.borrow_mut().push(Asked {
+                    manager: 0,
+                    session,
+                    package,
+                    at,
+                    came_at,
+                    came,
+                    new: true,
+                    refresh: false,
+                    sent: true,
+                    more,
+                });
+                waiting.set(waiting.get() - 1);
+            });
+            sleep(ms(15)).await;
+        }
+        let end = Instant::now() + ms(6000);
+        while left.get() > 0 && Instant::now() < end {
+            sleep(ms(20)).await;
+        }
+        let (mut records, mut numbers) = (vec![], BTreeMap::new());
+        let mut seen: Vec<_> = (0..SERVERS)
+            .flat_map(|n| world.servers[n].of(Kind::SetUp).into_iter().map(move |seen| (n, seen)))
+            .collect();
+        seen.sort_by_key(|(_, seen)| seen.at);
+        for (n, seen) in &seen {
+            let number = numbers.entry(seen.of).and_modify(|n| *n += 1).or_insert(0u16);
+            let key = Key { manager: ManagerNo(0), birth: 1, vw: seen.of.0 as u32, n: *number };
+            let server = ServerNo(*n);
+            let (session, rung) = (seen.of.0.into(), seen.rung.unwrap_or_default() as usize);
+            let package = usize::from(seen.package.as_deref() == Some("ticket"));
+            let what = What::SetUp { server, key, session, package, title: "t".into(), rung };
+            records.push(Record { at: seen.at.duration_since(begun), what });
+            let ends = world.servers[*n].ends.borrow();
+            let end = ends
+                .iter()
+                .find(|end| (end.connection, end.of) == (seen.connection, seen.of) && end.at >= seen.at);
+            records.extend(end.map(|end| {
+                let what = What::SetUpOver { server, key, how: end.how };
+                Record { at: end.at.duration_since(begun), what }
+            }));
+        }
+        records.sort_by_key(|record| record.at);
+        let package = |name: &str, once| Package {
+            name: name.into(),
+            patience: ms(1500),
+            target: ms(800),
+            value: 1.0,
+            once,
+            floor: 0,
+            seats: 0,
+        };
+        let terms = Terms {
+            packages: vec![package("clip", false), package("ticket", true)],
+            grace: ms(250),
+            ration: Some((ms(5000), 5.0, 0.2)),
+            slack: ms(90),
+            grain: ms(50),
+            cold: (Cold { warm_up: ms(100), from: 0.5, multiple: 2.0, fall: ms(1000) }, 1000),
+        };
+        let asked = asked.take();
+        assert_eq!(asked.len(), 120);
+        let history =
+            History { records, asked, managers: vec![Life { no: Some(ManagerNo(0)), gaps: vec![] }] };
+        let judged = judge(&terms, &history);
+        assert!(judged.iter().all(|rule| rule.broken.is_empty()), "{}", table(&judged));
+        let [lost, twice, _, _, _, ration] = judged.each_ref().map(|rule| rule.looked);
+        assert!(lost == 120 && twice > 10 && ration > 5, "{}", table(&judged));
+    });
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_ends_the_start_with_one_line() {
+    let good = json!({
+        "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "limits": {"sockets": 256}, "bus": "127.0.0.1:1",
+        "known": {"offset": 0, "batch": []}, "settings": settings(),
+    });
+    // What is taken out or put in, and the field that the line names.
+    let cases: [(&str, Value, &str); 9] = [
+        ("/listen", json!("here"), "listen"),
+        ("/seed", json!(7), "seed"),
+        ("/bus", Value::Null, "bus"),
+        ("/limits/sockets", json!("many"), "limits.sockets"),
+        ("/known/offset", json!(-1), "known.offset"),
+        ("/known/batch", Value::Null, "known.batch"),
+        ("/settings", Value::Null, "settings"),
+        ("/settings/guarantees/drain-grace-us", Value::Null, "drain-grace-us"),
+        ("/settings/profiles", json!([{"worth": 1}]), "slo-us"),
+    ];
+    let file = env::temp_dir().join(format!("ivyward-node-{}-bad.json", process::id()));
+    let name = file.to_string_lossy().into_owned();
+    let run = || {
+        process::Command::new(env!("CARGO_BIN_EXE_ivyward")).args(["node", &name]).output().expect("it runs")
+    };
+    let mut texts: Vec<(String, &str)> = vec![("{".into(), "line 1")];
+    for (field, value, told) in cases {
+        let mut config = good.clone();
+        *config.pointer_mut(field).expect(field) = value;
+        texts.push((config.to_string(), told));
+    }
+    for (text, told) in texts {
+        fs::write(&file, text).expect("written");
+        let output = run();
+        let line = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success(), "{told}");
+        assert!(
+            line.contains(&name) && line.contains(told) && line.trim().lines().count() == 1,
+            "{told}: {line}"
+        );
+    }
+    fs::remove_file(&file).expect("removed");
+    let output = run();
+    assert!(!output.status.success() && String::from_utf8_lossy(&output.stderr).contains(&name));
+}
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -302,6 +302,7 @@
         }
         for key in link.open.into_values() {
             front.happened(self, now, key.0, key.1, Happened::Broke, Load::default());
+            self.servers.attempts.remove(&key);
         }
         self.fail_tests(front, now, server, link.tests);
         self.reach(server);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod given;
 mod list;
+pub mod platform;
 mod record;
 mod server;
 
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,373 @@
+//! Stand-ins of a platform's video servers, event bus and viewers, speaking the viewing managers' protocol on loopback.
+//! They run nothing and model no load: each does what a test tells it, and records what reached it.
+
+use ivyward_rules::SetUpEnd;
+use ivyward_signal::binary::{self, Messages};
+use ivyward_signal::line::{self, Lines};
+use ivyward_signal::{Field, Kind, Ref, Signal};
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+/// What a server does with a set-up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Does {
+    Plays,
+    /// An answer, and the same again.
+    PlaysTwice,
+    /// An answer for something else before the one that is wanted.
+    Ahead,
+    Releases(u8),
+    /// The connection is reset.
+    Resets,
+    Nothing,
+    /// Bytes that are no message.
+    Noise,
+    /// The answer stops short and the connection stays open.
+    StopsShort,
+    /// A length that no message has.
+    Huge,
+    /// An answer without its description.
+    Bare,
+}
+
+/// What reached a server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub at: Instant,
+    pub connection: usize,
+    pub kind: Kind,
+    pub of: Ref,
+    pub cause: Option<u8>,
+    pub description: Option<Vec<u8>>,
+    pub package: Option<String>,
+    pub rung: Option<u64>,
+}
+
+/// How a set-up ended at a server, as that saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct End {
+    pub at: Instant,
+    pub connection: usize,
+    pub of: Ref,
+    pub how: SetUpEnd,
+}
+
+/// What is written on a connection; nothing: it is reset.
+type Out = mpsc::UnboundedSender<Option<Vec<u8>>>;
+
+pub struct Server {
+    pub word: String,
+    pub address: SocketAddr,
+    pub does: Cell<Does>,
+    /// Whether tests are answered.
+    pub tested: Cell<bool>,
+    pub seen: RefCell<Vec<Seen>>,
+    pub ends: RefCell<Vec<End>>,
+    /// Set-ups without an end, and the connections that they came on.
+    open: RefCell<BTreeSet<(usize, Ref)>>,
+    connections: RefCell<Vec<Out>>,
+}
+
+/// The description that a server answers with: longer than the one it got, and with bytes that JSON has to escape.
+pub fn answer(description: &[u8]) -> Vec<u8> {
+    [b"v=0\r\n\t\"\\", description].concat()
+}
+
+impl Server {
+    /// # Errors
+    /// No socket is to be had.
+    pub async fn start(word: &str, does: Does) -> io::Result<Rc<Server>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let server = Rc::new(Server {
+            word: word.into(),
+            address: listener.local_addr()?,
+            does: Cell::new(does),
+            tested: Cell::new(true),
+            seen: RefCell::default(),
+            ends: RefCell::default(),
+            open: RefCell::default(),
+            connections: RefCell::default(),
+        });
+        let accepts = server.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (out, written) = mpsc::unbounded_channel();
+                let number = accepts.connections.borrow().len();
+                accepts.connections.borrow_mut().push(out);
+                let serves = accepts.clone();
+                spawn_local(async move {
+                    serves.serve(stream, number, written).await;
+                    let open = std::mem::take(&mut *serves.open.borrow_mut());
+                    let (lost, others) = open.into_iter().partition(|(connection, _)| *connection == number);
+                    *serves.open.borrow_mut() = others;
+                    let lost: BTreeSet<(usize, Ref)> = lost;
+                    lost.into_iter()
+                        .for_each(|(connection, of)| serves.ended(connection, of, SetUpEnd::Closed));
+                });
+            }
+        });
+        Ok(server)
+    }
+
+    async fn serve(
+        &self, mut stream: TcpStream, number: usize, mut written: mpsc::UnboundedReceiver<Option<Vec<u8>>>,
+    ) {
+        let (mut messages, mut piece) = (Messages::default(), [0; 4096]);
+        loop {
+            tokio::select! {
+                out = written.recv() => match out {
+                    Some(Some(bytes)) if stream.write_all(&bytes).await.is_ok() => {}
+                    _ => return drop(stream.set_zero_linger()),
+                },
+                read = stream.read(&mut piece) => {
+                    let Ok(read @ 1..) = read else { return };
+                    messages.push(&piece[..read]);
+                    while let Ok(Some(message)) = messages.cut() {
+                        let Ok(signal) = binary::read(message) else { return };
+                        self.reached(number, &signal);
+                    }
+                }
+            }
+        }
+    }
+
+    fn ended(&self, connection: usize, of: Ref, how: SetUpEnd) {
+        self.ends.borrow_mut().push(End { at: Instant::now(), connection, of, how });
+    }
+
+    /// A set-up that was open has its end.
+    fn ends(&self, connection: usize, of: Ref, how: SetUpEnd) {
+        if self.open.borrow_mut().remove(&(connection, of)) {
+            self.ended(connection, of, how);
+        }
+    }
+
+    fn reached(&self, connection: usize, signal: &Signal) {
+        let of = signal.of;
+        if signal.kind == Kind::SetUp {
+            self.open.borrow_mut().insert((connection, of));
+        } else if signal.kind == Kind::Release {
+            self.ends(connection, of, SetUpEnd::Closed);
+        }
+        self.seen.borrow_mut().push(Seen {
+            at: Instant::now(),
+            connection,
+            kind: signal.kind,
+            of,
+            cause: signal.cause,
+            description: signal.description.as_deref().map(<[u8]>::to_vec),
+            package: signal.text(Field::Package).map(Into::into),
+            rung: signal.whole(Field::Rung),
+        });
+        let say = |bytes| self.say(connection, bytes);
+        let up = |of, description: &[u8]| {
+            binary::write(
+                Kind::Answer,
+                of,
+                &[(Field::Report, "x0:0.4;x1:0.3")],
+                None,
+                Some(&answer(description)),
+            )
+            .unwrap_or_default()
+        };
+        let description = signal.description.as_deref().unwrap_or_default();
+        match (signal.kind, self.does.get()) {
+            (Kind::Test, _) if self.tested.get() => {
+                let report = [(Field::Report, "x0:0.4;x1:0.3")];
+                say(binary::write(Kind::Tested, of, &report, Some(1), None).unwrap_or_default());
+            }
+            (Kind::SetUp, Does::Plays) => {
+                self.ends(connection, of, SetUpEnd::Plays);
+                say(up(of, description));
+            }
+            (Kind::SetUp, Does::PlaysTwice) => say([up(of, description), up(of, description)].concat()),
+            (Kind::SetUp, Does::Ahead) => {
+                say([up(Ref(!of.0), description), up(of, description)].concat());
+            }
+            (Kind::SetUp, Does::Releases(cause)) => self.release(connection, of, cause),
+            (Kind::SetUp, Does::Resets) => self.reset(connection),
+            (Kind::SetUp, Does::Noise) => say(vec![0xff; 200]),
+            (Kind::SetUp, Does::StopsShort) => say(up(of, description)[..20].to_vec()),
+            (Kind::SetUp, Does::Huge) => say(vec![0xff, 0xff, 9]),
+            (Kind::SetUp, Does::Bare) => {
+                say(binary::write(Kind::Answer, of, &[], None, None).unwrap_or_default());
+            }
+            _ => {}
+        }
+    }
+
+    /// Writes on one of the connections, counted from 0 in the order in which they came.
+    pub fn say(&self, connection: usize, bytes: Vec<u8>) {
+        if let Some(out) = self.connections.borrow().get(connection) {
+            out.send(Some(bytes)).ok();
+        }
+    }
+
+    pub fn release(&self, connection: usize, of: Ref, cause: u8) {
+        // Full and moot: it never ran.
+        let never = [34, 102].contains(&cause);
+        self.ends(connection, of, if never { SetUpEnd::Refused } else { SetUpEnd::Errored });
+        self.say(connection, binary::write(Kind::Release, of, &[], Some(cause), None).unwrap_or_default());
+    }
+
+    pub fn reset(&self, connection: usize) {
+        if let Some(out) = self.connections.borrow().get(connection) {
+            out.send(None).ok();
+        }
+    }
+
+    pub fn connections(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// What of a kind reached it.
+    pub fn of(&self, kind: Kind) -> Vec<Seen> {
+        self.seen.borrow().iter().filter(|seen| seen.kind == kind).cloned().collect()
+    }
+}
+
+/// The event bus. It holds all events and sends each reader those after the last that it has.
+pub struct Bus {
+    pub address: SocketAddr,
+    /// The last numbers with which it was asked.
+    pub asked: RefCell<Vec<u64>>,
+    /// Whether a comment comes every second.
+    pub comments: Cell<bool>,
+    events: RefCell<Vec<(u64, String)>>,
+    readers: RefCell<Vec<Out>>,
+}
+
+impl Bus {
+    /// # Errors
+    /// No socket is to be had.
+    pub async fn start() -> io::Result<Rc<Bus>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let bus = Rc::new(Bus {
+            address: listener.local_addr()?,
+            asked: RefCell::default(),
+            comments: Cell::new(true),
+            events: RefCell::default(),
+            readers: RefCell::default(),
+        });
+        let accepts = bus.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(accepts.clone().serve(stream));
+            }
+        });
+        let ticks = bus.clone();
+        spawn_local(async move {
+            loop {
+                sleep(Duration::from_secs(1)).await;
+                if ticks.comments.get() {
+                    ticks.write(": here\n\n");
+                }
+            }
+        });
+        Ok(bus)
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        let (mut head, mut piece) = (vec![], [0; 1024]);
+        while !head.ends_with(b"\r\n\r\n") {
+            let Ok(read @ 1..) = stream.read(&mut piece).await else { return };
+            head.extend(&piece[..read]);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let last = head.lines().find_map(|line| line.strip_prefix("last-event-id:")?.trim().parse().ok());
+        let last: u64 = last.unwrap_or_default();
+        self.asked.borrow_mut().push(last);
+        let (out, mut written) = mpsc::unbounded_channel();
+        out.send(Some(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n".to_vec())).ok();
+        for (number, event) in self.events.borrow().iter().filter(|(number, _)| *number > last) {
+            out.send(Some(text(*number, event).into_bytes())).ok();
+        }
+        self.readers.borrow_mut().push(out);
+        while let Some(Some(bytes)) = written.recv().await {
+            if stream.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Holds an event, and tells it as often as said.
+    pub fn tell(&self, number: u64, event: &Value, times: usize) {
+        self.events.borrow_mut().push((number, event.to_string()));
+        (0..times).for_each(|_| self.write(&text(number, &event.to_string())));
+    }
+
+    pub fn write(&self, text: &str) {
+        self.readers.borrow_mut().retain(|out| out.send(Some(text.into())).is_ok());
+    }
+
+    /// Ends all connections.
+    pub fn breaks(&self) {
+        self.readers.borrow_mut().drain(..).for_each(|out| drop(out.send(None)));
+    }
+}
+
+fn text(number: u64, event: &str) -> String {
+    format!("id: {number}\ndata: {event}\n\n")
+}
+
+/// A viewer's connection.
+pub struct Viewer {
+    stream: TcpStream,
+    lines: Lines,
+    /// Whole lines that have come and were not asked for yet.
+    came: VecDeque<Vec<u8>>,
+}
+
+impl Viewer {
+    /// # Errors
+    /// No connection came about.
+    pub async fn connect(address: SocketAddr) -> io::Result<Viewer> {
+        let stream = TcpStream::connect(address).await?;
+        Ok(Viewer { stream, lines: Lines::default(), came: VecDeque::new() })
+    }
+
+    /// Writes bytes as they are; whether the connection took them.
+    pub async fn write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok()
+    }
+
+    pub async fn says(&mut self, kind: Kind, of: Ref, cause: Option<u8>) -> bool {
+        let line = line::write(kind, of, &[], cause, None).unwrap_or_default();
+        self.write(&line).await
+    }
+
+    /// The next message; none where the connection closed or nothing came in time.
+    pub async fn hears(&mut self, within: Duration) -> Option<Signal<'static>> {
+        let until = Instant::now() + within;
+        let mut piece = [0; 4096];
+        loop {
+            if let Some(line) = self.came.pop_front() {
+                return line::read(&line).ok();
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            let read = timeout(left, self.stream.read(&mut piece)).await;
+            let Ok(Ok(read @ 1..)) = read else { return None };
+            self.lines.push(&piece[..read]);
+            while let Ok(Some(line)) = self.lines.cut() {
+                self.came.push_back(line.to_vec());
+            }
+        }
+    }
+
+    /// Whether the other end closes it in time, whatever it says before.
+    pub async fn closes(&mut self, within: Duration) -> bool {
+        let mut piece = [0; 4096];
+        let ends = async { while let Ok(1..) = self.stream.read(&mut piece).await {} };
+        timeout(within, ends).await.is_ok()
+    }
+}
