A viewer's connection no longer closes with its set-up unread

Checked with a log of requests and closings: the leaving manager answered all; the other closed 1,873 connections to make room, at once and whatever lay unread, the oldest that was never answered first, be it milliseconds old (viewers.rs visited and sweep_viewers, visitor.rs gives_way). Ruled out: slow readers, unreadable lines, the process's own end. Change: an unused connection closes only when nothing came on it meanwhile; a new one has 100 ms to speak; others wait in the listener's queue. Test: viewers_come_through_a_flood_of_silent_connections, which fails at its first viewer on the text before.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -6,7 +6,7 @@
 use ivyward_standin::platform::{Bus, Does, Server, Viewer, answer};
 use serde_json::{Value, json};
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -515,6 +515,36 @@
     });
 }
 
+/// Guards against a viewer's connection that gives way, among strangers' silent ones, with its set-up unread.
+#[test]
+fn viewers_come_through_a_flood_of_silent_connections() {
+    with(Does::Plays, |world| async move {
+        let address = world.address;
+        let flood = spawn_local(async move {
+            let mut silent = VecDeque::new();
+            for i in 0..20_000 {
+                silent.extend(Viewer::connect(address).await.ok());
+                if i % 50 == 0 {
+                    sleep(ms(1)).await;
+                }
+                // Fewer than this process may hold.
+                if silent.len() > 500 {
+                    silent.pop_front();
+                }
+            }
+        });
+        sleep(ms(20)).await;
+        for i in 0..20 {
+            let mut viewer = world.viewer().await;
+            sleep(ms(20)).await;
+            assert!(viewer.write(&asks(Ref(0xa000 + i), "clip", 3000, "")).await);
+            let came = viewer.hears(ms(3000)).await.map(|came| came.kind);
+            assert_eq!(came, Some(Kind::Answer), "viewer {i}");
+        }
+        assert!(!flood.is_finished(), "the flood went on all the while");
+    });
+}
+
 #[test]
 fn a_flood_on_one_connection_is_bounded_and_others_are_served() {
     with(Does::Nothing, |world| async move {
--- a/crates/edge/src/lane.rs
+++ b/crates/edge/src/lane.rs
@@ -21,9 +21,9 @@
     pub heard: Duration,
     pub asked: Duration,
     /// Since when the part of a message waits for its rest.
-    part: Option<Duration>,
+    pub(crate) part: Option<Duration>,
     /// A set-up ran out of time on it, and nothing has come since.
-    suspect: bool,
+    pub(crate) suspect: bool,
     pub tested: Option<Duration>,
 }
 
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -1,4 +1,7 @@
-use crate::{Calendar, Doors, Errand, Gate, Line, Refresh, Seldom, Shown, Ticket, Turn, brief};
+use crate::{
+    Calendar, Doors, Errand, Gate, Lane, Lanes, Line, Refresh, Seldom, Shown, Ticket, Turn, Visit, Visits,
+    brief,
+};
 use ivyward::front::ServerId;
 use proptest::prelude::*;
 use std::collections::BTreeSet;
@@ -351,3 +354,89 @@
     }
     assert_eq!([(2, 2), (2, 1), (4, 2)].map(|(r, s)| Refresh::segments(ms(r), ms(s))), [3, 4, 4]);
 }
+
+#[test]
+fn which_visitors_are_closed_and_which_give_way() {
+    let visits = Visits::new(8);
+    // Since when it stands, when it last spoke, set-ups open, sessions that stand, whether anything was answered; whether
+    // it is closed at 10 s.
+    let cases = [
+        ((9000, 9000, 0, 0, false), false),
+        ((8000, 8000, 0, 0, false), true),
+        ((8000, 9900, 0, 0, false), true),
+        ((1000, 1000, 1, 0, false), false),
+        ((1000, 1000, 0, 1, false), false),
+        ((1000, 4001, 0, 0, true), false),
+        ((1000, 4000, 0, 0, true), true),
+        ((1000, 4000, 1, 0, true), false),
+        ((1000, 4000, 0, 1, true), false),
+    ];
+    let visit = |(since, last, open, stand, answered): (u64, u64, usize, usize, bool)| Visit {
+        since: ms(since),
+        last: ms(last),
+        open,
+        stand,
+        answered,
+        served: answered,
+    };
+    for (of, closed) in cases {
+        assert_eq!(visits.over(ms(10_000), &visit(of)), closed, "{of:?}");
+    }
+    // Five where four may stay: which of them gives way at 10 s.
+    let busy = (1000, 1000, 1, 0, true);
+    let cases = [
+        ([busy, busy, busy, busy, (9950, 9950, 0, 0, false)], None),
+        ([busy, busy, busy, busy, (9900, 9900, 0, 0, false)], Some(4)),
+        (
+            [busy, (9000, 9000, 0, 0, false), (9100, 9100, 0, 0, false), busy, (2000, 9000, 0, 0, true)],
+            Some(1),
+        ),
+        ([busy, (2000, 9500, 0, 0, true), (2000, 9400, 0, 0, true), busy, (2000, 2000, 0, 1, true)], Some(2)),
+        ([busy, busy, busy, busy, (2000, 2000, 0, 1, true)], Some(4)),
+        ([busy, busy, busy, busy, busy], None),
+    ];
+    for (all, way) in cases {
+        let all = all.map(visit);
+        assert_eq!(visits.gives_way(ms(10_000), all.into_iter().enumerate()), way, "{all:?}");
+        assert_eq!(visits.gives_way(ms(10_000), all.into_iter().take(4).enumerate()), None, "room for four");
+    }
+}
+
+#[test]
+fn which_connections_to_servers_are_used_tested_and_closed() {
+    let lanes = Lanes::new(2, ms(250), ms(15_000), ms(2000));
+    let mut lane = Lane::new(ms(0));
+    assert!(lanes.takes(&lane, 1) && !lanes.takes(&lane, 2));
+    // A set-up that ran out of time: heard since it was asked or not.
+    for (heard, takes) in [(50, false), (150, true)] {
+        lane = Lane { asked: ms(100), ..Lane::new(ms(heard)) };
+        lane.unanswered();
+        assert_eq!(lanes.takes(&lane, 0), takes, "heard at {heard}");
+        lane.said(ms(200));
+        assert!(lanes.takes(&lane, 0), "it has spoken since");
+    }
+    // A part of a message since 100 ms, and the rest.
+    lane.part(ms(100), true);
+    lane.part(ms(300), true);
+    assert!(!lanes.stuck(ms(349), &lane) && lanes.stuck(ms(350), &lane));
+    lane.part(ms(350), false);
+    assert!(!lanes.stuck(ms(900), &lane));
+    // Silence: tested, doubted, another connection.
+    let mut lane = Lane::new(ms(1000));
+    assert!(!lanes.asks(ms(3399), ms(1000), &lane) && lanes.asks(ms(3400), ms(1000), &lane));
+    lane.tested = Some(ms(3400));
+    assert!(!lanes.asks(ms(3500), ms(1000), &lane));
+    lanes.doubt(ms(3899), &mut lane);
+    assert!(lanes.takes(&lane, 0));
+    lanes.doubt(ms(3900), &mut lane);
+    assert!(!lanes.takes(&lane, 0) && lanes.idle(ms(3900), &lane));
+    assert!(!lanes.silent(ms(3899), ms(1000)) && lanes.silent(ms(3900), ms(1000)));
+    // Failures to reach a server: since when they count, as one follows another.
+    for (before, since) in [(None, 9000), (Some((5000, 7500)), 5000), (Some((5000, 7000)), 9000)] {
+        let before = before.map(|(first, last)| (ms(first), ms(last)));
+        assert_eq!(lanes.unreached(ms(9000), before), ms(since), "{before:?}");
+    }
+    assert!(!lanes.lost(ms(1999)) && lanes.lost(ms(2000)));
+    let idle = Lane { asked: ms(1000), ..Lane::new(ms(500)) };
+    assert!(!lanes.idle(ms(8499), &idle) && lanes.idle(ms(8500), &idle));
+}
--- a/crates/edge/src/visitor.rs
+++ b/crates/edge/src/visitor.rs
@@ -9,6 +9,10 @@
 const IDLE: Duration = Duration::from_secs(6);
 /// The part of the descriptors that viewers' connections may take. They hold a third; strangers come beside them.
 const SHARE: f64 = 0.5;
+/// The part that they may take for the moment in which some are being closed.
+const ROOM: f64 = 0.6;
+/// Whoever connects has so long to say something before it may give way.
+const FIRST: Duration = Duration::from_millis(100);
 /// Set-ups that may be open on one connection, as a part of its descriptors.
 const OPEN: f64 = 0.125;
 
@@ -29,13 +33,19 @@
 /// Connections of viewers, within a number of descriptors.
 pub struct Visits {
     most: usize,
+    room: usize,
     open: usize,
 }
 
 impl Visits {
     pub fn new(descriptors: usize) -> Self {
         let part = |share: f64| ((descriptors as f64 * share) as usize).max(1);
-        Visits { most: part(SHARE), open: part(OPEN) }
+        Visits { most: part(SHARE), room: part(ROOM), open: part(OPEN) }
+    }
+
+    /// Connections that may stand at any time; further ones wait to be taken.
+    pub fn room(&self) -> usize {
+        self.room
     }
 
     /// Whether one more set-up may be open on it.
@@ -50,14 +60,17 @@
         visit.open == 0 && (silent && visit.stand == 0 || idle)
     }
 
-    /// With so many connections, which of them gives way to a further one; none where there is room for it. Guards
+    /// With so many connections, which of them gives way; none where there is room, or where all are of use. Guards
     /// against descriptors that strangers hold: who was never answered goes first, then who has been idle for longest.
-    pub fn gives_way<T: Copy + Ord>(&self, visits: impl Iterator<Item = (T, Visit)> + Clone) -> Option<T> {
+    pub fn gives_way<T: Copy + Ord>(
+        &self, now: Duration, visits: impl Iterator<Item = (T, Visit)> + Clone,
+    ) -> Option<T> {
         if visits.clone().count() <= self.most {
             return None;
         }
-        let rank =
-            |visit: &Visit| (visit.open > 0, visit.answered, visit.stand > 0, visit.last.max(visit.since));
-        visits.min_by_key(|(id, visit)| (rank(visit), *id)).map(|(id, _)| id)
+        let may = |visit: &Visit| visit.open == 0 && (visit.answered || now >= visit.since + FIRST);
+        let rank = |visit: &Visit| (visit.answered, visit.stand > 0, visit.last.max(visit.since));
+        let may = visits.filter(|(_, visit)| may(visit));
+        may.min_by_key(|(id, visit)| (rank(visit), *id)).map(|(id, _)| id)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -95,7 +95,7 @@
     }
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     tracing::info!(%listen, %bus, offset, servers = hands.list.count(), "ready");
-    spawn_local(viewers::accept(listener, queue.clone()));
+    spawn_local(viewers::accept(listener, queue.clone(), hands.viewers.room()));
     let (move_bus, address) = watch::channel(bus);
     spawn_local(bus::follow(queue.clone(), address, offset, seed));
     let (done, leaving) = (Rc::new(Notify::new()), Rc::new(Cell::new(None::<Instant>)));
@@ -140,7 +140,7 @@
 
 impl Hands {
     fn sweep(&mut self, front: &mut Front, now: Duration, forgotten: Duration) {
-        self.sweep_viewers(front, now);
+        self.sweep_viewers(now);
         self.sweep_servers(front, now);
         let (stands, servers) = (&self.stands, &self.servers);
         let of_use = |server| stands.at(server).next().is_some() || servers.has_links(server);
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -10,8 +10,10 @@
 use ivyward_turns::Queue;
 use std::collections::BTreeMap;
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -29,6 +31,8 @@
     lines: Lines,
     visit: Visit,
     from: IpAddr,
+    /// It was told to close unless something has come.
+    leaving: bool,
 }
 
 /// A set-up without an answer.
@@ -81,6 +85,17 @@
         self.connections.get(&visit).is_some_and(|connection| connection.pen.write(line))
     }
 
+    fn ends_unused(&mut self, visit: u64) {
+        if let Some(connection) = self.connections.get_mut(&visit) {
+            connection.leaving = true;
+            connection.pen.ends_unused();
+        }
+    }
+
+    pub fn room(&self) -> usize {
+        self.visits.room()
+    }
+
     fn refuse(&mut self, visit: u64, of: Ref, cause: u8) {
         if let Ok(line) = line::write(Kind::Release, of, &[], Some(cause), None) {
             self.say(visit, line);
@@ -122,12 +137,14 @@
 }
 
 /// Takes viewers' connections for as long as the program runs.
-pub async fn accept(listener: TcpListener, queue: Queue<Hands>) {
+pub async fn accept(listener: TcpListener, queue: Queue<Hands>, room: usize) {
+    let room = Arc::new(Semaphore::new(room));
     loop {
+        let Ok(place) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, from)) => queue.tell(move |front, hands, now| {
-                hands.visited(front, now, stream, from.ip());
-            }),
+            Ok((stream, from)) => {
+                queue.tell(move |_, hands, now| hands.visited(now, stream, from.ip(), place));
+            }
             // Guards against descriptors that have run out: some come free.
             Err(error) => {
                 tracing::warn!(%error, "no connection can be taken");
@@ -138,34 +155,42 @@
 }
 
 impl Hands {
-    fn visited(&mut self, front: &mut Front, now: Duration, stream: tokio::net::TcpStream, from: IpAddr) {
+    fn visited(&mut self, now: Duration, stream: TcpStream, from: IpAddr, place: OwnedSemaphorePermit) {
         self.viewers.last += 1;
         let (visit, (pen, page)) = (self.viewers.last, pen());
         let about = Visit { since: now, last: now, ..Visit::default() };
-        let connection = Connection { pen, lines: Lines::default(), visit: about, from };
+        let connection = Connection { pen, lines: Lines::default(), visit: about, from, leaving: false };
         self.viewers.connections.insert(visit, connection);
         let queue = self.queue.clone();
         spawn_local(async move {
-            let heard = |piece: Vec<u8>, had: tokio::sync::oneshot::Sender<()>| {
+            let heard = |piece: Vec<u8>, had: oneshot::Sender<()>| {
                 queue.tell(move |front, hands, now| {
                     hands.viewer_said(front, now, visit, &piece);
                     had.send(()).ok();
                 });
             };
             converse(stream, page, heard).await;
+            drop(place);
             queue.tell(move |front, hands, now| hands.left(front, now, visit));
         });
-        let visits = self.viewers.connections.iter().map(|(id, connection)| (*id, connection.visit));
-        if let Some(way) = self.viewers.visits.gives_way(visits) {
-            self.left(front, now, way);
+        self.give_way(now);
+    }
+
+    /// With too many connections, those of least use close.
+    fn give_way(&mut self, now: Duration) {
+        loop {
+            let stay = self.viewers.connections.iter().filter(|(_, connection)| !connection.leaving);
+            let stay = stay.map(|(id, connection)| (*id, connection.visit));
+            let Some(way) = self.viewers.visits.gives_way(now, stay) else { return };
+            self.viewers.ends_unused(way);
         }
     }
 
     /// A viewers' connection is over: nobody waits any more for what is open on it.
     fn left(&mut self, front: &mut Front, now: Duration, visit: u64) {
-        if self.viewers.connections.remove(&visit).is_none() {
-            return;
-        }
+        let Some(connection) = self.viewers.connections.remove(&visit) else { return };
+        let Visit { open, stand, served, .. } = connection.visit;
+        tracing::debug!(visit, open, stand, served, from = %connection.from, "a viewers' connection is over");
         let open = self.viewers.open.iter().filter(|(_, open)| open.visit == visit).map(|(of, _)| *of);
         for of in open.collect::<Vec<_>>() {
             self.given_up(front, now, of);
@@ -173,6 +198,7 @@
     }
 
     fn given_up(&mut self, front: &mut Front, now: Duration, of: Ref) {
+        tracing::debug!(of = format!("{:016x}", of.0), "given up");
         let Some(open) = self.viewers.open.remove(&of) else { return };
         self.viewers.requests.remove(&open.request);
         self.viewers.connections.entry(open.visit).and_modify(|c| c.visit.open -= 1);
@@ -199,7 +225,7 @@
                     return self.left(front, now, visit);
                 }
             };
-            connection.visit.last = now;
+            (connection.visit.last, connection.leaving) = (now, false);
             match signal.kind {
                 Kind::SetUp => self.asked(front, now, visit, &signal),
                 Kind::Release => self.viewer_ends(front, now, visit, signal.of),
@@ -252,6 +278,7 @@
         let cells = |name| signal.extra(name).and_then(|text| text.parse().ok()).unwrap_or_default();
         let about = (package, title, Cells { first: cells("home"), spread: cells("copies") }, top);
         let left = Duration::from_millis(signal.whole(Field::Left).unwrap_or_default());
+        tracing::debug!(of = format!("{:016x}", of.0), ?left, package = open.package, "asked");
         self.viewers.open.insert(of, open);
         self.viewers.requests.insert(request, of);
         self.viewers.connections.entry(visit).and_modify(|c| c.visit.open += 1);
@@ -306,6 +333,7 @@
         connection.into_iter().for_each(|c| (c.visit.open, c.visit.answered) = (c.visit.open - 1, true));
         match (answer, self.line.take()) {
             (Answer::Plays { .. }, Some(line)) => {
+                tracing::debug!(of = format!("{:016x}", of.0), "plays");
                 if let Some(stand) = self.stands.get_mut(of) {
                     stand.visit = Some(open.visit);
                 }
@@ -320,11 +348,11 @@
                 }
             }
             (Answer::Blocked { why, .. }, _) => {
-                tracing::debug!(of = of.0, ?why, "blocked");
+                tracing::debug!(of = format!("{:016x}", of.0), ?why, "blocked");
                 self.viewers.refuse(open.visit, of, REFUSED);
             }
             (answer, _) => {
-                tracing::debug!(of = of.0, ?answer, "aborted");
+                tracing::debug!(of = format!("{:016x}", of.0), ?answer, "aborted");
                 self.viewers.refuse(open.visit, of, FAILED);
             }
         }
@@ -354,7 +382,7 @@
     }
 
     /// Closes connections that are of no use.
-    pub fn sweep_viewers(&mut self, front: &mut Front, now: Duration) {
+    pub fn sweep_viewers(&mut self, now: Duration) {
         self.viewers.owed.retain(|_, (_, since)| now < *since + OWED);
         // With no viewer's connection for half the time, whatever connection there is.
         let due = self.viewers.owed.values().any(|(_, since)| now >= *since + OWED / 2);
@@ -370,7 +398,8 @@
             self.viewers.visits.over(now, &connection.visit).then_some(*id)
         });
         for visit in over.collect::<Vec<_>>() {
-            self.left(front, now, visit);
+            self.viewers.ends_unused(visit);
         }
+        self.give_way(now);
     }
 }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -7,8 +7,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+/// What was sent before a connection is to be closed as unused is known after so long.
+const SENT: Duration = Duration::from_millis(2);
 /// What is read at once.
 const PIECE: usize = 4096;
 /// Whoever takes nothing for so long reads no more.
@@ -44,11 +46,26 @@
         self.unsent.set(unsent);
         self.bytes.send(bytes).is_ok()
     }
+
+    /// Closes the connection unless something has come on it that had no turn yet.
+    pub fn ends_unused(&self) {
+        self.bytes.send(vec![]).ok();
+    }
 }
 
 impl Page {
-    async fn write(&mut self, to: &mut (impl AsyncWriteExt + Unpin)) {
+    /// `came`: pieces that were read so far.
+    async fn write(&mut self, to: &mut (impl AsyncWriteExt + Unpin), came: &Cell<u64>) {
         while let Some(bytes) = self.bytes.recv().await {
+            if bytes.is_empty() {
+                // Guards against a request that crosses the close: what was sent before is read first.
+                let before = came.get();
+                sleep(SENT).await;
+                if came.get() == before {
+                    break;
+                }
+                continue;
+            }
             if !matches!(timeout(STALLED, to.write_all(&bytes)).await, Ok(Ok(()))) {
                 return;
             }
@@ -62,9 +79,11 @@
 pub async fn converse(mut stream: TcpStream, mut page: Page, heard: impl Fn(Vec<u8>, oneshot::Sender<()>)) {
     stream.set_nodelay(true).ok();
     let (mut from, mut to) = stream.split();
+    let came = Cell::new(0);
     let reads = async {
         let mut piece = [0; PIECE];
         while let Ok(read @ 1..) = from.read(&mut piece).await {
+            came.set(came.get() + 1);
             let (had, turn) = oneshot::channel();
             heard(piece[..read].to_vec(), had);
             if turn.await.is_err() {
@@ -72,5 +91,5 @@
             }
         }
     };
-    tokio::select! { () = reads => {}, () = page.write(&mut to) => {} }
+    tokio::select! { biased; () = reads => {}, () = page.write(&mut to, &came) => {} }
 }
