Each report is logged beside what the module holds of its server, and what stands there by the sockets

Cause: whether what the manager believes is what passes on the sockets could not be seen. Change: at debug, a report's line has the module's figures, its viewings there and bad endings kept, and what stands and is out by the sockets. Ends of sessions go to connections on which one stood, not to any that a test was answered on.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -246,8 +246,16 @@
             let (mut first, mut second, of) = (world.viewer().await, world.viewer().await, Ref(0xc1));
             assert!(first.write(&asks(of, "clip", 3000, "")).await);
             assert_eq!(first.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
-            assert!(second.says(Kind::Test, Ref(2), Some(0)).await && second.hears(ms(1000)).await.is_some());
             let server = world.holder();
+            assert!(
+                second.write(&asks(Ref(0xc2), "clip", 3000, "")).await
+                    && second.hears(ms(1000)).await.is_some()
+            );
+            // A stranger, who is told nothing.
+            let mut stranger = world.viewer().await;
+            assert!(
+                stranger.says(Kind::Test, Ref(2), Some(0)).await && stranger.hears(ms(1000)).await.is_some()
+            );
             if by_server {
                 if !same {
                     drop(first);
@@ -257,6 +265,7 @@
                     server.release(1, of, 16);
                     let came = second.hears(ms(1000)).await.expect("the release");
                     assert_eq!((came.kind, came.of), (Kind::Release, of));
+                    assert_eq!(stranger.hears(ms(100)).await, None);
                     return;
                 }
                 server.release(0, of, 16);
--- a/crates/edge/src/visitor.rs
+++ b/crates/edge/src/visitor.rs
@@ -25,7 +25,7 @@
     /// Set-ups open on it, and sessions that it asked for and that stand.
     pub open: usize,
     pub stand: usize,
-    /// Whether anything was answered on it, and whether a set-up or a test was to the good: only viewers have that.
+    /// Whether anything was answered on it, and whether a session stood that was: only viewers have that.
     pub answered: bool,
     pub served: bool,
 }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -418,8 +418,13 @@
     ) -> Result<(), String> {
         let of = signal.of;
         let load = signal.text(Field::Report).map(options::load);
-        if let Some(load) = load {
-            tracing::debug!(server = self.word(server), ?load, "a report");
+        if let Some(load) = load
+            && tracing::enabled!(tracing::Level::DEBUG)
+        {
+            // Beside what the module believes: what passed on the sockets here.
+            let out = self.servers.attempts.values().filter(|attempt| attempt.server == server).count();
+            let (there, believed) = (self.stands.at(server).count(), front.believed(server));
+            tracing::debug!(server = self.word(server), ?load, ?believed, there, out, "a report");
         }
         let load = load.unwrap_or_default();
         let Some(link) = self.servers.links.get_mut(&id) else { return Ok(()) };
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -230,7 +230,7 @@
                 Kind::SetUp => self.asked(front, now, visit, &signal),
                 Kind::Release => self.viewer_ends(front, now, visit, signal.of),
                 Kind::Test => {
-                    (connection.visit.answered, connection.visit.served) = (true, true);
+                    connection.visit.answered = true;
                     if let Ok(line) = line::write(Kind::Tested, signal.of, &[], Some(1), None) {
                         self.viewers.say(visit, line);
                     }
--- a/crates/session/src/decides.rs
+++ b/crates/session/src/decides.rs
@@ -27,6 +27,11 @@
     fn reported(&mut self, now: Duration, server: ServerId, load: Load);
     fn probed(&mut self, act: &mut dyn Actions, now: Duration, server: ServerId, load: Option<Load>);
     fn woken(&mut self, act: &mut dyn Actions, now: Duration, token: u64);
+    /// What is held of a server, to be compared with what passes on sockets: what is asked of its link and uplink over
+    /// what they give, our viewings there, and bad endings kept.
+    fn believed(&self, _: ServerId) -> Option<([f64; 2], usize, usize)> {
+        None
+    }
 }
 
 impl Decides for Manager {
@@ -72,4 +77,7 @@
     fn woken(&mut self, act: &mut dyn Actions, now: Duration, token: u64) {
         self.woken(act, now, token);
     }
+    fn believed(&self, server: ServerId) -> Option<([f64; 2], usize, usize)> {
+        self.believed(server)
+    }
 }
--- a/crates/session/src/front.rs
+++ b/crates/session/src/front.rs
@@ -456,6 +456,11 @@
         Some(key)
     }
 
+    /// What the module holds of a server.
+    pub fn believed(&self, server: ServerId) -> Option<([f64; 2], usize, usize)> {
+        self.module.believed(server)
+    }
+
     /// A load report that came with neither an ending nor a probe.
     pub fn reported(&mut self, now: Duration, server: ServerId, load: Load) {
         self.module.reported(now, server, load);
--- a/src/state.rs
+++ b/src/state.rs
@@ -624,6 +624,15 @@
         self.servers.len() + self.at.len() + racks + places + ration + self.viewings.len()
     }
 
+    /// What is held of a server: what is asked of its link and its rack's uplink over what they give, our viewings there,
+    /// and how many of the last tune-ins and viewings there ended badly.
+    pub fn believed(&self, server: ServerId) -> Option<([f64; 2], usize, usize)> {
+        let s = self.servers.get(&server)?;
+        let uplink = &self.uplinks[self.network.rack(s.listed.cell)];
+        let bad = s.health.tries.iter().filter(|tried| !tried.1).count();
+        Some(([s.link.full(&self.view), uplink.full(&self.view)], self.there(server).count(), bad))
+    }
+
     /// Entries that decisions have gone through so far.
     pub fn walked(&self) -> usize {
         self.walked.get()
