--- a/crates/session/src/tests.rs
+++ b/crates/session/src/tests.rs
@@ -702,3 +702,52 @@
     assert_eq!(world.front.live(), 6 - there);
     assert!(world.released(vw, n));
 }
+
+#[test]
+fn a_request_that_says_how_long_it_waits_is_answered_by_then_and_leaves_nothing() {
+    // The package, how long the request waits, whether what was written is never answered.
+    for (package, patience, written) in [(PLAIN, 700, true), (PAID, 700, true), (PAID, 2000, true), (PAID, 700, false)] {
+        let mut world = World::of_requests();
+        world.asks_once(1, session(1), package, ms(patience));
+        if written {
+            let (vw, n) = out(&world);
+            assert!(world.sending(vw, n));
+        }
+        world.runs(ms(patience - 1));
+        assert!(answers(&world).is_empty(), "{package} {patience}: not before");
+        world.runs(ms(1));
+        let ran = package == PAID && written;
+        assert!(
+            matches!(answers(&world)[..], [Answer::Aborted { .. }] if ran)
+                || matches!(answers(&world)[..], [Answer::Blocked { .. }] if !ran),
+            "{package} {patience}: {:?}",
+            world.did
+        );
+        world.runs(ms(60_000));
+        assert_eq!(answers(&world).len(), 1);
+        assert!(world.front.is_empty(), "{package} {patience}");
+        assert!(!world.did.iter().any(|did| matches!(did, Did::Fetched(_) | Did::Breach(_))), "{:?}", world.did);
+        // The same once more: nothing is remembered that would refuse it.
+        let before = world.front.held();
+        world.asks_once(2, session(1), package, ms(patience));
+        assert_eq!((world.front.live(), world.front.held()), (1, before));
+    }
+}
+
+#[test]
+fn a_session_that_is_handed_over_plays_until_it_ends() {
+    for package in [PLAIN, PAID, SEATED] {
+        for why in [Over::Ended, Over::Left, Over::Lost] {
+            let mut world = World::of_requests();
+            let key = world.handed(server(3), session(5), package).expect("taken");
+            assert_eq!(world.handed(server(3), session(5), package), None, "named twice");
+            world.runs(ms(120_000));
+            assert_eq!(world.front.live(), 1, "it plays for as long as nobody ends it");
+            world.ends(server(2), key, why);
+            assert_eq!(world.front.live(), 1, "not there");
+            world.ends(server(3), key, why);
+            assert!(world.front.is_empty(), "{package} {why:?}");
+            assert!(answers(&world).is_empty() && !world.released(key.1, key.2), "{:?}", world.did);
+        }
+    }
+}
--- a/crates/session/src/tests/world.rs
+++ b/crates/session/src/tests/world.rs
@@ -98,6 +98,15 @@
 
     /// `probe`: servers may be asked for their load.
     pub fn with(probe: bool) -> World {
+        World::of(probe, Some((ms(9000), ms(600_000))))
+    }
+
+    /// One in which each request is a session of its own and whose viewers tell when they leave.
+    pub fn of_requests() -> World {
+        World::of(false, None)
+    }
+
+    fn of(probe: bool, sessions: Option<(Duration, Duration)>) -> World {
         let package =
             |once, seats| Package { value: 1.0, target: ms(1000), once, scale: 1.0, floor: 0, top: 1, seats };
         let module = Manager::new(
@@ -119,14 +128,8 @@
         );
         let fence = fence();
         let terms = vec![(ms(3000), false), (ms(3000), true), (ms(3000), false)];
-        let front = Front::new(
-            Box::new(module),
-            fence,
-            terms,
-            (ms(40), Some(ms(9000)), Some(ms(600_000))),
-            Some(RATION),
-            BIRTH,
-        );
+        let spans = (ms(40), sessions.map(|(idle, _)| idle), sessions.map(|(_, paid)| paid));
+        let front = Front::new(Box::new(module), fence, terms, spans, Some(RATION), BIRTH);
         let mut world = World { front, did: vec![], now: BEGIN, timers: BTreeMap::new(), order: 0 };
         world.turn(|front, hands, now| front.start(hands, now));
         let all: Vec<_> = (0..6).map(|i| (server(i), Standing::Ready)).collect();
@@ -189,6 +192,24 @@
         });
     }
 
+    /// A request that says itself how long it waits.
+    pub fn asks_once(&mut self, request: u64, session: SessionId, package: usize, patience: Duration) {
+        let about = (PackageId(package), TitleId(0), Cells { first: 0, spread: 6 }, 1);
+        self.turn(|front, hands, now| front.asked_once(hands, now, RequestId(request), session, about, patience));
+    }
+
+    /// A session that plays is handed to us.
+    pub fn handed(
+        &mut self, at: ServerId, session: SessionId, package: usize,
+    ) -> Option<(Birth, ViewingId, TuneIn)> {
+        let about = (PackageId(package), TitleId(0), (0, 1));
+        self.turn(|front, hands, now| front.handed(hands, now, at, session, about))
+    }
+
+    pub fn ends(&mut self, at: ServerId, key: (Birth, ViewingId, TuneIn), why: Over) {
+        self.turn(|front, hands, now| front.over(hands, now, at, key, why));
+    }
+
     pub fn hears(&mut self, at: ServerId) {
         self.turn(|front, hands, now| front.heard(hands, now, at));
     }
