--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -382,6 +382,11 @@
     for (of, closed) in cases {
         assert_eq!(visits.over(ms(10_000), &visit(of)), closed, "{of:?}");
     }
+    // Set-ups open on one connection of 64 descriptors and on all: whether one more may be.
+    let visits_64 = Visits::new(64);
+    for (open, all, takes) in [(7, 127, true), (8, 8, false), (0, 128, false)] {
+        assert_eq!(visits_64.takes(&visit((0, 0, open, 0, true)), all), takes, "{open} of {all}");
+    }
     // Five where four may stay: which of them gives way at 10 s.
     let busy = (1000, 1000, 1, 0, true);
     let cases = [
--- a/crates/edge/src/visitor.rs
+++ b/crates/edge/src/visitor.rs
@@ -15,6 +15,8 @@
 const FIRST: Duration = Duration::from_millis(100);
 /// Set-ups that may be open on one connection, as a part of its descriptors.
 const OPEN: f64 = 0.125;
+/// The same on all connections together.
+const ALL: f64 = 2.0;
 
 /// What is known of a connection.
 #[derive(Clone, Copy, Debug, Default)]
@@ -35,12 +37,13 @@
     most: usize,
     room: usize,
     open: usize,
+    all: usize,
 }
 
 impl Visits {
     pub fn new(descriptors: usize) -> Self {
         let part = |share: f64| ((descriptors as f64 * share) as usize).max(1);
-        Visits { most: part(SHARE), room: part(ROOM), open: part(OPEN) }
+        Visits { most: part(SHARE), room: part(ROOM), open: part(OPEN), all: part(ALL) }
     }
 
     /// Connections that may stand at any time; further ones wait to be taken.
@@ -48,9 +51,9 @@
         self.room
     }
 
-    /// Whether one more set-up may be open on it.
-    pub fn takes(&self, visit: &Visit) -> bool {
-        visit.open < self.open
+    /// Whether one more set-up may be open on it, with so many on all. Guards against memory that long descriptions hold.
+    pub fn takes(&self, visit: &Visit, all: usize) -> bool {
+        visit.open < self.open && all < self.all
     }
 
     /// Whether it is closed now. Guards against clients that connect and say nothing, or nothing that can be answered.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -143,7 +143,7 @@
         self.sweep_viewers(now);
         self.sweep_servers(front, now);
         let (stands, servers) = (&self.stands, &self.servers);
-        let of_use = |server| stands.at(server).next().is_some() || servers.has_links(server);
+        let of_use = |server| stands.any_at(server) || servers.has_links(server);
         self.list.forget(now, forgotten, of_use);
     }
 
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -266,7 +266,7 @@
     }
 
     fn all_lost(&mut self, front: &mut Front, now: Duration, server: ServerId) {
-        let there: Vec<_> = self.stands.at(server).map(|(of, _)| of).collect();
+        let there: Vec<_> = self.stands.at(server).collect();
         if !there.is_empty() {
             tracing::info!(server = self.word(server), sessions = there.len(), "a server is lost");
         }
@@ -312,7 +312,7 @@
 
     /// Sees to a connection to a server at which something stands or is to be ended.
     pub fn reach(&mut self, server: ServerId) {
-        let wanted = self.stands.at(server).next().is_some() || self.servers.cares.contains_key(&server);
+        let wanted = self.stands.any_at(server) || self.servers.cares.contains_key(&server);
         let tried = self.servers.unreached.get(&server).map(|(_, last)| *last);
         let now = self.queue.now();
         let again = tried.is_none_or(|last| now >= last + self.servers.connect);
@@ -423,7 +423,7 @@
         {
             // Beside what the module believes: what passed on the sockets here.
             let out = self.servers.attempts.values().filter(|attempt| attempt.server == server).count();
-            let (there, believed) = (self.stands.at(server).count(), front.believed(server));
+            let (there, believed) = (self.stands.at(server).len(), front.believed(server));
             tracing::debug!(server = self.word(server), ?load, ?believed, there, out, "a report");
         }
         let load = load.unwrap_or_default();
@@ -500,7 +500,7 @@
         self.servers.cares.retain(|_, cares| !cares.is_empty());
         let all: BTreeSet<_> = self.servers.links.values().map(|link| link.server).collect();
         for server in all {
-            let stand = self.stands.at(server).next().is_some();
+            let stand = self.stands.any_at(server);
             let links: Vec<_> =
                 self.servers.there(server).filter(|(_, link)| link.up).map(|(id, _)| id).collect();
             let heard = links.iter().map(|id| self.servers.links[id].lane.heard).max().unwrap_or(now);
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -9,7 +9,7 @@
 use ivyward_session::{Answer, Birth, Breach, Effects, SessionId, Timer, TuneIn};
 use ivyward_signal::Ref;
 use ivyward_turns::{Queue, Timers};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A session that stands: where, as which tune-in of which viewing, and on which connection its viewer asked.
@@ -24,17 +24,26 @@
 #[derive(Default)]
 pub struct Stands {
     by_ref: BTreeMap<Ref, Stand>,
+    there: BTreeMap<ServerId, BTreeSet<Ref>>,
     refs: BTreeMap<ViewingId, Ref>,
 }
 
 impl Stands {
     pub fn insert(&mut self, of: Ref, stand: Stand) {
+        self.remove(of);
+        self.there.entry(stand.server).or_default().insert(of);
         self.refs.insert(stand.key.1, of);
         self.by_ref.insert(of, stand);
     }
 
     pub fn remove(&mut self, of: Ref) -> Option<Stand> {
         let stand = self.by_ref.remove(&of)?;
+        if let Some(there) = self.there.get_mut(&stand.server) {
+            there.remove(&of);
+            if there.is_empty() {
+                self.there.remove(&stand.server);
+            }
+        }
         self.refs.remove(&stand.key.1);
         Some(stand)
     }
@@ -51,12 +60,16 @@
         self.refs.get(&vw).copied()
     }
 
-    pub fn at(&self, server: ServerId) -> impl Iterator<Item = (Ref, &Stand)> {
-        self.by_ref.iter().filter(move |(_, stand)| stand.server == server).map(|(of, stand)| (*of, stand))
+    pub fn at(&self, server: ServerId) -> impl ExactSizeIterator<Item = Ref> {
+        self.there.get(&server).into_iter().flatten().copied().collect::<Vec<_>>().into_iter()
+    }
+
+    pub fn any_at(&self, server: ServerId) -> bool {
+        self.there.contains_key(&server)
     }
 
     pub fn servers(&self) -> impl Iterator<Item = ServerId> {
-        self.by_ref.values().map(|stand| stand.server)
+        self.there.keys().copied()
     }
 
     /// The connections on which they were asked for, where those stand.
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -201,7 +201,10 @@
         tracing::debug!(of = format!("{:016x}", of.0), "given up");
         let Some(open) = self.viewers.open.remove(&of) else { return };
         self.viewers.requests.remove(&open.request);
-        self.viewers.connections.entry(open.visit).and_modify(|c| c.visit.open -= 1);
+        self.viewers
+            .connections
+            .entry(open.visit)
+            .and_modify(|c| c.visit.open = c.visit.open.saturating_sub(1));
         front.closed(self, now, SessionId(of.0.into()), open.request);
     }
 
@@ -251,7 +254,11 @@
             }
             return;
         }
-        let takes = self.viewers.connections.get(&visit).is_some_and(|c| self.viewers.visits.takes(&c.visit));
+        let takes = self
+            .viewers
+            .connections
+            .get(&visit)
+            .is_some_and(|c| self.viewers.visits.takes(&c.visit, self.viewers.open.len()));
         let cause = match (wrong, known, takes) {
             (None, false, true) => None,
             (None, false, false) => Some(("too many are open", REFUSED)),
@@ -330,7 +337,9 @@
         let Some(of) = self.viewers.requests.remove(&request) else { return };
         let Some(open) = self.viewers.open.remove(&of) else { return };
         let connection = self.viewers.connections.get_mut(&open.visit);
-        connection.into_iter().for_each(|c| (c.visit.open, c.visit.answered) = (c.visit.open - 1, true));
+        connection
+            .into_iter()
+            .for_each(|c| (c.visit.open, c.visit.answered) = (c.visit.open.saturating_sub(1), true));
         match (answer, self.line.take()) {
             (Answer::Plays { .. }, Some(line)) => {
                 tracing::debug!(of = format!("{:016x}", of.0), "plays");
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -245,13 +245,25 @@
         assert_eq!(ration(&all), Some((ms(5000), 5.0, 0.2)));
         assert_eq!(names(&all), [vec!["clip", "ticket"], vec!["acme"], vec!["east"], vec!["std"]]);
         let told = |key: &str, without: &Value| {
-            let all = [terms(without).err(), rules(without).err(), connections(without).err(), spans(without).err()];
+            let all = [
+                terms(without).err(),
+                rules(without).err(),
+                connections(without).err(),
+                spans(without).err(),
+            ];
             all.into_iter().flatten().any(|error| error.contains(key))
         };
         for key in [
-            "/profiles", "/profiles/0/hard-limit-us", "/guarantees/drain-grace-us", "/guarantees/answer-slack-us",
-            "/specifics/class-seats", "/limits/streams-per-conn", "/limits/connect-timeout-us",
-            "/limits/keepalive-us", "/specifics/told-every-us", "/guarantees/cold-us",
+            "/profiles",
+            "/profiles/0/hard-limit-us",
+            "/guarantees/drain-grace-us",
+            "/guarantees/answer-slack-us",
+            "/specifics/class-seats",
+            "/limits/streams-per-conn",
+            "/limits/connect-timeout-us",
+            "/limits/keepalive-us",
+            "/specifics/told-every-us",
+            "/guarantees/cold-us",
         ] {
             let mut without = all.clone();
             *without.pointer_mut(key).expect(key) = Value::Null;
