A drain told between decision and send, on sockets

Change: a test in which a server's connection stands only after its drain was told; without the check at the last moment (front.rs, sending) it fails and a rule is broken.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -14,10 +14,11 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use std::{env, fs, process};
-use tokio::net::TcpListener;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::process::{Child, Command};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=video \u{e4}\"\\ 0\r\n";
 /// Servers of the small platform; each title lies on all.
@@ -71,7 +72,8 @@
 }
 
 impl World {
-    async fn new(does: Does) -> World {
+    /// `connect`: how long a connection to a server may take to stand.
+    async fn new(does: Does, connect: Duration) -> World {
         let mut servers = vec![];
         for i in 0..SERVERS {
             servers.push(Server::start(&format!("s-{i:08x}"), does).await.expect("a server"));
@@ -82,11 +84,12 @@
         drop(free);
         let members: Vec<_> =
             servers.iter().enumerate().map(|(i, server)| member(server, i, "ready")).collect();
-        let config = json!({
+        let mut config = json!({
             "name": "n0", "listen": address.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "bus": bus.address.to_string(),
             "known": {"offset": 1, "batch": [event(1, true, &members)]}, "settings": settings(),
         });
+        config["settings"]["limits"]["connect-timeout-us"] = (connect.as_micros() as u64).into();
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let file = env::temp_dir().join(format!("ivyward-node-{}-{number}.json", process::id()));
         fs::write(&file, config.to_string()).expect("written");
@@ -147,8 +150,12 @@
 }
 
 fn with<F: Future<Output = ()>>(does: Does, test: impl FnOnce(World) -> F) {
+    with_connect(does, ms(250), test);
+}
+
+fn with_connect<F: Future<Output = ()>>(does: Does, connect: Duration, test: impl FnOnce(World) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async { test(World::new(does).await).await });
+    LocalSet::new().block_on(&runtime, async { test(World::new(does, connect).await).await });
 }
 
 /// A set-up as a viewer sends it; `tweak` may spoil the text.
@@ -365,6 +372,53 @@
     }
 }
 
+#[test]
+fn a_drain_told_between_decision_and_send_keeps_the_set_up_back() {
+    with_connect(Does::Plays, ms(3000), |world| async move {
+        // Its queue of connections is full: the next one doesn't stand before some of them are taken.
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+        let slow = socket.listen(1).expect("it listens");
+        let address = slow.local_addr().expect("its address");
+        let mut queued = vec![];
+        while let Ok(Ok(stream)) = timeout(ms(100), TcpStream::connect(address)).await {
+            queued.push(stream);
+        }
+        let member_of = |phase: &str| {
+            json!({"id": "s-slow", "host_port": address.to_string(), "locality": "east", "flavor": "std", "cell": 0,
+                "phase": phase, "size": 4, "up_since_ms": 0})
+        };
+        let drained = (0..SERVERS).map(|i| member(&world.servers[i], i, "draining"));
+        let mut list: Vec<_> = drained.collect();
+        list.push(member_of("ready"));
+        world.bus.tell(2, &event(2, false, &list), 1);
+        sleep(ms(200)).await;
+        let mut viewer = world.viewer().await;
+        assert!(viewer.write(&asks(Ref(0x150), "ticket", 3500, "")).await);
+        sleep(ms(100)).await;
+        let told = [member_of("draining"), member(&world.servers[0], 0, "ready")];
+        world.bus.tell(3, &event(3, false, &told), 1);
+        sleep(ms(100)).await;
+        // Now its connection may stand: whatever comes on it is kept.
+        let written = Rc::new(Cell::new(0));
+        let count = written.clone();
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = slow.accept().await {
+                let count = count.clone();
+                spawn_local(async move {
+                    let mut piece = [0; 1024];
+                    while let Ok(read @ 1..) = stream.read(&mut piece).await {
+                        count.set(count.get() + read);
+                    }
+                });
+            }
+        });
+        let came = viewer.hears(ms(3600)).await.expect("an answer");
+        assert_eq!((came.kind, came.of), (Kind::Answer, Ref(0x150)));
+        assert_eq!((written.get(), world.servers[0].of(Kind::SetUp).len()), (0, 1), "it went elsewhere");
+    });
+}
+
 #[test]
 fn a_new_server_at_an_old_address_is_another() {
     with(Does::Plays, |world| async move {
