--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -543,6 +543,32 @@
     });
 }
 
+#[test]
+fn set_ups_taken_back_at_once_or_sent_again_and_again_end_with_a_close_or_a_refusal_each() {
+    with(Does::Nothing, |world| async move {
+        let (mut bad, begun) = (world.viewer().await, Instant::now());
+        for i in 0..300 {
+            let of = Ref(0xb000 + i);
+            assert!(
+                bad.write(&asks(of, "clip", 3000, "")).await && bad.says(Kind::Release, of, Some(16)).await
+            );
+        }
+        assert!(bad.closes(ms(3000)).await && begun.elapsed() < ms(3000));
+        let mut again = world.viewer().await;
+        for i in 0..300 {
+            assert!(again.write(&asks(Ref(0xc000), "clap", 3000, "")).await);
+            let came = again.hears(ms(1000)).await.map(|came| (came.kind, came.of));
+            assert_eq!(came, Some((Kind::Release, Ref(0xc000))), "the {i}th");
+        }
+        // Each that reached a server was given up there.
+        waits("give-ups", || world.of(Kind::Release) == world.of(Kind::SetUp)).await;
+        let mut viewer = world.viewer().await;
+        world.servers.iter().for_each(|server| server.does.set(Does::Plays));
+        assert!(viewer.write(&asks(Ref(0xd000), "clip", 3000, "")).await);
+        assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+    });
+}
+
 #[test]
 fn a_number_in_use_is_turned_away_without_touching_the_first() {
     with(Does::Nothing, |world| async move {
