--- a/crates/edge/src/lane.rs
+++ b/crates/edge/src/lane.rs
@@ -57,6 +57,9 @@
 }
 
 impl Lanes {
+    /// What is to be ended at a server that can't be reached is ended when it can, but not after so long.
+    pub const CARED: Duration = Duration::from_secs(8);
+
     /// `streams`: set-ups on one connection; `connect`: how long one may take to stand; `keep`: after how long servers
     /// close an idle one; `told`: the spans in which servers tell of themselves.
     pub fn new(streams: usize, connect: Duration, keep: Duration, told: Duration) -> Self {
--- a/crates/edge/src/visitor.rs
+++ b/crates/edge/src/visitor.rs
@@ -41,6 +41,15 @@
 }
 
 impl Visits {
+    /// Bytes that may wait to be written on one connection.
+    pub const UNSENT: usize = 128 << 10;
+    /// Whoever takes nothing for so long reads no more, and is closed.
+    pub const STALLED: Duration = Duration::from_secs(2);
+    /// A session that is over is told to its viewer within so long, or not at all.
+    pub const OWED: Duration = Duration::from_secs(8);
+    /// No viewer waits for so many of the longest patience: more is no number of milliseconds.
+    pub const PATIENT: u32 = 2;
+
     pub fn new(descriptors: usize) -> Self {
         let part = |share: f64| ((descriptors as f64 * share) as usize).max(1);
         Visits { most: part(SHARE), room: part(ROOM), open: part(OPEN), all: part(ALL) }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -31,8 +31,6 @@
 const BARE: u8 = 0;
 /// The last so many set-ups given up on a connection: what still comes of them is nobody's.
 const GIVEN_UP: usize = 64;
-/// What is to be ended at a server that can't be reached is ended when it can, but not after so long.
-const CARED: Duration = Duration::from_secs(8);
 
 type Key = (ViewingId, TuneIn);
 
@@ -495,7 +493,7 @@
 
     /// Looks after connections to servers.
     pub fn sweep_servers(&mut self, front: &mut Front, now: Duration) {
-        let late = |cares: &mut BTreeMap<Ref, Duration>| cares.retain(|_, since| now < *since + CARED);
+        let late = |cares: &mut BTreeMap<Ref, Duration>| cares.retain(|_, since| now < *since + Lanes::CARED);
         self.servers.cares.values_mut().for_each(late);
         self.servers.cares.retain(|_, cares| !cares.is_empty());
         let all: BTreeSet<_> = self.servers.links.values().map(|link| link.server).collect();
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -21,10 +21,6 @@
 const REFUSED: u8 = 34;
 const FAILED: u8 = 41;
 const UNUSABLE: u8 = 100;
-/// A session that is over is told to its viewer within so long, or not at all.
-const OWED: Duration = Duration::from_secs(8);
-/// No package's patience is longer than so many of the longest: more is no number of milliseconds.
-const PATIENT: u32 = 2;
 
 struct Connection {
     pen: Pen,
@@ -123,7 +119,10 @@
         [
             ("class", known(&self.packages, Field::Package)),
             ("tenant", self.tenants.is_empty() || known(&self.tenants, Field::Tenant)),
-            ("left", stands || left.is_some_and(|left| !left.is_zero() && left <= self.longest * PATIENT)),
+            (
+                "left",
+                stands || left.is_some_and(|left| !left.is_zero() && left <= self.longest * Visits::PATIENT),
+            ),
             ("key", title),
             ("home", extra("home", 0)),
             ("copies", extra("copies", 1)),
@@ -384,7 +383,7 @@
     /// Tells on a connection what could not be told before.
     fn pay(&mut self, now: Duration, visit: u64) {
         for (of, (cause, since)) in std::mem::take(&mut self.viewers.owed) {
-            if now < since + OWED {
+            if now < since + Visits::OWED {
                 self.tell_viewer(since, of, Some(visit), cause);
             }
         }
@@ -392,9 +391,9 @@
 
     /// Closes connections that are of no use.
     pub fn sweep_viewers(&mut self, now: Duration) {
-        self.viewers.owed.retain(|_, (_, since)| now < *since + OWED);
+        self.viewers.owed.retain(|_, (_, since)| now < *since + Visits::OWED);
         // With no viewer's connection for half the time, whatever connection there is.
-        let due = self.viewers.owed.values().any(|(_, since)| now >= *since + OWED / 2);
+        let due = self.viewers.owed.values().any(|(_, since)| now >= *since + Visits::OWED / 2);
         if let Some(last) = self.viewers.connections.keys().next_back().copied().filter(|_| due) {
             self.pay(now, last);
         }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -1,6 +1,7 @@
 //! One connection, whatever is spoken on it: what comes is handed over piece by piece, the next once the last had its
 //! turn, so that nobody's flood waits before others; what is to be written waits in order.
 
+use ivyward_edge::Visits;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,10 +14,6 @@
 const SENT: Duration = Duration::from_millis(2);
 /// What is read at once.
 const PIECE: usize = 4096;
-/// Whoever takes nothing for so long reads no more.
-const STALLED: Duration = Duration::from_secs(2);
-/// Bytes that may wait to be written on one connection.
-const UNSENT: usize = 8 * ivyward_signal::LONGEST;
 
 /// Writes on a connection; when it is dropped, the connection closes after what was written.
 pub struct Pen {
@@ -40,7 +37,7 @@
     /// Whether it could be taken: not where the other end reads too slowly, or is gone.
     pub fn write(&self, bytes: Vec<u8>) -> bool {
         let unsent = self.unsent.get() + bytes.len();
-        if unsent > UNSENT {
+        if unsent > Visits::UNSENT {
             return false;
         }
         self.unsent.set(unsent);
@@ -66,12 +63,12 @@
                 }
                 continue;
             }
-            if !matches!(timeout(STALLED, to.write_all(&bytes)).await, Ok(Ok(()))) {
+            if !matches!(timeout(Visits::STALLED, to.write_all(&bytes)).await, Ok(Ok(()))) {
                 return;
             }
             self.unsent.set(self.unsent.get().saturating_sub(bytes.len()));
         }
-        timeout(STALLED, to.shutdown()).await.ok();
+        timeout(Visits::STALLED, to.shutdown()).await.ok();
     }
 }
 
