A viewer that ended its session itself is told no end, which could overtake its answer

The protocol says of 31 that the session was moved or ended by its viewer, who is owed no release; we passed it on. Lines at fault: servers.rs, Hands::stood, which told the viewer of every cause.

Other causes behind an answer as closely (16 and 100 at 0 ms, once each) lost nothing.

Read on the way and mended, though no loss was seen to come of them: a close as unused could win over a request that was read and still waited for its turn (the count of pieces was taken too late), lines behind such a close were dropped, and ends of sessions that a pen had taken and a connection that broke could not put out vanished: they come back now and are told on another connection.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -289,6 +289,51 @@
     }
 }
 
+#[test]
+fn an_end_is_told_to_its_viewer_unless_the_viewer_made_it() {
+    // What the server gives as the cause, together with its answer or later; whether the viewer is told.
+    for (cause, told) in [(16, true), (41, true), (31, false)] {
+        for together in [true, false] {
+            with(Does::Nothing, |world| async move {
+                let (mut viewer, of) = (world.viewer().await, Ref(0xc8));
+                assert!(viewer.write(&asks(of, "clip", 3000, "")).await);
+                waits("a set-up", || world.of(Kind::SetUp) == 1).await;
+                let server = world.holder();
+                let connection = server.of(Kind::SetUp)[0].connection;
+                let write = |kind, cause, description| {
+                    ivyward_signal::binary::write(kind, of, &[], cause, description).expect("short")
+                };
+                let up = write(Kind::Answer, None, Some(&b"here"[..]));
+                let end = write(Kind::Release, Some(cause), None);
+                let case = format!("cause {cause}, together {together}");
+                if together {
+                    server.say(connection, [up, end].concat());
+                    assert_eq!(
+                        viewer.hears(ms(1000)).await.map(|came| came.kind),
+                        Some(Kind::Answer),
+                        "{case}"
+                    );
+                } else {
+                    server.say(connection, up);
+                    assert_eq!(
+                        viewer.hears(ms(1000)).await.map(|came| came.kind),
+                        Some(Kind::Answer),
+                        "{case}"
+                    );
+                    server.say(connection, end);
+                }
+                let came = viewer.hears(ms(150)).await.map(|came| (came.kind, came.of));
+                assert_eq!(came, told.then_some((Kind::Release, of)), "{case}");
+                // It stands no more: its number is free.
+                world.servers.iter().for_each(|server| server.does.set(Does::Plays));
+                assert!(viewer.write(&asks(of, "clip", 3000, "")).await);
+                let came = viewer.hears(ms(1000)).await.map(|came| (came.kind, came.of));
+                assert_eq!(came, Some((Kind::Answer, of)), "{case}");
+            });
+        }
+    }
+}
+
 #[test]
 fn a_spoilt_connection_takes_what_is_open_on_it_and_no_more() {
     with(Does::Nothing, |world| async move {
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -283,7 +283,11 @@
             return;
         }
         let Some(stand) = self.stands.remove(of) else { return };
-        self.tell_viewer(now, of, stand.visit, cause);
+        // Guards against an end that overtakes the answer: whoever ended it itself is owed none, and may not have read
+        // yet that it stood.
+        if cause != CANCELLED {
+            self.tell_viewer(now, of, stand.visit, cause);
+        }
         front.over(self, now, server, stand.key, why);
     }
 
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,7 +1,7 @@
 //! Viewers' side: their connections, what they ask, what they are answered.
 
 use crate::shell::{Hands, Stand};
-use crate::wire::{Pen, converse, pen};
+use crate::wire::{End, Pen, converse, pen};
 use ivyward::front::{Cells, PackageId, TitleId};
 use ivyward_edge::{Visit, Visits, brief};
 use ivyward_session::{Answer, Front, Over, RequestId, SessionId};
@@ -29,6 +29,8 @@
     from: IpAddr,
     /// It was told to close unless something has come.
     leaving: bool,
+    /// Pieces of it that had their turn.
+    had: u64,
 }
 
 /// A set-up without an answer.
@@ -81,10 +83,15 @@
         self.connections.get(&visit).is_some_and(|connection| connection.pen.write(line))
     }
 
+    /// The same for the end of a session.
+    fn ends(&mut self, visit: u64, line: Vec<u8>, end: End) -> bool {
+        self.connections.get(&visit).is_some_and(|connection| connection.pen.tell(line, Some(end)))
+    }
+
     fn ends_unused(&mut self, visit: u64) {
         if let Some(connection) = self.connections.get_mut(&visit) {
             connection.leaving = true;
-            connection.pen.ends_unused();
+            connection.pen.ends_unused(connection.had);
         }
     }
 
@@ -158,7 +165,8 @@
         self.viewers.last += 1;
         let (visit, (pen, page)) = (self.viewers.last, pen());
         let about = Visit { since: now, last: now, ..Visit::default() };
-        let connection = Connection { pen, lines: Lines::default(), visit: about, from, leaving: false };
+        let connection =
+            Connection { pen, lines: Lines::default(), visit: about, from, leaving: false, had: 0 };
         self.viewers.connections.insert(visit, connection);
         let queue = self.queue.clone();
         spawn_local(async move {
@@ -168,9 +176,13 @@
                     had.send(()).ok();
                 });
             };
-            converse(stream, page, heard).await;
+            let untold = converse(stream, page, heard).await;
             drop(place);
-            queue.tell(move |front, hands, now| hands.left(front, now, visit));
+            queue.tell(move |front, hands, now| {
+                hands.left(front, now, visit);
+                // What was taken and never put out is owed still.
+                untold.into_iter().for_each(|(of, cause)| hands.tell_viewer(now, of, None, cause));
+            });
         });
         self.give_way(now);
     }
@@ -210,6 +222,7 @@
     fn viewer_said(&mut self, front: &mut Front, now: Duration, visit: u64, piece: &[u8]) {
         let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
         connection.lines.push(piece);
+        connection.had += 1;
         loop {
             let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
             let signal = match connection.lines.cut() {
@@ -369,13 +382,13 @@
     /// A session that stood is over: its viewer is told on the connection on which it asked, else on another from there.
     pub fn tell_viewer(&mut self, now: Duration, of: Ref, visit: Option<u64>, cause: u8) {
         let Ok(line) = line::write(Kind::Release, of, &[], Some(cause), None) else { return };
-        if visit.is_some_and(|visit| self.viewers.say(visit, line.clone())) {
+        if visit.is_some_and(|visit| self.viewers.ends(visit, line.clone(), (of, cause))) {
             return;
         }
         // Guards against ends told to strangers, who were turned away at most.
         let served = self.viewers.connections.iter().filter(|(_, c)| c.visit.stand > 0 || c.visit.served);
         let last = served.max_by_key(|(id, c)| (c.visit.last, **id)).map(|(id, _)| *id);
-        if !last.is_some_and(|visit| self.viewers.say(visit, line)) {
+        if !last.is_some_and(|visit| self.viewers.ends(visit, line, (of, cause))) {
             self.viewers.owed.insert(of, (cause, now));
         }
     }
