Managers that speak with each other set up no paid session twice: claims kept by a majority

Need (P): a viewer that came to another manager after its own died was set up, and paid, a second time.

Not in this slice: who holds a viewing, revoked sessions, what is known of servers, change of members.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod embedded;
 pub mod log;
+pub mod peers;
 pub mod pool;
 pub mod quality;
 pub mod setup;
@@ -114,7 +115,12 @@
     let local = LocalSet::new();
     local
         .run_until(async {
-            let shell = Shell::start(settings, module, (birth, paid), address, (outside.clock, outside.dropped))?;
+            let peers = match setup::peers(settings) {
+                Some(config) => Some(ivyward_peers::Peers::start(config, ivyward_session::Birth(birth)).await?),
+                None => None,
+            };
+            let outer = (outside.clock, outside.dropped);
+            let shell = Shell::start(settings, module, (birth, paid), peers, address, outer)?;
             tracing::info!(manager = manager.text("name"), %address, birth, "takes viewings");
             let quality = quality::Quality::start(shell.clone(), settings);
             if manager.has("console") {
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -12,6 +12,8 @@
 use hyper::{Method, Request, Response, StatusCode};
 use ivyward::front::{Load, News, PackageId, ServerId, TitleId, ViewingId};
 use ivyward_edge::{Errand, brief};
+use ivyward_peers::Claimed;
+use ivyward_replica::Word;
 use ivyward_session::{Birth, Happened, Over, SessionId, TuneIn};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -79,7 +81,7 @@
     about: (PackageId, TitleId), until: Duration,
 ) {
     let (happened, load) = match shell.place(server, Errand::SetUp, until).await {
-        Some(_place) => tried(&shell, who, vw, tune_in, server, rung, about).await,
+        Some(_place) => tried(&shell, who, vw, tune_in, server, rung, about, until).await,
         // Guards against a queue at one server that outlasts its viewers.
         None => (Some(Happened::NotWritten), Load::default()),
     };
@@ -99,24 +101,41 @@
 
 async fn tried(
     shell: &Shell, (session, top): (SessionId, usize), vw: ViewingId, tune_in: TuneIn, server: ServerId,
-    rung: usize, (package, title): (PackageId, TitleId),
+    rung: usize, (package, title): (PackageId, TitleId), until: Duration,
 ) -> (Option<Happened>, Load) {
     let none = Load::default();
     let address = server_address(server);
     let mut used = shell.0.pool.used(address);
-    let mut allowed = false;
+    let (mut allowed, mut claimed, mut no) = (false, None, None);
     loop {
         let again = used.is_some();
         let mut connection = match used.take() {
             Some(connection) => connection,
             None => match Connection::open(address, shell.0.connect).await {
                 Ok(connection) => connection,
-                Err(_) if allowed => return (Some(Happened::NotWritten), none),
+                Err(_) if allowed => {
+                    claimed.iter_mut().for_each(|claimed: &mut Claimed| claimed.never_ran(no));
+                    return (Some(Happened::NotWritten), none);
+                }
                 Err(_) => return (Some(Happened::NotConnected), none),
             },
         };
         if !allowed {
-            if shell.0.once.get(package.0) == Some(&true) {
+            let once = shell.0.once.get(package.0) == Some(&true);
+            if let Some(peers) = shell.0.peers.as_ref().filter(|_| once) {
+                let (claim, word) = peers.claim(session, until.saturating_sub(shell.now())).await;
+                if word != Word::Granted {
+                    let (taken, come_back) = (word == Word::Taken, shell.0.come_back);
+                    shell.tell(move |front, hands, now| {
+                        hands.over(vw, tune_in);
+                        front.unclaimed(hands, now, vw, tune_in, taken, come_back);
+                    });
+                    shell.0.pool.put(address, connection);
+                    return (None, none);
+                }
+                claimed = Some(claim);
+            }
+            if once {
                 let until = shell.date() + shell.0.paid_for;
                 // Guards against a paid session set up again by a later start: what isn't on disk isn't sent.
                 if let Err(error) = shell.0.paid.add((session, server, until)).await {
@@ -135,6 +154,8 @@
                 shell.0.pool.put(address, connection);
                 return (None, none);
             }
+            // From here on a server may run it, whatever becomes of this task.
+            no = claimed.as_mut().and_then(Claimed::goes_out);
         }
         let inner = &shell.0;
         let rates = inner.rates.get(package.0).map_or(&[][..], |(_, _, rates)| rates);
@@ -152,7 +173,10 @@
             Ok(answer) => answer,
             // A connection that had been closed while it stood idle: nothing went out, so a fresh one is no second try.
             Err(Failed::NotWritten) if again => continue,
-            Err(Failed::NotWritten) => return (Some(Happened::NotWritten), none),
+            Err(Failed::NotWritten) => {
+                claimed.iter_mut().for_each(|claimed| claimed.never_ran(no));
+                return (Some(Happened::NotWritten), none);
+            }
             Err(Failed::Broke) => return (Some(Happened::Broke), none),
         };
         dated(shell, server, &answer);
@@ -163,7 +187,10 @@
         }
         let happened = match status {
             StatusCode::CREATED => Happened::Plays,
-            _ if never_ran => Happened::Refused,
+            _ if never_ran => {
+                claimed.iter_mut().for_each(|claimed| claimed.never_ran(no));
+                Happened::Refused
+            }
             _ => Happened::Errored,
         };
         return (Some(happened), load);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,7 +1,8 @@
 //! `ivyward`: the session front.
 
 use clap::{Parser, Subcommand};
-use ivyward_daemon::{Outside, embedded, manage, read};
+use ivyward_daemon::{Outside, embedded, manage, peers, quality, read, setup};
+use ivyward_peers::Store;
 use ivyward_settings::Part;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -62,6 +63,16 @@
         #[arg(long)]
         raw: bool,
     },
+    /// Tell of the managers that one speaks with, and what it keeps for them
+    Peers {
+        /// A manager's console, as `manager.console` of its settings says
+        console: std::net::SocketAddr,
+        /// As it is, for machines
+        #[arg(long)]
+        raw: bool,
+    },
+    /// Make the memory of a manager that is new in its group and has never kept anything for it
+    Begin { settings: PathBuf },
     /// Tell the version
     Version,
 }
@@ -122,16 +133,28 @@
     })
 }
 
-fn quality(console: std::net::SocketAddr, raw: bool) -> Result<(), String> {
+fn page(
+    console: std::net::SocketAddr, path: &str, raw: bool, table: impl Fn(&serde_json::Value) -> String,
+) -> Result<(), String> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let asked = ivyward_daemon::quality::ask(console);
+    let asked = ivyward_daemon::quality::ask(console, path);
     let page = tokio::task::LocalSet::new().block_on(&runtime, asked)?;
     if raw {
         println!("{page}");
     } else {
-        print!("{}", ivyward_daemon::quality::table(&page));
+        print!("{}", table(&page));
+    }
+    Ok(())
+}
+
+fn begin(file: &Path) -> Result<(), String> {
+    let settings = settings(file)?;
+    if !settings.has("peers") {
+        return Err(format!("{}: peers: is missing: this manager keeps nothing for others", file.display()));
     }
+    let made = Store::begin(&settings.one("manager").text("state_dir"), &setup::group(&settings))?;
+    println!("{}: an empty memory", made.display());
     Ok(())
 }
 
@@ -161,7 +184,9 @@
                 .and_then(|given| embedded::token(&given, &title, &package, top, life))
                 .map(|t| println!("{t}"))
         }
-        What::Quality { console, raw } => quality(console, raw),
+        What::Quality { console, raw } => page(console, "/quality", raw, quality::table),
+        What::Peers { console, raw } => page(console, "/peers", raw, peers::table),
+        What::Begin { settings: file } => begin(&file),
         What::Version => {
             println!("ivyward {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/daemon/src/quality.rs
+++ b/crates/daemon/src/quality.rs
@@ -247,21 +247,24 @@
     text + &format!("reports {}, keys skipped {}\n", page["reports"], page["keys_skipped"])
 }
 
-/// Asks a manager's console for its page of quality.
+/// Asks a manager's console for one of its pages, as "/quality".
 ///
 /// # Errors
-/// It can't be reached, or answers something else.
-pub async fn ask(console: SocketAddr) -> Result<Value, String> {
+/// It can't be reached, has no such page, or answers something else.
+pub async fn ask(console: SocketAddr, path: &str) -> Result<Value, String> {
     use http_body_util::{BodyExt, Full, Limited};
     let told = |e: String| format!("{console}: {e}");
     let mut connection = crate::pool::Connection::open(console, Duration::from_secs(5))
         .await
         .map_err(|e| told(e.to_string()))?;
     let mut request = hyper::Request::new(Full::<bytes::Bytes>::default());
-    *request.uri_mut() = "/quality".parse().unwrap_or_default();
+    *request.uri_mut() = path.parse().unwrap_or_default();
     let host = hyper::header::HeaderValue::from_str(&console.to_string()).map_err(|e| told(e.to_string()))?;
     request.headers_mut().insert("host", host);
     let answer = connection.ask(request).await.map_err(|e| told(format!("{e:?}")))?;
+    if !answer.status().is_success() {
+        return Err(told(format!("{path}: {}", answer.status())));
+    }
     let body = Limited::new(answer.into_body(), 4 << 20).collect().await.map_err(|e| told(e.to_string()))?;
     serde_json::from_slice(&body.to_bytes()).map_err(|e| told(e.to_string()))
 }
--- a/crates/daemon/src/setup.rs
+++ b/crates/daemon/src/setup.rs
@@ -5,6 +5,7 @@
 use ivyward::state::{Ladder, Limits, Network, Pace, Package, Ration};
 use ivyward_dash::token::Keys;
 use ivyward_edge::Refresh;
+use ivyward_replica::Group;
 use ivyward_session::Fence;
 use ivyward_settings::{Fault, Part, twice};
 use std::net::SocketAddr;
@@ -68,6 +69,7 @@
             faults.push(part.fault(name, "is no address with a port"));
         }
     }
+    faults.extend(peers_faults(settings));
     // Guards against idle connections closed in the moment in which their players ask again.
     let (manager, manifest) = (settings.one("manager"), settings.one("manifest"));
     if manager.number("head_within_s") < 2.0 * (manifest.number("refresh_s") + manifest.number("segment_s")) {
@@ -191,6 +193,61 @@
     Fence::new(settings.one("network").span("drain_grace_s"), ration(settings), seats)
 }
 
+fn peers_faults(settings: &Part) -> Vec<Fault> {
+    let (manager, mut faults) = (settings.one("manager"), vec![]);
+    if !settings.has("peers") {
+        return faults;
+    }
+    let peers = settings.one("peers");
+    let members = peers.list("member");
+    let addresses = members.iter().map(|member| (member, "address")).chain([(&peers, "listen")]);
+    for (part, name) in addresses.filter(|(part, name)| part.text(name).parse::<SocketAddr>().is_err()) {
+        faults.push(part.fault(name, "is no address with a port"));
+    }
+    faults.extend(twice(&members, "name"));
+    faults.extend(twice(&members, "address"));
+    if !members.iter().any(|member| member.text("name") == manager.text("name")) {
+        faults.push(peers.fault("member", &format!("none is {:?}, this manager", manager.text("name"))));
+    }
+    if peers.count("keepers") > members.len() {
+        let what = format!("is over the number of members, {}", members.len());
+        faults.push(peers.fault("keepers", &what));
+    }
+    // Guards against a keeper that forgets at each restart, and could never keep again while another is away.
+    if manager.text("state_dir").is_empty() {
+        faults.push(manager.fault("state_dir", "is missing: what is kept for other managers stands there"));
+    }
+    faults
+}
+
+/// The group of managers as each of them knows it.
+pub fn group(settings: &Part) -> Group {
+    let peers = settings.one("peers");
+    let member = |member: &Part| (member.text("name"), member.count("zone") as u8);
+    Group::new(peers.list("member").iter().map(member).collect(), peers.count("keepers"))
+}
+
+/// The managers that this one speaks with; none where it speaks with nobody.
+pub fn peers(settings: &Part) -> Option<ivyward_peers::Config> {
+    if !settings.has("peers") {
+        return None;
+    }
+    let (peers, manager, limits) = (settings.one("peers"), settings.one("manager"), settings.one("limits"));
+    let address = |member: &Part| Some((member.text("name"), member.text("address").parse().ok()?));
+    let longest = settings.list("title").iter().map(|title| title.span("length_s")).max();
+    Some(ivyward_peers::Config {
+        group: group(settings),
+        name: manager.text("name"),
+        listen: peers.text("listen").parse().ok()?,
+        others: peers.list("member").iter().filter_map(address).collect(),
+        word: peers.span("word_s"),
+        // A token of it lives as long after the last that its viewing was given, and it is remembered as long after that.
+        span: limits.span("paid_for_s") + longest.unwrap_or_default() + settings.one("tokens").span("life_s"),
+        connect: limits.span("connect_s"),
+        state_dir: manager.text("state_dir"),
+    })
+}
+
 /// By package: the viewer's patience, and whether it is paid at set-up.
 pub fn terms(settings: &Part) -> Vec<(Duration, bool)> {
     settings.list("package").iter().map(|p| (p.span("patience_s"), p.truth("once"))).collect()
--- a/crates/daemon/src/shell.rs
+++ b/crates/daemon/src/shell.rs
@@ -6,6 +6,7 @@
 use crate::{Ended, link, list, setup};
 use ivyward::front::{Extent, Listed, PackageId, ServerId, Standing, TitleId, ViewingId};
 use ivyward_edge::{Calendar, Doors, Errand, Gate, Seldom, Ticket, Turn};
+use ivyward_peers::Peers;
 use ivyward_session::{Answer, Birth, Breach, Decides, Effects, Front, RequestId, SessionId, Timer, TuneIn};
 use ivyward_settings::Part;
 use ivyward_turns::{Clock, Queue, Timers, queue};
@@ -47,6 +48,9 @@
     pub once: Vec<bool>,
     pub paid: Paid,
     pub paid_for: Duration,
+    /// Other managers, and how long a viewer is told to stay away when too few of them are reached.
+    pub peers: Option<Peers>,
+    pub come_back: Option<Duration>,
     pub gate: RefCell<Gate>,
     spans: Clock,
     clock: Rc<dyn Fn() -> Duration>,
@@ -82,7 +86,7 @@
     /// The settings don't fit together.
     pub fn start(
         settings: &Part, module: Box<dyn Decides>, (birth, (paid, spent)): (u64, (Paid, Vec<paid::Row>)),
-        address: SocketAddr, outside: (Rc<dyn Fn() -> Duration>, Lines),
+        peers: Option<Peers>, address: SocketAddr, outside: (Rc<dyn Fn() -> Duration>, Lines),
     ) -> Result<Shell, String> {
         let (manager, limits) = (settings.one("manager"), settings.one("limits"));
         let manifest = settings.one("manifest");
@@ -103,6 +107,8 @@
             once: setup::terms(settings).iter().map(|(_, once)| *once).collect(),
             paid,
             paid_for: limits.span("paid_for_s"),
+            peers,
+            come_back: limits.has("come_back_s").then(|| limits.span("come_back_s")),
             gate: RefCell::new(Gate::new(setup::patiences(settings).0)),
             clock,
             calendar: RefCell::new(Calendar::new(settings.one("tokens").span("skew_s"))),
--- a/crates/daemon/src/tally.rs
+++ b/crates/daemon/src/tally.rs
@@ -26,6 +26,7 @@
         Cause::GivenUp => "given up",
         Cause::Late => "late",
         Cause::Ends => "the manager ends",
+        Cause::Alone => "no majority of keepers",
     }
 }
 
--- a/crates/daemon/src/viewers.rs
+++ b/crates/daemon/src/viewers.rs
@@ -179,15 +179,19 @@
         let (shell, quality) = (shell.clone(), quality.clone());
         spawn_local(async move {
             let answer = |request: Request<Incoming>| {
-                let json = |value: serde_json::Value| {
-                    with(page(StatusCode::OK, value.to_string()), "content-type", "application/json")
-                };
-                let found = match (request.method(), request.uri().path()) {
-                    (&Method::GET, "/quality") => json(quality.page()),
-                    (&Method::GET, "/counts") => json(shell.counts()),
-                    _ => page(StatusCode::NOT_FOUND, "no such page\n"),
-                };
-                std::future::ready(Ok::<_, Infallible>(found))
+                let (shell, quality) = (&shell, &quality);
+                async move {
+                    let json = |value: serde_json::Value| {
+                        with(page(StatusCode::OK, value.to_string()), "content-type", "application/json")
+                    };
+                    let found = match (request.method(), request.uri().path(), &shell.0.peers) {
+                        (&Method::GET, "/quality", _) => json(quality.page()),
+                        (&Method::GET, "/counts", _) => json(shell.counts()),
+                        (&Method::GET, "/peers", Some(peers)) => json(peers.page().await),
+                        _ => page(StatusCode::NOT_FOUND, "no such page\n"),
+                    };
+                    Ok::<_, Infallible>(found)
+                }
             };
             let served = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
--- a/crates/daemon/tests/world/mod.rs
+++ b/crates/daemon/tests/world/mod.rs
@@ -52,6 +52,7 @@
 pub struct Page {
     pub status: StatusCode,
     pub refused: Option<String>,
+    pub come_back: Option<String>,
     pub text: String,
 }
 
@@ -90,20 +91,31 @@
     (end, ended, address.await.expect("a manager"))
 }
 
+/// Stand-ins, and the settings text of managers over them.
+pub fn standins(tweak: impl Fn(String) -> String) -> (Standins, String) {
+    let text = SETTINGS.replace("127.0.0.1:8480", "127.0.0.1:0").replace("warm_up_s: 12", "warm_up_s: 0.2");
+    let text = tweak(text.replace("spread: 6", "spread: 12").replace("lease_s: 6", "lease_s: 1"));
+    let fleet = ivyward_settings::read("Fleet", FLEET).expect("a fleet");
+    let given = ivyward_settings::read("Settings", &text).expect("settings");
+    let tokens = given.one("tokens");
+    let keys = setup::keys(&tokens).expect("keys");
+    let model = ivyward_standin::fleet(1, &fleet, &given);
+    let about = (fleet.number("vary"), fleet.span("list_late_s"));
+    let standins = Standins::open(1, model, 12, (keys, tokens.span("skew_s")), about, Instant::now())
+        .expect("stand-ins");
+    let text = format!("{text}\nlist_address: \"{}\"\n", standins.list_address());
+    (standins, text)
+}
+
+pub fn token(keys: &Keys, session: u128, package: &str, title: &str, life: Duration) -> String {
+    let (title, package) = (title.to_string(), package.to_string());
+    let pass = Pass { session, title, package, top: 3, tenant: String::new(), given: None };
+    keys.mint(&pass, date(), life).expect("a token")
+}
+
 impl World {
     async fn start(tweak: impl Fn(String) -> String) -> World {
-        let text =
-            SETTINGS.replace("127.0.0.1:8480", "127.0.0.1:0").replace("warm_up_s: 12", "warm_up_s: 0.2");
-        let text = tweak(text.replace("spread: 6", "spread: 12").replace("lease_s: 6", "lease_s: 1"));
-        let fleet = ivyward_settings::read("Fleet", FLEET).expect("a fleet");
-        let given = ivyward_settings::read("Settings", &text).expect("settings");
-        let tokens = given.one("tokens");
-        let keys = setup::keys(&tokens).expect("keys");
-        let model = ivyward_standin::fleet(1, &fleet, &given);
-        let about = (fleet.number("vary"), fleet.span("list_late_s"));
-        let standins = Standins::open(1, model, 12, (keys, tokens.span("skew_s")), about, Instant::now())
-            .expect("stand-ins");
-        let text = format!("{text}\nlist_address: \"{}\"\n", standins.list_address());
+        let (standins, text) = standins(tweak);
         let settings = ivyward_daemon::read(&text).expect("settings that fit");
         let (ahead, (texts, given)) = (Arc::new(AtomicI64::new(0)), unbounded_channel());
         let (end, ended, address) = start(text.clone(), ahead.clone(), given).await;
@@ -125,9 +137,7 @@
     }
 
     pub fn token_for(&self, session: u128, package: &str, title: &str, life: Duration) -> String {
-        let (title, package) = (title.to_string(), package.to_string());
-        let pass = Pass { session, title, package, top: 3, tenant: String::new(), given: None };
-        self.keys().mint(&pass, date(), life).expect("a token")
+        token(&self.keys(), session, package, title, life)
     }
 
     pub fn url(&self, token: &str) -> String {
@@ -227,9 +237,11 @@
     request.headers_mut().insert("host", host.parse().expect("a host"));
     let answer = connection.ask(request).await.expect("an answer");
     let refused = answer.headers().get("ivy-refused").map(|text| text.to_str().expect("text").to_string());
+    let come_back = answer.headers().get("ivy-come-back-ms");
+    let come_back = come_back.map(|text| text.to_str().expect("text").to_string());
     let status = answer.status();
     let body = answer.into_body().collect().await.expect("a body").to_bytes();
-    Page { status, refused, text: String::from_utf8_lossy(&body).into_owned() }
+    Page { status, refused, come_back, text: String::from_utf8_lossy(&body).into_owned() }
 }
 
 /// A manifest is right in itself, and after the one before it.
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -204,7 +204,7 @@
             }
             let no = names.iter().find(|(_, name)| **name == manager.name).map(|(no, _)| *no);
             if script.one("viewers").truth("reports")
-                && let Ok(page) = ivyward_daemon::quality::ask(manager.console).await
+                && let Ok(page) = ivyward_daemon::quality::ask(manager.console, "/quality").await
             {
                 quality.push_str(&ivyward_daemon::quality::table(&page));
             }
--- /dev/null
+++ b/crates/peers/src/frame.rs
@@ -0,0 +1,100 @@
+//! What managers write to each other: one message of protobuf a frame, members by their names, so that they need not
+//! number them alike.
+
+use ivyward_replica::{Claim, ClaimNo, Group, Held, Member};
+use ivyward_session::{Birth, SessionId};
+
+/// What managers of this build speak. One that speaks less is spoken to in that; there is none yet.
+pub const REVISION: u32 = 1;
+
+pub const HELLO: u32 = 1;
+pub const CLAIM: u32 = 2;
+pub const KEPT: u32 = 3;
+pub const UNKEPT: u32 = 4;
+pub const TAKE_BACK: u32 = 5;
+pub const TAKEN_BACK: u32 = 6;
+pub const RECALL: u32 = 7;
+pub const ROW: u32 = 8;
+pub const ROWS: u32 = 9;
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    #[prost(bytes = "vec", tag = "2")]
+    pub session: Vec<u8>,
+    #[prost(message, optional, tag = "3")]
+    pub claim: Option<Who>,
+    #[prost(uint64, tag = "4")]
+    pub birth: u64,
+    #[prost(bool, tag = "5")]
+    pub taken: bool,
+    #[prost(uint64, tag = "6")]
+    pub count: u64,
+    #[prost(message, repeated, tag = "7")]
+    pub claims: Vec<Who>,
+    #[prost(message, repeated, tag = "8")]
+    pub taken_back: Vec<Who>,
+    #[prost(message, repeated, tag = "9")]
+    pub starts: Vec<Who>,
+    /// Of who says hello, with the group as configured there.
+    #[prost(string, tag = "10")]
+    pub name: String,
+    #[prost(string, tag = "11")]
+    pub group: String,
+    #[prost(uint32, tag = "12")]
+    pub revision: u32,
+}
+
+/// A claim, or with no number a start.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Who {
+    #[prost(string, tag = "1")]
+    pub name: String,
+    #[prost(uint64, tag = "2")]
+    pub birth: u64,
+    #[prost(uint64, tag = "3")]
+    pub no: u64,
+}
+
+pub fn who(group: &Group, claim: Claim) -> Who {
+    Who { name: group.name(claim.by).into(), birth: claim.birth.0, no: claim.no.0 }
+}
+
+pub fn start(group: &Group, (member, birth): (Member, Birth)) -> Who {
+    Who { name: group.name(member).into(), birth: birth.0, no: 0 }
+}
+
+/// None for a member that is none of the group.
+pub fn claim(group: &Group, who: &Who) -> Option<Claim> {
+    Some(Claim { by: group.member(&who.name)?, birth: Birth(who.birth), no: ClaimNo(who.no) })
+}
+
+pub fn claims(group: &Group, all: &[Who]) -> Option<std::collections::BTreeSet<Claim>> {
+    all.iter().map(|who| claim(group, who)).collect()
+}
+
+pub fn starts(group: &Group, all: &[Who]) -> Option<Vec<(Member, Birth)>> {
+    all.iter().map(|who| Some((group.member(&who.name)?, Birth(who.birth)))).collect()
+}
+
+pub fn session(bytes: &[u8]) -> Option<SessionId> {
+    bytes.try_into().ok().map(|bytes| SessionId(u128::from_be_bytes(bytes)))
+}
+
+pub fn row(group: &Group, session: SessionId, held: &Held) -> Frame {
+    let all = |claims: &std::collections::BTreeSet<Claim>| claims.iter().map(|c| who(group, *c)).collect();
+    Frame {
+        kind: ROW,
+        session: session.0.to_be_bytes().into(),
+        claims: all(&held.claims),
+        taken_back: all(&held.taken_back),
+        ..Frame::default()
+    }
+}
+
+/// What is held of a session, as [`row`] wrote it.
+pub fn held(group: &Group, frame: &Frame) -> Option<(SessionId, Held)> {
+    let held = Held { claims: claims(group, &frame.claims)?, taken_back: claims(group, &frame.taken_back)? };
+    Some((session(&frame.session)?, held))
+}
--- /dev/null
+++ b/crates/peers/src/tests.rs
@@ -0,0 +1,58 @@
+use crate::Store;
+use crate::store::Note;
+use ivyward_replica::{Claim, ClaimNo, Group, Held, Member};
+use ivyward_session::{Birth, SessionId};
+use std::collections::BTreeSet;
+use std::fs;
+
+fn group(names: &[&str]) -> Group {
+    Group::new(names.iter().map(|name| (name.to_string(), 0)).collect(), 3)
+}
+
+fn held(no: u64) -> Held {
+    let claim = |no| Claim { by: Member(1), birth: Birth(5), no: ClaimNo(no) };
+    Held { claims: BTreeSet::from([claim(no)]), taken_back: BTreeSet::from([claim(no + 1)]) }
+}
+
+#[test]
+fn what_was_promised_is_read_again_and_nothing_else_is_taken_for_it() {
+    let dir = std::env::temp_dir().join(format!("ivyward-keeper-{}", std::process::id()));
+    let (name, abc) = (dir.to_string_lossy().into_owned(), group(&["a", "b", "c"]));
+    let open = |group: &Group| Store::open(&name, group);
+    let told = |came: Result<(Store, crate::store::Stored), String>| came.err().expect("an error");
+    // A folder that is new, or lost, is no memory.
+    assert!(!open(&abc).expect("a store").1.whole);
+    let wrong = Store::begin(&name, &abc).expect_err("is there already");
+    assert!(wrong.contains("keeper.redb: is there already"), "{wrong}");
+    fs::remove_dir_all(&dir).expect("a folder");
+    Store::begin(&name, &abc).expect("begun");
+    {
+        let (store, stored) = open(&abc).expect("a store");
+        assert!(stored.whole && stored.sessions.is_empty());
+        let notes = [
+            Note::held(&abc, SessionId(1), &held(1)),
+            Note::held(&abc, SessionId(2), &held(2)),
+            Note::held(&abc, SessionId(1), &held(7)),
+            Note::Start("b".into(), Birth(9)),
+        ];
+        store.write(&notes).expect("written");
+        store.write(&[Note::Forgotten(SessionId(2))]).expect("written");
+    }
+    let (store, stored) = open(&abc).expect("a store");
+    assert_eq!(stored.sessions.into_iter().collect::<Vec<_>>(), [(SessionId(1), held(7))]);
+    assert_eq!(stored.starts.into_iter().collect::<Vec<_>>(), [(Member(1), Birth(9))]);
+    drop(store);
+    let wrong = told(open(&group(&["a", "b", "d"])));
+    assert!(wrong.contains("keeper.redb: it was written for another: group"), "{wrong}");
+    // Another start may hold it open, or the file be spoilt: never an empty memory in its place.
+    let held_open = open(&abc).expect("a store");
+    assert!(told(open(&abc)).contains("keeper.redb"));
+    drop(held_open);
+    let file = dir.join("keeper.redb");
+    let whole = fs::read(&file).expect("a file");
+    for spoilt in [vec![0xff; whole.len()], whole[..64].to_vec()] {
+        fs::write(&file, spoilt).expect("written");
+        assert!(told(open(&abc)).contains("keeper.redb"));
+    }
+    fs::remove_dir_all(&dir).ok();
+}
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,76 @@
+//! What session managers hold in common: that the set-up of a paid session may have run. No I/O and no clock: events come
+//! in by methods with `now`, what is to be done goes out through [`Effects`].
+//!
+//! What is promised:
+//!
+//! - Of one session, over all managers, at most one claim is granted that is not taken back; only a granted claim is set
+//!   up. It holds with messages lost, doubled, reordered and late, with members killed at any moment, and with members
+//!   that come back without memory.
+//! - A keeper says that it keeps a claim only once that is on disk.
+//! - One that came back without memory keeps no claim of a session until enough of that session's other keepers have told
+//!   it theirs; so long it abstains.
+//! - A manager that reaches no majority of a session's keepers in time is told so and sets nothing up. A minority refuses
+//!   paid viewings and does nothing else otherwise.
+//!
+//! Not promised: that a session can be claimed again whose claimant died between its claim and its set-up. It may have
+//! run, so it counts as run until its span is over.
+
+mod asker;
+mod group;
+mod keeper;
+
+pub use asker::{Asker, Word};
+pub use group::Group;
+pub use keeper::{Held, Keeper};
+
+use ivyward_session::{Birth, SessionId};
+
+/// A manager of the group: its place in the list of names in order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Member(pub u16);
+
+/// The number of a claim, among those of one start of its manager.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClaimNo(pub u64);
+
+/// One set-up of a paid session that a manager is about to send, or has sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Claim {
+    pub by: Member,
+    pub birth: Birth,
+    pub no: ClaimNo,
+}
+
+/// What the cores have done by whoever drives them. What is told to a member may be lost, doubled, or come late.
+pub trait Effects {
+    /// To a keeper: it is to keep this claim.
+    fn claim(&mut self, to: Member, session: SessionId, claim: Claim);
+    /// To the claim's manager: `birth`, this start of the keeper, keeps it. `starts`: of others that came back without
+    /// memory, as far as it knows.
+    fn kept(
+        &mut self, to: Member, session: SessionId, claim: Claim, birth: Birth, starts: &[(Member, Birth)],
+    );
+    /// To the claim's manager: not kept, since another is (`taken`), or since the keeper abstains.
+    fn unkept(&mut self, to: Member, session: SessionId, claim: Claim, taken: bool);
+    /// To a keeper: the set-up of this claim provably never ran and never will.
+    fn take_back(&mut self, to: Member, session: SessionId, claim: Claim);
+    /// To the claim's manager: it is taken back here.
+    fn taken_back(&mut self, to: Member, session: SessionId, claim: Claim);
+    /// To a member: this start came back without memory; what does that one hold that is also kept here?
+    fn recall(&mut self, to: Member, birth: Birth);
+    /// To one that recalls: one session; then how many there were.
+    fn row(&mut self, to: Member, birth: Birth, session: SessionId, held: &Held);
+    fn rows(&mut self, to: Member, birth: Birth, count: u64);
+    /// To disk, in order, each one note of which [`Keeper::stored`] is told: what is held of a session; a member's start
+    /// without memory; that this memory is whole.
+    fn store(&mut self, session: SessionId, held: &Held);
+    fn store_start(&mut self, member: Member, birth: Birth);
+    fn store_whole(&mut self);
+    /// From disk, whenever that may be; no note.
+    fn forget(&mut self, session: SessionId);
+    /// What became of a claim asked here.
+    fn decided(&mut self, no: ClaimNo, word: Word);
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/replica/src/tests.rs
@@ -0,0 +1,433 @@
+//! The cores of three members in a small world, through every order of what may happen to them; and tables of their parts.
+
+use crate::{Asker, Claim, ClaimNo, Effects, Group, Held, Keeper, Member, Word};
+use ivyward_session::{Birth, SessionId};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+const SESSION: SessionId = SessionId(7);
+const NOW: Duration = Duration::from_secs(1);
+const SPAN: Duration = Duration::from_secs(100);
+/// When a claim's time is over, which is a step of the world's own.
+const LATE: Duration = Duration::from_secs(2);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Says {
+    Claim(Claim),
+    Kept(Claim, Birth, Vec<(Member, Birth)>),
+    Unkept(Claim, bool),
+    TakeBack(Claim),
+    TakenBack(Claim),
+    Recall(Birth),
+    Row(Birth, Held),
+    Rows(Birth, u64),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Note {
+    Held(Held),
+    Start(Member, Birth),
+    Whole,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Disk {
+    held: Option<Held>,
+    starts: BTreeMap<Member, Birth>,
+    whole: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Node {
+    keeper: Keeper,
+    asker: Asker,
+    birth: Birth,
+    disk: Disk,
+    unsynced: Vec<Note>,
+}
+
+/// What was said stays on the wire: it comes at any time, as often as the world likes, or never.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    nodes: Vec<Node>,
+    wire: BTreeSet<(Member, Member, Says)>,
+    /// Claims granted and neither sent nor given up, and those sent.
+    granted: BTreeSet<Claim>,
+    sent: BTreeSet<Claim>,
+    asks: Vec<u8>,
+    kills: u8,
+    forgets: u8,
+}
+
+/// What a world does that a program must not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Defect {
+    None,
+    /// It is said to be kept before it is on disk.
+    SaidBeforeSync,
+    /// One that came back without memory is taken for one that never kept anything.
+    ForgetfulCounts,
+    /// Starts without memory aren't told on with what is kept.
+    StartsNotTold,
+    /// Nor are they on disk.
+    StartsNotStored,
+}
+
+/// One step of a world; `Comes`: what stands at that place on the wire.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Comes(usize),
+    Sends(Claim),
+    NeverRan(Claim),
+    Syncs(Member),
+    Asks(Member),
+    GivesUp(Member),
+    Dies(Member),
+    Forgets(Member),
+}
+
+struct Hands<'a> {
+    me: Member,
+    birth: Birth,
+    wire: &'a mut BTreeSet<(Member, Member, Says)>,
+    notes: &'a mut Vec<Note>,
+    granted: &'a mut BTreeSet<Claim>,
+    defect: Defect,
+}
+
+impl Hands<'_> {
+    fn say(&mut self, to: Member, says: Says) {
+        self.wire.insert((self.me, to, says));
+    }
+}
+
+impl Effects for Hands<'_> {
+    fn claim(&mut self, to: Member, _: SessionId, claim: Claim) {
+        self.say(to, Says::Claim(claim));
+    }
+    fn kept(&mut self, to: Member, _: SessionId, claim: Claim, birth: Birth, starts: &[(Member, Birth)]) {
+        let told = if self.defect == Defect::StartsNotTold { &[] } else { starts };
+        self.say(to, Says::Kept(claim, birth, told.to_vec()));
+    }
+    fn unkept(&mut self, to: Member, _: SessionId, claim: Claim, taken: bool) {
+        self.say(to, Says::Unkept(claim, taken));
+    }
+    fn take_back(&mut self, to: Member, _: SessionId, claim: Claim) {
+        self.say(to, Says::TakeBack(claim));
+    }
+    fn taken_back(&mut self, to: Member, _: SessionId, claim: Claim) {
+        self.say(to, Says::TakenBack(claim));
+    }
+    fn recall(&mut self, to: Member, birth: Birth) {
+        self.say(to, Says::Recall(birth));
+    }
+    fn row(&mut self, to: Member, birth: Birth, _: SessionId, held: &Held) {
+        self.say(to, Says::Row(birth, held.clone()));
+    }
+    fn rows(&mut self, to: Member, birth: Birth, count: u64) {
+        self.say(to, Says::Rows(birth, count));
+    }
+    fn store(&mut self, _: SessionId, held: &Held) {
+        self.notes.push(Note::Held(held.clone()));
+    }
+    fn store_start(&mut self, member: Member, birth: Birth) {
+        self.notes.push(Note::Start(member, birth));
+    }
+    fn store_whole(&mut self) {
+        self.notes.push(Note::Whole);
+    }
+    fn forget(&mut self, _: SessionId) {}
+    fn decided(&mut self, no: ClaimNo, word: Word) {
+        if word == Word::Granted {
+            self.granted.insert(Claim { by: self.me, birth: self.birth, no });
+        }
+    }
+}
+
+fn group(members: u16) -> Group {
+    Group::new((0..members).map(|i| (format!("m{i}"), 0)).collect(), usize::from(members))
+}
+
+fn node(me: Member, members: u16, birth: Birth, disk: Disk) -> Node {
+    let sessions = disk.held.clone().map(|held| (SESSION, held)).into_iter().collect();
+    let stored = (sessions, disk.starts.clone());
+    let keeper = Keeper::new(group(members), me, birth, SPAN, NOW, disk.whole, stored);
+    Node { keeper, asker: Asker::new(group(members), me, birth), birth, disk, unsynced: vec![] }
+}
+
+impl World {
+    /// How often each member may ask, how often one may be killed, how often it loses its memory with that.
+    fn new(asks: &[u8], kills: u8, forgets: u8) -> World {
+        let whole = Disk { whole: true, ..Disk::default() };
+        let members = asks.len() as u16;
+        World {
+            nodes: (0..members).map(|i| node(Member(i), members, Birth(1), whole.clone())).collect(),
+            wire: BTreeSet::new(),
+            granted: BTreeSet::new(),
+            sent: BTreeSet::new(),
+            asks: asks.to_vec(),
+            kills,
+            forgets,
+        }
+    }
+
+    fn at<T>(&mut self, at: Member, defect: Defect, does: impl FnOnce(&mut Node, &mut Hands) -> T) -> T {
+        let node = &mut self.nodes[usize::from(at.0)];
+        let mut notes = std::mem::take(&mut node.unsynced);
+        let (wire, granted) = (&mut self.wire, &mut self.granted);
+        let hands = &mut Hands { me: at, birth: node.birth, wire, notes: &mut notes, granted, defect };
+        let came = does(node, hands);
+        node.unsynced = notes;
+        came
+    }
+
+    fn comes(&mut self, from: Member, to: Member, says: &Says, defect: Defect) {
+        self.at(to, defect, |node, out| match says {
+            Says::Claim(claim) => node.keeper.claimed(out, NOW, from, SESSION, *claim),
+            Says::Kept(claim, birth, starts) => node.asker.kept(out, from, *claim, *birth, starts),
+            Says::Unkept(claim, taken) => node.asker.unkept(out, from, *claim, *taken),
+            Says::TakeBack(claim) => node.keeper.takes_back(out, NOW, from, SESSION, *claim),
+            Says::TakenBack(claim) => node.asker.taken_back(from, *claim),
+            Says::Recall(birth) => node.keeper.recalled(out, from, *birth),
+            Says::Row(birth, held) => node.keeper.row(out, NOW, from, *birth, SESSION, held),
+            Says::Rows(birth, count) => node.keeper.rows(out, from, *birth, *count),
+        });
+        if defect == Defect::SaidBeforeSync {
+            self.at(to, defect, |node, out| node.keeper.stored(out, usize::MAX));
+        }
+    }
+
+    fn syncs(&mut self, at: Member, defect: Defect) {
+        let node = &mut self.nodes[usize::from(at.0)];
+        let notes = std::mem::take(&mut node.unsynced);
+        for note in &notes {
+            match note {
+                Note::Held(held) => node.disk.held = Some(held.clone()),
+                Note::Start(..) if defect == Defect::StartsNotStored => {}
+                Note::Start(member, birth) => drop(node.disk.starts.insert(*member, *birth)),
+                Note::Whole => node.disk.whole = true,
+            }
+        }
+        self.at(at, defect, |node, out| node.keeper.stored(out, notes.len()));
+    }
+
+    fn dies(&mut self, at: Member, forgets: bool, defect: Defect) {
+        let members = self.nodes.len() as u16;
+        let old = &self.nodes[usize::from(at.0)];
+        let disk = match (forgets, defect) {
+            (false, _) => old.disk.clone(),
+            (true, Defect::ForgetfulCounts) => Disk { whole: true, ..Disk::default() },
+            (true, _) => Disk::default(),
+        };
+        let birth = Birth(old.birth.0 + 1);
+        self.nodes[usize::from(at.0)] = node(at, members, birth, disk);
+        // What it was granted and had not sent goes with it.
+        self.granted.retain(|claim| claim.by != at);
+        self.at(at, defect, |node, out| node.keeper.ask_again(out, NOW));
+    }
+
+    /// All that may happen next.
+    fn may(&self) -> Vec<Act> {
+        let mut may: Vec<_> = (0..self.wire.len()).map(Act::Comes).collect();
+        may.extend(self.granted.iter().flat_map(|claim| [Act::Sends(*claim), Act::NeverRan(*claim)]));
+        for (i, node) in self.nodes.iter().enumerate() {
+            let at = Member(i as u16);
+            may.extend((!node.unsynced.is_empty()).then_some(Act::Syncs(at)));
+            may.extend((self.asks[i] > 0).then_some(Act::Asks(at)));
+            may.extend((node.asker.open().0 > 0).then_some(Act::GivesUp(at)));
+            may.extend((self.kills > 0).then_some(Act::Dies(at)));
+            may.extend((self.forgets > 0).then_some(Act::Forgets(at)));
+        }
+        may
+    }
+
+    fn does(&mut self, act: Act, defect: Defect) {
+        match act {
+            Act::Comes(i) => {
+                let Some((from, to, says)) = self.wire.iter().nth(i).cloned() else { return };
+                self.comes(from, to, &says, defect);
+            }
+            Act::Sends(claim) => {
+                self.granted.remove(&claim);
+                self.sent.insert(claim);
+            }
+            // Its servers turned it away.
+            Act::NeverRan(claim) => {
+                self.granted.remove(&claim);
+                self.at(claim.by, defect, |node, out| node.asker.take_back(out, SESSION, claim.no));
+            }
+            Act::Syncs(at) => self.syncs(at, defect),
+            Act::Asks(at) => {
+                self.asks[usize::from(at.0)] -= 1;
+                self.at(at, defect, |node, out| node.asker.ask(out, SESSION, LATE));
+            }
+            Act::GivesUp(at) => self.at(at, defect, |node, out| node.asker.ask_again(out, LATE)),
+            Act::Dies(at) => {
+                self.kills -= 1;
+                self.dies(at, false, defect);
+            }
+            Act::Forgets(at) => {
+                self.forgets -= 1;
+                self.dies(at, true, defect);
+            }
+        }
+    }
+
+    fn next(&self, defect: Defect) -> Vec<World> {
+        let step = |act| {
+            let mut world = self.clone();
+            world.does(act, defect);
+            (world != *self).then_some(world)
+        };
+        self.may().into_iter().filter_map(step).collect()
+    }
+
+    /// Claims that may be set up, or were.
+    fn live(&self) -> usize {
+        self.granted.union(&self.sent).count()
+    }
+}
+
+/// Goes through all states in order of their distance, up to so many: states and steps gone through, whether that was
+/// all, and the length of the way to one with two live claims.
+fn explore(world: World, defect: Defect, most: usize) -> (usize, usize, bool, Option<usize>) {
+    let print = |world: &World| {
+        let mut hasher = DefaultHasher::new();
+        world.hash(&mut hasher);
+        hasher.finish()
+    };
+    let mut seen = HashSet::from([print(&world)]);
+    let (mut now, mut steps, mut deep) = (vec![world], 0, 0);
+    while !now.is_empty() {
+        let mut later = vec![];
+        for world in now {
+            if world.live() > 1 {
+                return (seen.len(), steps, false, Some(deep));
+            }
+            for next in world.next(defect) {
+                steps += 1;
+                if seen.insert(print(&next)) {
+                    later.push(next);
+                }
+            }
+            if seen.len() > most {
+                return (seen.len(), steps, false, None);
+            }
+        }
+        (now, deep) = (later, deep + 1);
+    }
+    (seen.len(), steps, true, None)
+}
+
+/// One way through a world by chance, of so many steps at most: after how many there were two live claims.
+fn walk(mut world: World, defect: Defect, chance: &mut Pcg64Mcg, most: usize) -> Option<usize> {
+    for step in 1..=most {
+        let may = world.may();
+        if may.is_empty() {
+            return None;
+        }
+        world.does(may[chance.random_range(0..may.len())], defect);
+        if world.live() > 1 {
+            return Some(step);
+        }
+    }
+    None
+}
+
+/// The kills and losses of memory that worlds have, beside two members that ask for one session.
+const WORLDS: [(u8, u8); 4] = [(0, 0), (1, 0), (0, 1), (1, 1)];
+const ASKS: [u8; 3] = [1, 1, 0];
+/// Steps of a way by chance.
+const STEPS: usize = 80;
+
+/// States or ways that are gone through: more with IVYWARD_SMALL.
+fn size(usual: usize) -> usize {
+    std::env::var("IVYWARD_SMALL").ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+#[test]
+fn no_order_of_events_sets_a_paid_session_up_twice() {
+    for (kills, forgets) in WORLDS {
+        let (states, steps, all, broken) =
+            explore(World::new(&ASKS, kills, forgets), Defect::None, size(20_000));
+        println!("kills {kills}, forgets {forgets}: {states} states, {steps} steps, all of them: {all}");
+        assert_eq!(broken, None, "two live claims: kills {kills}, forgets {forgets}");
+        let ways = size(8_000);
+        for seed in 0..ways as u64 {
+            let mut chance = Pcg64Mcg::seed_from_u64(seed);
+            let broken = walk(World::new(&[2, 2, 1], kills, forgets), Defect::None, &mut chance, STEPS);
+            assert_eq!(broken, None, "two live claims: kills {kills}, forgets {forgets}, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn each_defect_put_in_is_found() {
+    for (defect, kills, forgets) in [(Defect::SaidBeforeSync, 1, 0), (Defect::ForgetfulCounts, 0, 1)] {
+        let ways = size(300_000) as u64;
+        let found = (0..ways).find_map(|seed| {
+            let mut chance = Pcg64Mcg::seed_from_u64(seed);
+            walk(World::new(&ASKS, kills, forgets), defect, &mut chance, STEPS).map(|steps| (seed, steps))
+        });
+        println!("{defect:?}: found by way and after steps {found:?}");
+        assert!(found.is_some(), "{defect:?} was not found on {ways} ways");
+    }
+}
+
+/// Member 2 keeps a claim, forgets it, and recalls before another keeps it too; then a second claim comes to member 2.
+#[test]
+fn what_was_kept_before_a_loss_of_memory_is_not_counted_with_what_is_kept_after() {
+    // `dies`: member 0 is killed, with its memory, once it has heard of the loss.
+    for (defect, dies, live) in [
+        (Defect::None, false, 1),
+        (Defect::None, true, 1),
+        (Defect::StartsNotTold, false, 2),
+        (Defect::StartsNotStored, true, 2),
+        (Defect::StartsNotStored, false, 1),
+    ] {
+        let mut world = World::new(&[1, 1, 0], 1, 1);
+        let [zero, one, two] = [0, 1, 2].map(Member);
+        let come = |world: &mut World, from, to, what: fn(&Says) -> bool| {
+            let fits = |m: &&(Member, Member, Says)| m.0 == from && m.1 == to && what(&m.2);
+            let all: Vec<_> = world.wire.iter().filter(fits).cloned().collect();
+            for (from, to, says) in all {
+                world.comes(from, to, &says, defect);
+                world.syncs(to, defect);
+            }
+        };
+        // Whoever dies loses what it was granted, so it asks second.
+        let first = if dies { one } else { zero };
+        let other = if dies { zero } else { one };
+        let claim: fn(&Says) -> bool = |says| matches!(says, Says::Claim(_));
+        let kept: fn(&Says) -> bool = |says| matches!(says, Says::Kept(..));
+        world.does(Act::Asks(first), defect);
+        come(&mut world, first, two, claim);
+        world.does(Act::Forgets(two), defect);
+        for member in [zero, one] {
+            come(&mut world, two, member, |says| matches!(says, Says::Recall(_)));
+            come(&mut world, member, two, |says| matches!(says, Says::Row(..) | Says::Rows(..)));
+        }
+        if dies {
+            // Who keeps the first claim beside member 2 comes back in between.
+            world.does(Act::Dies(other), defect);
+            come(&mut world, first, other, claim);
+            come(&mut world, other, first, kept);
+        } else {
+            come(&mut world, first, first, claim);
+            come(&mut world, first, first, kept);
+        }
+        come(&mut world, two, first, kept);
+        // The other majority: member 2 as it is now, and member 1, which has not heard of the first claim.
+        world.does(Act::Asks(other), defect);
+        for keeper in [two, one] {
+            come(&mut world, other, keeper, claim);
+            come(&mut world, keeper, other, kept);
+        }
+        assert_eq!(world.live(), live, "{defect:?}, dies {dies}");
+    }
+}
--- a/crates/session/src/front.rs
+++ b/crates/session/src/front.rs
@@ -339,6 +339,26 @@
         true
     }
 
+    /// The connection stands, but the keepers of a paid session gave no leave: it was set up elsewhere (`taken`), or no
+    /// majority of them was reached. Nothing of it went out, and nothing will.
+    pub fn unclaimed(
+        &mut self, out: &mut dyn Effects, now: Duration, vw: ViewingId, tune_in: TuneIn, taken: bool,
+        come_back: Option<Duration>,
+    ) {
+        let Some((server, _)) = self.book.take_out(vw, tune_in) else { return };
+        let about = self.book.viewings.get(&vw).map(|viewing| (viewing.session, viewing.valid));
+        if let Some((session, valid)) = about.filter(|_| taken) {
+            self.book.spend(session, valid, None);
+        }
+        let answer = match taken {
+            true => Answer::Aborted { why: Cause::Spent },
+            false => Answer::Blocked { come_back, why: Cause::Alone },
+        };
+        self.book.answer(out, vw, answer);
+        self.ended(out, now, Ended { vw, tune_in, server, ending: Ending::Unsent }, Load::default());
+        self.settle(out, now);
+    }
+
     /// What became of a set-up.
     pub fn happened(
         &mut self, out: &mut dyn Effects, now: Duration, vw: ViewingId, tune_in: TuneIn, what: Happened,
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -69,6 +69,8 @@
     Late,
     /// The manager ends.
     Ends,
+    /// Paid, and no majority of its keepers could be reached.
+    Alone,
 }
 
 /// The one answer to a request.
