--- a/crates/daemon/tests/command.rs
+++ b/crates/daemon/tests/command.rs
@@ -56,6 +56,20 @@
             format!("{DEFAULTS}{servers}").replace("rate_kb: 450", "rate_kb: 50"),
             vec!["ladder.rung[1].rate_kb", "server[1].address", "given twice", "server[1].kind"],
         ),
+        (
+            format!(
+                "{DEFAULTS}peers {{ listen: \"here\" member {{ name: \"a\" address: \"127.0.0.1:1\" }}\n \
+                 member {{ name: \"a\" address: \"b\" }} }}"
+            ),
+            vec![
+                "peers.listen: is no address with a port",
+                "peers.member[1].address: is no address with a port",
+                "peers.member[1].name: \"a\" is given twice",
+                "peers.member: none is \"manager-1\", this manager",
+                "peers.keepers: is over the number of members, 2",
+                "manager.state_dir: is missing",
+            ],
+        ),
         (DEFAULTS.into(), vec!["list_address: is missing, and no server is given"]),
     ];
     for (text, told) in cases {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -374,3 +374,28 @@
         assert_eq!(group.ask(0, 47).await.status, PLAYS);
     });
 }
+
+/// Run by hand, in release: what the claim adds to the time in which a paid viewing is answered, in turns.
+#[test]
+#[ignore = "a measurement"]
+fn what_a_claim_costs() {
+    with(true, |speaking| async move {
+        let silent = Group::start(false).await;
+        let mut spans = [vec![], vec![]];
+        for session in 1..=400 {
+            for (group, spans) in [&silent, &speaking].into_iter().zip(&mut spans) {
+                let begun = Instant::now();
+                assert_eq!(group.ask(session as usize % MEMBERS, session).await.status, PLAYS);
+                spans.push(begun.elapsed());
+                // What plays ends, so that there is room.
+                sleep(ms(5)).await;
+            }
+        }
+        spans.iter_mut().for_each(|spans| spans.sort());
+        let at = |of: usize, part: usize| spans[of][spans[of].len() * part / 100].as_secs_f64() * 1e3;
+        for part in [50, 90, 99] {
+            let (alone, claimed) = (at(0, part), at(1, part));
+            println!("{part}th: {alone:.2} ms alone, {claimed:.2} ms claimed, {:.2} times", claimed / alone);
+        }
+    });
+}
