A member that recalls is told any number of sessions: rows wait for room in the queue

Seen by reading: rows were put into the queue of 1,024 frames at once, and what didn't fit was left out, so a member without memory never caught up from one that keeps more than that. They now wait for room, one telling a member at a time.

--- a/crates/peers/src/hands.rs
+++ b/crates/peers/src/hands.rs
@@ -6,7 +6,9 @@
 use ivyward_replica::{Asker, Claim, ClaimNo, Effects, Group, Held, Keeper, Member, Word};
 use ivyward_session::{Birth, SessionId};
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, VecDeque};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -42,6 +44,9 @@
     notes: VecDeque<(Note, bool)>,
     writing: bool,
     waiting: BTreeMap<ClaimNo, oneshot::Sender<Word>>,
+    /// Rows for one that recalls, until they are all; and those that are being told theirs.
+    rows: Vec<Frame>,
+    telling: Rc<RefCell<BTreeSet<Member>>>,
     /// When each member was heard last.
     heard: BTreeMap<Member, Duration>,
     counts: BTreeMap<&'static str, u64>,
@@ -98,12 +103,27 @@
         self.say(to, Frame { kind: frame::RECALL, birth: birth.0, ..Frame::default() });
     }
 
-    fn row(&mut self, to: Member, birth: Birth, session: SessionId, held: &Held) {
-        self.say(to, Frame { birth: birth.0, ..frame::row(&self.group, session, held) });
+    fn row(&mut self, _: Member, birth: Birth, session: SessionId, held: &Held) {
+        self.rows.push(Frame { birth: birth.0, ..frame::row(&self.group, session, held) });
     }
 
     fn rows(&mut self, to: Member, birth: Birth, count: u64) {
-        self.say(to, Frame { kind: frame::ROWS, birth: birth.0, count, ..Frame::default() });
+        let mut rows = std::mem::take(&mut self.rows);
+        rows.push(Frame { kind: frame::ROWS, birth: birth.0, count, ..Frame::default() });
+        let Some(out) = self.out.get(&to).cloned() else { return };
+        // Guards against more rows than may wait for one member, and against all of them told again meanwhile.
+        if !self.telling.borrow_mut().insert(to) {
+            return;
+        }
+        let telling = self.telling.clone();
+        spawn_local(async move {
+            for row in rows {
+                if out.send(row).await.is_err() {
+                    break;
+                }
+            }
+            telling.borrow_mut().remove(&to);
+        });
     }
 
     fn store(&mut self, session: SessionId, held: &Held) {
@@ -205,6 +225,8 @@
             notes: VecDeque::new(),
             writing: false,
             waiting: BTreeMap::new(),
+            rows: vec![],
+            telling: Rc::default(),
             heard: BTreeMap::new(),
             counts: BTreeMap::new(),
         };
