--- a/crates/daemon/src/setup.rs
+++ b/crates/daemon/src/setup.rs
@@ -180,7 +180,7 @@
         Limits {
             tune_ins: limits.count("tune_ins") as u16,
             call_off: limits.truth("call_off"),
-            probe: limits.truth("probe"),
+            probe: limits.truth("probe").then(|| limits.number("probe_price")),
             come_back: limits.has("come_back_s").then(|| limits.span("come_back_s")),
         },
         ration(settings).map(|(span, free, share)| Ration::new(span, free, share)),
--- a/crates/lab/src/growth.rs
+++ b/crates/lab/src/growth.rs
@@ -66,7 +66,7 @@
             Ladder { rates: RATES.to_vec(), worths: vec![0.25, 0.55, 0.8, 1.0], switch: 0.6 },
             network,
             Pace::new(1, &[1e9], Duration::from_millis(1), 1.0, 1000.0),
-            Limits { tune_ins: 3, call_off: true, probe: false, come_back: None },
+            Limits { tune_ins: 3, call_off: true, probe: None, come_back: None },
             None,
             vec![package],
         );
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -49,6 +49,8 @@
 const ENOUGH: f64 = 8.0;
 /// What counts as chance in the number of our viewings, in square roots of it.
 const CHANCE: f64 = 0.5;
+/// So much fullness is reckoned as dear as a point of worth.
+const FULLNESS: f64 = 2.0;
 /// A tune-in's limit before a further one, in parts of the join target.
 const LIMIT: f64 = 0.4;
 
@@ -126,6 +128,16 @@
             self.usual[tier] = sum / weights;
         }
     }
+
+    /// So many of two holders' probes are worth their price. Of links that lie `apart` from their mean on
+    /// average, and normally, n known ones let the choice be emptier by half of apart times the root of n.
+    fn probes(&self, price: f64) -> usize {
+        let (all, news) = (self.news[0].len().max(1) as f64, || self.news[0].iter().map(|n| n.1));
+        let mean = news().sum::<f64>() / all;
+        let apart = news().map(|full| (full - mean).abs()).sum::<f64>() / all;
+        let gain = |n: &u8| (f64::from(*n).sqrt() - f64::from(n - 1).sqrt()) * apart / 2.0;
+        (1..=2).take_while(|n| gain(n) >= FULLNESS * price).count()
+    }
 }
 
 /// V = αV + (1−α)O over the kept readings, each by the gain of its time.
@@ -489,8 +501,7 @@
                 suspects.push((shunned, s.health.bad(now, recall), id));
             } else {
                 let uplink = &self.uplinks[self.network.rack(s.listed.cell)];
-                // A point of worth is reckoned two of fullness.
-                let far = if s.listed.zone == self.zone { 0.0 } else { 2.0 * self.cross };
+                let far = if s.listed.zone == self.zone { 0.0 } else { FULLNESS * self.cross };
                 fit.push((s.link.full(&self.view).max(uplink.full(&self.view)) + far, id));
             }
         }
@@ -511,12 +522,15 @@
         let drawn_to = fit.len().min(2);
         let (two, others) = fit.split_at_mut(drawn_to);
         let viewing = &self.viewings[&vw];
-        if self.limits.probe && viewing.tune_ins == 0 && drawn.is_empty() && two.len() == 2 {
+        let price = self.limits.probe.filter(|_| viewing.tune_ins == 0 && drawn.is_empty() && two.len() == 2);
+        if let Some(price) = price {
             // With many managers few holders have viewings of ours: there is no news but a probe's.
             let told =
                 |f: &&(f64, ServerId)| self.servers[&f.1].link.heard.back().map_or(Duration::ZERO, |h| h.0);
             let stale = two.iter().filter(|f| told(f) + self.network.told < now);
-            let (drawn, probed) = (two.iter().map(|f| f.1).collect(), stale.map(|f| f.1).collect::<Vec<_>>());
+            // Guards against news that is dearer than the choice it betters.
+            let stale = stale.take(self.view.probes(price)).map(|f| f.1);
+            let (drawn, probed) = (two.iter().map(|f| f.1).collect(), stale.collect::<Vec<_>>());
             if !probed.is_empty() {
                 probed.iter().for_each(|server| act.probe(*server));
                 self.viewings.entry(vw).and_modify(|v| (v.drawn, v.probed) = (drawn, probed));
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,12 +79,12 @@
     }
 }
 
-/// What is allowed of tune-ins: how many, probes, whether they may be called off, and the longest stay away that
+/// What is allowed of tune-ins: how many, the price of a probe in worth if any may be, whether they may be called off, and the longest stay away that
 /// viewers hear of, if they hear any.
 pub struct Limits {
     pub tune_ins: u16,
     pub call_off: bool,
-    pub probe: bool,
+    pub probe: Option<f64>,
     pub come_back: Option<Duration>,
 }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -74,7 +74,7 @@
             seen,
         };
         let pace = Pace::new(2, &[40.0], ms(10_000), 0.4, 2.0);
-        let limits = Limits { tune_ins: 3, probe: false, call_off: true, come_back: Some(ms(2000)) };
+        let limits = Limits { tune_ins: 3, probe: None, call_off: true, come_back: Some(ms(2000)) };
         let package = |once, floor, seats| Package {
             value: 1.0,
             target: ms(1000),
@@ -501,30 +501,38 @@
 
 #[test]
 fn holders_without_news_are_probed() {
-    // Whether probes are allowed, whether news of both holders is fresh; the probes, what they bring, who is taken.
+    // What a probe costs if any may be made, whether news of both holders is fresh, which told of 0.1 and 0.5; the
+    // probes, what each holder's brings, who is taken. The choice of two gains 0.05 in worth by one, 0.02 by another.
     let cases = [
-        (true, false, 2, [Some(0.9), Some(0.2)], 1),
-        (true, false, 2, [Some(0.2), Some(0.9)], 0),
-        (true, false, 2, [None, Some(0.9)], 1),
-        (true, true, 0, [None; 2], 0),
-        (false, false, 0, [None; 2], 0),
+        (Some(0.0), false, 2, [Some(0.9), Some(0.2)], Some(1)),
+        (Some(0.0), false, 2, [Some(0.2), Some(0.9)], Some(0)),
+        (Some(0.0), false, 2, [None, Some(0.9)], Some(1)),
+        (Some(0.02), false, 2, [Some(0.2), Some(0.9)], Some(0)),
+        (Some(0.03), false, 1, [Some(0.0), Some(0.0)], None),
+        (Some(0.08), false, 0, [None; 2], Some(0)),
+        (Some(0.0), true, 0, [None; 2], Some(0)),
+        (None, false, 0, [None; 2], Some(0)),
     ];
-    for (allowed, fresh, probes, found, taken) in cases {
+    for (price, fresh, probes, found, taken) in cases {
         let mut desk = Desk::new(None);
-        desk.manager.limits.probe = allowed;
+        desk.manager.limits.probe = price;
         for (server, full) in [(0, 0.1), (1, 0.5)] {
             desk.news(0, server, News::Link(full));
         }
         desk.now += if fresh { ms(500) } else { ms(5000) };
         let mut did = desk.ask(1, 0, 0, 2);
-        assert_eq!(did.iter().filter(|d| matches!(d, Did::Probe(_))).count(), probes);
-        for (server, full) in found.into_iter().enumerate().take(probes) {
-            assert_eq!(sent_to(&did), None, "before both are back");
-            let load = full.map(|full| Load { link: Some(full), uplink: None });
-            desk.manager.probed(&mut desk.did, desk.now, ServerId([server as u8; 6]), load);
+        let probed = did.iter().filter_map(|d| if let Did::Probe(server) = d { Some(*server) } else { None });
+        let probed: Vec<_> = probed.collect();
+        assert_eq!(probed.len(), probes, "{price:?} {fresh}");
+        for server in &probed {
+            assert_eq!(sent_to(&did), None, "before all are back");
+            let load = found[usize::from(*server)].map(|full| Load { link: Some(full), uplink: None });
+            desk.manager.probed(&mut desk.did, desk.now, ServerId([*server; 6]), load);
             did = desk.take();
         }
-        assert_eq!(sent_to(&did), Some(taken), "{allowed} {fresh} {found:?}");
+        // One that was found empty is taken, whichever was probed.
+        let taken = taken.unwrap_or_else(|| probed[0]);
+        assert_eq!(sent_to(&did), Some(taken), "{price:?} {fresh} {found:?}");
     }
 }
 
