Sessions revoked at one manager are refused by all; copies that differ find out by digests

Three processes: revoked at one, refused at the others at once and its stream released (without peers let in); the one that told it killed for good, paths held or reset, SIGSTOP, starts anew without memory: learned by all, digests equal. Planted: without the turns that compare, both tests of that fail.

--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -26,8 +26,11 @@
         ("claims asking", "asking"),
         ("to be taken back", "to_take_back"),
         ("notes to disk", "notes_to_disk"),
+        ("revoked, told of", "revoked"),
     ] {
         text += &format!("{label:<20}{}\n", whole(name));
     }
+    let digest = page["revoked_digest"].as_str().unwrap_or_default();
+    text += &format!("digest of those     {digest}, the same on members that were told the same\n");
     text + &format!("counts              {}\n", page["counts"])
 }
--- a/crates/daemon/src/viewers.rs
+++ b/crates/daemon/src/viewers.rs
@@ -15,6 +15,7 @@
 use ivyward_dash::token::{Given, Keys, Pass, Refusal};
 use ivyward_edge::{Refresh, Shown};
 use ivyward_hints::{HEADERS, in_query};
+use ivyward_peers::Peers;
 use ivyward_quality::Taken;
 use ivyward_session::{Answer, Cause, RequestId, SessionId};
 use ivyward_settings::Part;
@@ -29,7 +30,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{interval, sleep, timeout};
 use tokio_io_timeout::TimeoutStream;
 
 /// The head of a request must fit into this.
@@ -80,6 +81,9 @@
         titles,
         packages,
     });
+    if let Some(peers) = &desk.shell.0.peers {
+        spawn_local(desk.clone().learns(peers.clone()));
+    }
     if let Some(mut texts) = texts {
         let desk = desk.clone();
         spawn_local(async move {
@@ -263,11 +267,37 @@
         let before = self.revoked.replace(revoked(&tokens));
         let new: Vec<_> = self.revoked.borrow().difference(&before).copied().collect();
         tracing::info!(signs = tokens.text("signs"), revoked = new.len(), "new tokens are in force");
-        for session in new {
-            self.shell.tell(move |front, hands, now| front.revoked(hands, now, SessionId(session)));
+        for session in new.into_iter().map(SessionId) {
+            self.shell.tell(move |front, hands, now| front.revoked(hands, now, session));
+            self.shell.0.peers.iter().for_each(|peers| peers.revoke(session));
         }
     }
 
+    /// Shares with the other managers which sessions are revoked.
+    async fn learns(self: Rc<Self>, peers: Peers) {
+        let mut learned = peers.learns();
+        // Whatever is told is over after a span; what the settings here still tell by then is told anew.
+        let mut anew = interval(peers.span() / 2);
+        loop {
+            tokio::select! {
+                _ = anew.tick() => {
+                    let revoked = self.revoked.borrow().iter().copied().map(SessionId).collect::<Vec<_>>();
+                    revoked.into_iter().for_each(|session| peers.revoke(session));
+                }
+                session = learned.recv() => {
+                    let Some(session) = session else { return };
+                    self.shell.tell(move |front, hands, now| front.revoked(hands, now, session));
+                }
+            }
+        }
+    }
+
+    fn is_revoked(&self, session: u128) -> bool {
+        let elsewhere =
+            || self.shell.0.peers.as_ref().is_some_and(|peers| peers.is_revoked(SessionId(session)));
+        self.revoked.borrow().contains(&session) || elsewhere()
+    }
+
     /// A player's reports (CMCD's report mode), on its session's token.
     async fn reported(&self, request: Request<Incoming>, from: IpAddr) -> Page {
         if request.method() != Method::POST {
@@ -324,7 +354,7 @@
             Ok(taken) => taken,
             Err(refusal) => return refused(refusal),
         };
-        if self.revoked.borrow().contains(&pass.session) {
+        if self.is_revoked(pass.session) {
             return refused(Refusal::Revoked);
         }
         let Some(title) = self.titles.get(name) else {
--- a/crates/daemon/tests/peers.rs
+++ b/crates/daemon/tests/peers.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 use ivyward_between::{Does, Path};
 use ivyward_daemon::setup;
+use ivyward_fleet::Over;
 use ivyward_standin::{Standins, What};
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -28,6 +29,7 @@
 const BLOCKED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 /// It may have run before.
 const SPENT: StatusCode = StatusCode::BAD_GATEWAY;
+const REVOKED: StatusCode = StatusCode::UNAUTHORIZED;
 static GROUPS: AtomicU8 = AtomicU8::new(0);
 
 struct Manager {
@@ -156,6 +158,33 @@
         self.standins.records().count(of)
     }
 
+    /// Settings of one member tell that a session is revoked; they are read again.
+    fn revokes(&self, i: usize, session: u128) {
+        let file = &self.managers[i].file;
+        let text = fs::read_to_string(file).expect("settings");
+        let told = format!("signs: \"trial\"\n  revoked: \"{session:032x}\"");
+        fs::write(file, text.replacen("signs: \"trial\"", &told, 1)).expect("written");
+        self.signal(i, "-HUP");
+    }
+
+    /// Waits until a session that nothing was set up for lately is refused, or plays, for five seconds at most.
+    async fn comes_to(&self, i: usize, session: u128, status: StatusCode) {
+        let end = Instant::now() + ms(5000);
+        loop {
+            let page = get(&self.url(i, session, "clip")).await;
+            if page.status == status {
+                return;
+            }
+            assert!(Instant::now() < end, "m{i}, session {session}: {} {}", page.status, page.text);
+            sleep(ms(20)).await;
+        }
+    }
+
+    /// Streams that a manager had its server end.
+    fn released(&self) -> usize {
+        self.standins.records().count(|what| matches!(what, What::StreamOver { why: Over::Released, .. }))
+    }
+
     async fn page(&self, i: usize) -> Value {
         let page = get(&format!("http://{}/peers", self.managers[i].console)).await;
         serde_json::from_str(&page.text).expect("a page")
@@ -375,6 +404,75 @@
     });
 }
 
+#[test]
+fn revoked_at_one_manager_a_session_is_welcome_at_none() {
+    for speaks in [true, false] {
+        with(speaks, |group| async move {
+            assert_eq!(get(&group.url(1, 51, "clip")).await.status, PLAYS);
+            group.revokes(0, 51);
+            group.comes_to(0, 51, REVOKED).await;
+            if !speaks {
+                // Managers that share nothing let it in at every other door.
+                sleep(ms(300)).await;
+                assert_eq!(group.released(), 0);
+                assert_eq!(get(&group.url(2, 51, "clip")).await.status, PLAYS);
+                return;
+            }
+            for i in [1, 2] {
+                group.comes_to(i, 51, REVOKED).await;
+            }
+            // What played at another ended there and then, not by its lease.
+            let end = Instant::now() + ms(500);
+            while group.released() != 1 {
+                assert!(Instant::now() < end, "{} released", group.released());
+                sleep(ms(10)).await;
+            }
+            assert_eq!(get(&group.url(1, 52, "clip")).await.status, PLAYS, "no other is touched");
+        });
+    }
+}
+
+#[test]
+fn what_was_revoked_is_told_on_whatever_dies_and_whoever_starts_anew() {
+    for does in [Does::Holds, Does::Resets] {
+        with(true, |mut group| async move {
+            // The first tells the second alone, and is gone for good.
+            group.around(2, does);
+            group.revokes(0, 61);
+            group.comes_to(1, 61, REVOKED).await;
+            group.kill(0).await;
+            assert_eq!(get(&group.url(2, 61, "clip")).await.status, PLAYS, "{does:?}: it can't know yet");
+            group.around(2, Does::Passes);
+            group.comes_to(2, 61, REVOKED).await;
+            // Nor is it kept on disk: one that starts anew learns it from another, also after a flap of its own.
+            for i in [1, 2, 1] {
+                group.kill(i).await;
+                group.run(i).await;
+                group.comes_to(i, 61, REVOKED).await;
+            }
+            // Stopped for a while, one believes what it did; then it hears.
+            group.signal(2, "-STOP");
+            group.revokes(1, 62);
+            group.comes_to(1, 62, REVOKED).await;
+            sleep(ms(2500)).await;
+            group.signal(2, "-CONT");
+            group.comes_to(2, 62, REVOKED).await;
+            // The first comes back with settings that tell of the one, and learns the other.
+            group.run(0).await;
+            group.comes_to(0, 62, REVOKED).await;
+            let end = Instant::now() + ms(5000);
+            loop {
+                let pages = [group.page(0).await, group.page(1).await, group.page(2).await];
+                if pages.iter().all(|page| page["revoked_digest"] == pages[0]["revoked_digest"]) {
+                    break;
+                }
+                assert!(Instant::now() < end, "{does:?}: {pages:?}");
+                sleep(ms(50)).await;
+            }
+        });
+    }
+}
+
 /// Run by hand, in release: what the claim adds to the time in which a paid viewing is answered, in turns.
 #[test]
 #[ignore = "a measurement"]
--- a/crates/peers/src/frame.rs
+++ b/crates/peers/src/frame.rs
@@ -1,11 +1,13 @@
 //! What managers write to each other: one message of protobuf a frame, members by their names, so that they need not
 //! number them alike.
 
-use ivyward_replica::{Claim, ClaimNo, Group, Held, Member};
+use ivyward_replica::{Claim, ClaimNo, Group, Held, Log, Member, Record};
 use ivyward_session::{Birth, SessionId};
+use std::collections::BTreeMap;
+use std::time::Duration;
 
-/// What managers of this build speak. One that speaks less is spoken to in that; there is none yet.
-pub const REVISION: u32 = 1;
+/// What managers of this build speak. One that speaks less leaves alone what it does not know: records in common, since 2.
+pub const REVISION: u32 = 2;
 
 pub const HELLO: u32 = 1;
 pub const CLAIM: u32 = 2;
@@ -16,6 +18,12 @@
 pub const RECALL: u32 = 7;
 pub const ROW: u32 = 8;
 pub const ROWS: u32 = 9;
+pub const DIGEST: u32 = 10;
+pub const HEADS: u32 = 11;
+pub const RECORDS: u32 = 12;
+
+/// Kinds of records in common.
+pub const REVOKED: u32 = 1;
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
@@ -44,6 +52,24 @@
     pub group: String,
     #[prost(uint32, tag = "12")]
     pub revision: u32,
+    /// In answer to an account.
+    #[prost(bool, tag = "13")]
+    pub back: bool,
+    #[prost(message, repeated, tag = "14")]
+    pub records: Vec<Told>,
+}
+
+/// A record in common: its number, how long it is still to be held, and what it tells of.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Told {
+    #[prost(uint64, tag = "1")]
+    pub no: u64,
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
+    #[prost(uint32, tag = "3")]
+    pub kind: u32,
+    #[prost(bytes = "vec", tag = "4")]
+    pub session: Vec<u8>,
 }
 
 /// A claim, or with no number a start.
@@ -78,6 +104,29 @@
     all.iter().map(|who| Some((group.member(&who.name)?, Birth(who.birth)))).collect()
 }
 
+pub fn head(group: &Group, (log, head): (&Log, &u64)) -> Who {
+    Who { name: group.name(log.of).into(), birth: log.birth.0, no: *head }
+}
+
+pub fn heads(group: &Group, all: &[Who]) -> Option<BTreeMap<Log, u64>> {
+    let head = |who: &Who| Some((Log { of: group.member(&who.name)?, birth: Birth(who.birth) }, who.no));
+    all.iter().map(head).collect()
+}
+
+pub fn told(record: &Record<SessionId>) -> Told {
+    let (left_ms, session) = (record.left.as_millis() as u64, record.what.0.to_be_bytes().into());
+    Told { no: record.no, left_ms, kind: REVOKED, session }
+}
+
+/// Records of kinds that a later revision tells of are left out.
+pub fn records(all: &[Told]) -> Option<Vec<Record<SessionId>>> {
+    let record = |told: &Told| {
+        let left = Duration::from_millis(told.left_ms);
+        Some(Record { no: told.no, left, what: session(&told.session)? })
+    };
+    all.iter().filter(|told| told.kind == REVOKED).map(record).collect()
+}
+
 pub fn session(bytes: &[u8]) -> Option<SessionId> {
     bytes.try_into().ok().map(|bytes| SessionId(u128::from_be_bytes(bytes)))
 }
--- a/crates/peers/src/hands.rs
+++ b/crates/peers/src/hands.rs
@@ -3,18 +3,21 @@
 use crate::frame::{self, Frame, start, who};
 use crate::store::{Note, Store};
 use crate::{Config, link};
-use ivyward_replica::{Asker, Claim, ClaimNo, Effects, Group, Held, Keeper, Member, Word};
+use ivyward_replica::{
+    Asker, Claim, ClaimNo, Common, Effects, Group, Held, Keeper, Log, Member, Record, Tells, Word,
+};
 use ivyward_session::{Birth, SessionId};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Range;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_blocking, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
 
 /// What is open is asked again so many times while a word is waited for.
 const AGAIN: u32 = 4;
@@ -31,6 +34,7 @@
 pub(crate) struct Cores {
     pub keeper: Keeper,
     pub asker: Asker,
+    pub revoked: Common<SessionId>,
 }
 
 /// What the cores have done.
@@ -50,8 +54,14 @@
     /// When each member was heard last.
     heard: BTreeMap<Member, Duration>,
     counts: BTreeMap<&'static str, u64>,
+    revoked: Revoked,
+    /// Who is told of sessions that are revoked from now on.
+    learns: Option<mpsc::UnboundedSender<SessionId>>,
 }
 
+/// Sessions that any member told to be revoked, each with how many records say so.
+pub type Revoked = Rc<RefCell<BTreeMap<SessionId, usize>>>;
+
 impl Hands {
     fn count(&mut self, what: &'static str) {
         let count = self.counts.entry(what).or_default();
@@ -156,6 +166,41 @@
     }
 }
 
+impl Tells<SessionId> for Hands {
+    fn digest(&mut self, to: Member, digest: u64) {
+        self.say(to, Frame { kind: frame::DIGEST, count: digest, ..Frame::default() });
+    }
+
+    fn heads(&mut self, to: Member, heads: &BTreeMap<Log, u64>, back: bool) {
+        let starts = heads.iter().map(|of| frame::head(&self.group, of)).collect();
+        self.say(to, Frame { kind: frame::HEADS, starts, back, ..Frame::default() });
+    }
+
+    fn records(&mut self, to: Member, log: Log, between: Range<u64>, records: &[Record<SessionId>]) {
+        let (claim, count) = (Some(frame::head(&self.group, (&log, &between.start))), between.end);
+        let records = records.iter().map(frame::told).collect();
+        self.say(to, Frame { kind: frame::RECORDS, claim, count, records, ..Frame::default() });
+    }
+
+    fn learned(&mut self, session: &SessionId) {
+        let count = { *self.revoked.borrow_mut().entry(*session).and_modify(|n| *n += 1).or_insert(1) };
+        if count == 1 {
+            tracing::debug!(session = format_args!("{:032x}", session.0), "revoked");
+            self.learns.iter().for_each(|learns| learns.send(*session).unwrap_or_default());
+        }
+    }
+
+    fn over(&mut self, session: &SessionId) {
+        let mut revoked = self.revoked.borrow_mut();
+        if let Some(count) = revoked.get_mut(session) {
+            *count -= 1;
+            if *count == 0 {
+                revoked.remove(session);
+            }
+        }
+    }
+}
+
 /// What a member wrote: each field goes straight into a call.
 fn hears(cores: &mut Cores, out: &mut Hands, now: Duration, from: Member, frame: &Frame) -> Option<()> {
     let (session, birth) = (|| frame::session(&frame.session), Birth(frame.birth));
@@ -178,6 +223,16 @@
             cores.keeper.row(out, now, from, birth, session, &held);
         }
         frame::ROWS => cores.keeper.rows(out, from, birth, frame.count),
+        frame::DIGEST => cores.revoked.compared(out, now, from, frame.count),
+        frame::HEADS => {
+            let heads = frame::heads(&out.group, &frame.starts)?;
+            cores.revoked.accounted(out, now, from, &heads, frame.back);
+        }
+        frame::RECORDS => {
+            let of = claim(&out.group)?;
+            let (log, between) = (Log { of: of.by, birth: of.birth }, of.no.0..frame.count);
+            cores.revoked.told(out, now, from, log, between, frame::records(&frame.records)?);
+        }
         // What a later revision says is left alone.
         _ => {}
     }
@@ -190,6 +245,8 @@
     jobs: mpsc::UnboundedSender<Job>,
     begun: Instant,
     word: Duration,
+    span: Duration,
+    revoked: Revoked,
 }
 
 impl Peers {
@@ -204,7 +261,8 @@
         let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
         tracing::info!(%listen, whole = stored.whole, sessions = stored.sessions.len(), "speaks with other managers");
         let (jobs, taken) = mpsc::unbounded_channel();
-        let peers = Peers { jobs, begun: Instant::now(), word };
+        let revoked = Revoked::default();
+        let peers = Peers { jobs, begun: Instant::now(), word, span, revoked: revoked.clone() };
         let mut out = BTreeMap::new();
         for (name, address) in others {
             let (send, frames) = mpsc::channel(FRAMES);
@@ -215,7 +273,8 @@
         spawn_local(link::accept(listener, peers.clone(), group.clone()));
         let kept = (stored.sessions, stored.starts);
         let keeper = Keeper::new(group.clone(), me, birth, span, Duration::ZERO, stored.whole, kept);
-        let mut cores = Cores { keeper, asker: Asker::new(group.clone(), me, birth) };
+        let common = Common::new(&group, me, birth, span);
+        let mut cores = Cores { keeper, asker: Asker::new(group.clone(), me, birth), revoked: common };
         let mut hands = Hands {
             group,
             me,
@@ -229,7 +288,10 @@
             telling: Rc::default(),
             heard: BTreeMap::new(),
             counts: BTreeMap::new(),
+            revoked,
+            learns: None,
         };
+        cores.revoked.start(&mut hands);
         cores.keeper.ask_again(&mut hands, Duration::ZERO);
         spawn_local(run(peers.clone(), cores, hands, store, taken));
         Ok(peers)
@@ -271,6 +333,31 @@
         (claimed, told.await.unwrap_or(Word::Alone))
     }
 
+    /// How long it is held what a member told.
+    pub fn span(&self) -> Duration {
+        self.span
+    }
+
+    /// A session's tokens are taken no more, by no member, for a span.
+    pub fn revoke(&self, session: SessionId) {
+        self.tell(move |cores, hands, now| cores.revoked.add(hands, now, session));
+    }
+
+    /// Whether any member told that.
+    pub fn is_revoked(&self, session: SessionId) -> bool {
+        self.revoked.borrow().contains_key(&session)
+    }
+
+    /// Sessions that are revoked, as this member comes to know of them.
+    pub fn learns(&self) -> mpsc::UnboundedReceiver<SessionId> {
+        let (learns, learned) = mpsc::unbounded_channel();
+        self.tell(|_, hands, _| {
+            hands.revoked.borrow().keys().for_each(|session| learns.send(*session).unwrap_or_default());
+            hands.learns = Some(learns);
+        });
+        learned
+    }
+
     /// What is known of the members, what is kept here, and what became of what was asked.
     pub async fn page(&self) -> Value {
         let (tell, told) = oneshot::channel();
@@ -284,7 +371,8 @@
             let page = json!({
                 "members": members, "birth": hands.birth.0, "catching_up": cores.keeper.recalls(),
                 "sessions_kept": cores.keeper.len(), "asking": open, "to_take_back": owed,
-                "notes_to_disk": hands.notes.len(), "counts": hands.counts,
+                "notes_to_disk": hands.notes.len(), "revoked": cores.revoked.len(),
+                "revoked_digest": format!("{:016x}", cores.revoked.digest()), "counts": hands.counts,
             });
             tell.send(page).ok();
         });
@@ -334,10 +422,14 @@
 ) {
     let again = (peers.word / AGAIN).max(Duration::from_millis(1));
     let mut next = peers.begun + again;
+    let mut turn = interval(peers.word.max(Duration::from_millis(1)));
+    // Guards against all that was missed in a stall being compared at once.
+    turn.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let wakes = cores.asker.open() != (0, 0) || cores.keeper.recalls();
         tokio::select! {
             biased;
+            _ = turn.tick() => cores.revoked.turn(&mut hands, peers.now()),
             () = sleep_until(next), if wakes => {
                 let now = peers.now();
                 cores.asker.ask_again(&mut hands, now);
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -22,7 +22,7 @@
     pub others: Vec<(String, SocketAddr)>,
     /// How long the word of a majority is waited for, at most.
     pub word: Duration,
-    /// How long a claim is kept.
+    /// How long a claim is kept, and what all are told is held.
     pub span: Duration,
     /// How long a connection may take to stand.
     pub connect: Duration,
--- /dev/null
+++ b/crates/replica/src/common.rs
@@ -0,0 +1,221 @@
+//! What all members are to know: records that each start of a member numbers on its own, and copies of them everywhere.
+//!
+//! A record is known by its member, that one's start and its number there. Copies hold of each start all records from the
+//! first to some number, but for those that are over, so a copy's state is one number a start: two copies compare one
+//! digest, and only where that differs the numbers, and then move what one of them lacks and no more. A record carries
+//! how long it is still to be held, never a date: that span only shrinks from copy to copy, so that one which is told on
+//! and on is over everywhere at last, and none comes back for longer than it had left and was
+//! on its way.
+
+use crate::{Group, Member};
+use ivyward_session::Birth;
+use siphasher::sip::SipHasher13;
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+use std::ops::Range;
+use std::time::Duration;
+
+/// Records told in one message, and in answer to one account; what is behind by more asks again.
+const TOLD: usize = 256;
+const ANSWERED: usize = 16 * TOLD;
+/// Members that one asks at its start, so that many starts at once are borne by all.
+const ASKED: usize = 3;
+
+/// The records of one start of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Log {
+    pub of: Member,
+    pub birth: Birth,
+}
+
+/// A record with its number, and how long it is still to be held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record<R> {
+    pub no: u64,
+    pub left: Duration,
+    pub what: R,
+}
+
+/// What is told to members; any of it may be lost, doubled, or come late.
+pub trait Tells<R> {
+    /// All that is held here, in one number.
+    fn digest(&mut self, to: Member, digest: u64);
+    /// What is held here: of each log the number after the last. `back`: in answer to such an account.
+    fn heads(&mut self, to: Member, heads: &BTreeMap<Log, u64>, back: bool);
+    /// All that is held of a log between two numbers.
+    fn records(&mut self, to: Member, log: Log, between: Range<u64>, records: &[Record<R>]);
+    /// To whoever uses them here: that is known now, that is over.
+    fn learned(&mut self, what: &R);
+    fn over(&mut self, what: &R);
+}
+
+#[derive(Clone, Debug)]
+struct Records<R> {
+    /// The number after the last.
+    head: u64,
+    /// When each is over.
+    held: BTreeMap<u64, (Duration, R)>,
+}
+
+impl<R: Clone> Records<R> {
+    fn between(&self, now: Duration, between: &Range<u64>) -> Vec<Record<R>> {
+        let record = |(no, (until, what)): (&u64, &(Duration, R))| Record {
+            no: *no,
+            left: until.saturating_sub(now),
+            what: what.clone(),
+        };
+        self.held.range(between.clone()).map(record).collect()
+    }
+}
+
+/// One member's copy.
+#[derive(Clone, Debug)]
+pub struct Common<R> {
+    members: u16,
+    own: Log,
+    span: Duration,
+    logs: BTreeMap<Log, Records<R>>,
+    turns: u64,
+}
+
+impl<R: Clone> Common<R> {
+    /// `birth`: this start, above all before; `span`: how long a record is held at most.
+    pub fn new(group: &Group, me: Member, birth: Birth, span: Duration) -> Common<R> {
+        let members = group.members().count() as u16;
+        Common { members, own: Log { of: me, birth }, span, logs: BTreeMap::new(), turns: 0 }
+    }
+
+    /// Records held.
+    pub fn len(&self) -> usize {
+        self.logs.values().map(|log| log.held.len()).sum()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Starts of members that anything is known of.
+    pub fn logs(&self) -> usize {
+        self.logs.len()
+    }
+
+    /// The same on two copies that hold the same.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = SipHasher13::new();
+        self.heads().hash(&mut hasher);
+        hasher.finish()
+    }
+
+    /// Logs of which nothing is held any more aren't spoken of.
+    fn heads(&self) -> BTreeMap<Log, u64> {
+        let held = self.logs.iter().filter(|(_, log)| !log.held.is_empty());
+        held.map(|(log, records)| (*log, records.head)).collect()
+    }
+
+    /// A member `by` places after this one.
+    fn after(&self, by: u64) -> Member {
+        Member(((u64::from(self.own.of.0) + by) % u64::from(self.members)) as u16)
+    }
+
+    /// This start: asks a few others for what they hold.
+    pub fn start(&self, out: &mut impl Tells<R>) {
+        let others = (1..u64::from(self.members)).map(|by| self.after(by)).take(ASKED);
+        others.for_each(|to| out.heads(to, &self.heads(), false));
+    }
+
+    /// All are to know that.
+    pub fn add(&mut self, out: &mut impl Tells<R>, now: Duration, what: R) {
+        self.forget_over(out, now);
+        out.learned(&what);
+        let until = now + self.span;
+        let log = self.logs.entry(self.own).or_insert(Records { head: 0, held: BTreeMap::new() });
+        let no = log.head;
+        log.held.insert(no, (until, what.clone()));
+        log.head += 1;
+        let record = [Record { no, left: self.span, what }];
+        (1..u64::from(self.members))
+            .for_each(|by| out.records(self.after(by), self.own, no..no + 1, &record));
+    }
+
+    /// A turn, as often as the driver likes: one other member, each when it is due, compares. What was lost on the way,
+    /// or told while nobody listened, is found out by it.
+    pub fn turn(&mut self, out: &mut impl Tells<R>, now: Duration) {
+        self.forget_over(out, now);
+        if self.members > 1 {
+            let by = 1 + self.turns % u64::from(self.members - 1);
+            self.turns += 1;
+            out.digest(self.after(by), self.digest());
+        }
+    }
+
+    /// Another's digest.
+    pub fn compared(&mut self, out: &mut impl Tells<R>, now: Duration, from: Member, digest: u64) {
+        self.forget_over(out, now);
+        if digest != self.digest() {
+            out.heads(from, &self.heads(), false);
+        }
+    }
+
+    /// Another's account of what it holds: told is what it lacks, asked for what is lacked here.
+    pub fn accounted(
+        &mut self, out: &mut impl Tells<R>, now: Duration, from: Member, theirs: &BTreeMap<Log, u64>,
+        back: bool,
+    ) {
+        self.forget_over(out, now);
+        let mut most = ANSWERED;
+        for (log, records) in &self.logs {
+            let mut first = theirs.get(log).copied().unwrap_or(0);
+            while first < records.head && !records.held.is_empty() && most > 0 {
+                let numbers = records.held.range(first..).map(|(no, _)| *no);
+                let end = numbers.take(TOLD.min(most) + 1).nth(TOLD.min(most)).unwrap_or(records.head);
+                let told = records.between(now, &(first..end));
+                most -= told.len().max(1);
+                out.records(from, *log, first..end, &told);
+                first = end;
+            }
+        }
+        let lacks = |(log, head): (&Log, &u64)| {
+            *log != self.own && self.logs.get(log).map_or(0, |records| records.head) < *head
+        };
+        // Guards against two that ask each other on and on while what they answer is lost.
+        if !back && theirs.iter().any(lacks) {
+            out.heads(from, &self.heads(), true);
+        }
+    }
+
+    /// Of a log all that another holds between two numbers.
+    pub fn told(
+        &mut self, out: &mut impl Tells<R>, now: Duration, from: Member, log: Log, between: Range<u64>,
+        records: Vec<Record<R>>,
+    ) {
+        self.forget_over(out, now);
+        let head = self.logs.get(&log).map_or(0, |records| records.head);
+        // This start's own are known best here.
+        if log == self.own || between.end <= head {
+            return;
+        }
+        // Guards against a copy with a hole in it: what came before was lost, or comes yet.
+        if between.start > head {
+            return out.heads(from, &self.heads(), false);
+        }
+        let held = self.logs.entry(log).or_insert(Records { head, held: BTreeMap::new() });
+        for Record { no, left, what } in records {
+            if (head..between.end).contains(&no) && !left.is_zero() {
+                out.learned(&what);
+                held.held.insert(no, (now + left.min(self.span), what));
+            }
+        }
+        held.head = between.end;
+    }
+
+    fn forget_over(&mut self, out: &mut impl Tells<R>, now: Duration) {
+        for log in self.logs.values_mut() {
+            while let Some(first) = log.held.first_entry().filter(|first| first.get().0 <= now) {
+                out.over(&first.remove().1);
+            }
+        }
+        // Of starts before a member's last nothing new comes: what is empty is left out for good.
+        let last: BTreeMap<_, _> = self.logs.keys().map(|log| (log.of, log.birth)).collect();
+        self.logs.retain(|log, records| !records.held.is_empty() || last[&log.of] == log.birth);
+    }
+}
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -16,10 +16,12 @@
 //! run, so it counts as run until its span is over.
 
 mod asker;
+mod common;
 mod group;
 mod keeper;
 
 pub use asker::{Asker, Word};
+pub use common::{Common, Log, Record, Tells};
 pub use group::Group;
 pub use keeper::{Held, Keeper};
 
--- a/crates/replica/src/tests.rs
+++ b/crates/replica/src/tests.rs
@@ -1,6 +1,6 @@
 //! The cores of three members in a small world, through every order of what may happen to them; and tables of their parts.
 
-use crate::{Asker, Claim, ClaimNo, Effects, Group, Held, Keeper, Member, Word};
+use crate::{Asker, Claim, ClaimNo, Common, Effects, Group, Held, Keeper, Log, Member, Record, Tells, Word};
 use ivyward_session::{Birth, SessionId};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -8,6 +8,7 @@
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::hash::{Hash, Hasher};
+use std::ops::Range;
 use std::time::Duration;
 
 const SESSION: SessionId = SessionId(7);
@@ -431,3 +432,209 @@
         assert_eq!(world.live(), live, "{defect:?}, dies {dies}");
     }
 }
+
+/// What one copy told of, and what it has others told.
+#[derive(Default)]
+struct Said {
+    known: BTreeMap<u32, usize>,
+    wire: Vec<(Member, Told)>,
+}
+
+#[derive(Clone)]
+enum Told {
+    Digest(u64),
+    Heads(BTreeMap<Log, u64>, bool),
+    Records(Log, Range<u64>, Vec<Record<u32>>),
+}
+
+impl Tells<u32> for Said {
+    fn digest(&mut self, to: Member, digest: u64) {
+        self.wire.push((to, Told::Digest(digest)));
+    }
+
+    fn heads(&mut self, to: Member, heads: &BTreeMap<Log, u64>, back: bool) {
+        self.wire.push((to, Told::Heads(heads.clone(), back)));
+    }
+
+    fn records(&mut self, to: Member, log: Log, between: Range<u64>, records: &[Record<u32>]) {
+        self.wire.push((to, Told::Records(log, between, records.to_vec())));
+    }
+
+    fn learned(&mut self, what: &u32) {
+        *self.known.entry(*what).or_default() += 1;
+    }
+
+    fn over(&mut self, what: &u32) {
+        let count = self.known.get_mut(what).expect("it was learned");
+        *count -= 1;
+        if *count == 0 {
+            self.known.remove(what);
+        }
+    }
+}
+
+/// Copies in virtual time, a turn of each a step; what is said comes in the same step, or is lost, doubled, or late.
+struct Copies {
+    group: Group,
+    copies: Vec<(Common<u32>, Said)>,
+    now: Duration,
+    late: Vec<(Member, Member, Told)>,
+    chance: Pcg64Mcg,
+    /// Messages, and records in them.
+    sent: [usize; 2],
+}
+
+impl Copies {
+    fn new(members: u16, seed: u64) -> Copies {
+        let group = Group::new((0..members).map(|i| (format!("m{i:03}"), 0)).collect(), 3);
+        let copy = |of| (Common::new(&group, of, Birth(1), SPAN), Said::default());
+        let copies = group.members().map(copy).collect();
+        let (late, chance) = (vec![], Pcg64Mcg::seed_from_u64(seed));
+        Copies { group, copies, now: NOW, late, chance, sent: [0; 2] }
+    }
+
+    fn of(&mut self, at: usize, act: impl FnOnce(&mut Common<u32>, &mut Said, Duration)) {
+        let (copy, said) = &mut self.copies[at];
+        act(copy, said, self.now);
+    }
+
+    /// Forgets all, and starts anew.
+    fn restart(&mut self, at: usize, birth: u64) {
+        let fresh = Common::new(&self.group, Member(at as u16), Birth(birth), SPAN);
+        self.copies[at] = (fresh, Said::default());
+        self.of(at, |copy, said, _| copy.start(said));
+    }
+
+    /// Carries what was said until nothing is under way; `lost`: of a hundred; `cut`: whether two can't speak.
+    fn carry(&mut self, lost: u32, cut: impl Fn(usize, usize) -> bool) {
+        loop {
+            let mut wire = vec![];
+            for (from, (_, said)) in self.copies.iter_mut().enumerate() {
+                wire.extend(said.wire.drain(..).map(|(to, told)| (Member(from as u16), to, told)));
+            }
+            if wire.is_empty() {
+                return;
+            }
+            for (from, to, told) in wire {
+                self.sent[0] += 1;
+                self.sent[1] += if let Told::Records(_, _, records) = &told { records.len() } else { 0 };
+                if cut(from.0.into(), to.0.into()) || self.chance.random_ratio(lost, 100) {
+                    continue;
+                }
+                if lost > 0 && self.chance.random_ratio(1, 10) {
+                    self.late.push((from, to, told.clone()));
+                }
+                self.comes(from, to, told);
+            }
+        }
+    }
+
+    fn comes(&mut self, from: Member, to: Member, told: Told) {
+        self.of(to.0.into(), |copy, said, now| match told {
+            Told::Digest(digest) => copy.compared(said, now, from, digest),
+            Told::Heads(heads, back) => copy.accounted(said, now, from, &heads, back),
+            Told::Records(log, between, records) => copy.told(said, now, from, log, between, records),
+        });
+    }
+
+    fn turn(&mut self, lost: u32, cut: impl Fn(usize, usize) -> bool) {
+        self.now += Duration::from_millis(500);
+        for at in 0..self.copies.len() {
+            self.of(at, |copy, said, now| copy.turn(said, now));
+        }
+        self.carry(lost, cut);
+    }
+
+    fn equal(&self) -> bool {
+        let first = &self.copies[0];
+        let same = |known: &BTreeMap<u32, usize>| known.keys().eq(first.1.known.keys());
+        self.copies.iter().all(|(copy, said)| copy.digest() == first.0.digest() && same(&said.known))
+    }
+}
+
+#[test]
+fn copies_that_were_cut_off_and_started_anew_become_equal() {
+    // Members, and the turns after the last fault by which all copies are equal.
+    for (members, most) in [(3, 4), (5, 6), (9, 6), (30, 6), (300, 8)] {
+        let mut worst = 0;
+        for seed in 0..if members > 100 { 2 } else { 40 } {
+            let mut all = Copies::new(members, seed);
+            let half = usize::from(members) / 2;
+            let (mut next, mut births) = (0, 1);
+            for step in 0..20 {
+                for _ in 0..3 {
+                    let at = all.chance.random_range(0..usize::from(members));
+                    all.of(at, |copy, said, now| copy.add(said, now, next));
+                    next += 1;
+                }
+                if all.chance.random_ratio(1, 3) {
+                    births += 1;
+                    let at = all.chance.random_range(0..usize::from(members));
+                    all.restart(at, births);
+                }
+                all.turn(30, |from, to| step % 8 < 4 && (from < half) != (to < half));
+            }
+            // What was held back comes at last, from starts that are over too.
+            for (from, to, told) in std::mem::take(&mut all.late) {
+                all.comes(from, to, told);
+            }
+            let known = |all: &Copies| -> BTreeSet<u32> {
+                all.copies.iter().flat_map(|(_, said)| said.known.keys().copied()).collect()
+            };
+            let held = known(&all);
+            let turns = (0..=most).find(|_| {
+                let equal = all.equal();
+                if !equal {
+                    all.turn(0, |_, _| false);
+                }
+                equal
+            });
+            worst = worst.max(turns.unwrap_or_else(|| panic!("{members} members, seed {seed}: not equal")));
+            assert!(held.len() > 20 && held.is_subset(&known(&all)), "{members} members, seed {seed}: lost");
+        }
+        println!("{members} members: equal after {worst} turns at most");
+    }
+}
+
+#[test]
+fn copies_move_what_one_lacks_and_no_more() {
+    for (held, lacks) in [(1_000, 3), (100_000, 3), (100_000, 600)] {
+        let mut all = Copies::new(2, 1);
+        for what in 0..held + lacks {
+            all.of(0, |copy, said, now| copy.add(said, now, what));
+            all.carry(0, |_, _| what >= held);
+        }
+        assert!(!all.equal());
+        all.sent = [0; 2];
+        all.turn(0, |_, _| false);
+        assert!(all.equal(), "{held}, {lacks}");
+        // Once, or twice since both compare in the same moment.
+        let (messages, moved, lacks) = (all.sent[0], all.sent[1], lacks as usize);
+        assert!((lacks..=2 * lacks).contains(&moved), "{held}, {lacks}: {moved} moved");
+        assert!(messages <= 8 + 2 * lacks / 256, "{held}, {lacks}: {messages} messages");
+    }
+}
+
+#[test]
+fn what_is_over_stays_over() {
+    // Told on before it is over to one that starts anew, again and again, it lives no longer for that.
+    let mut all = Copies::new(3, 1);
+    all.of(0, |copy, said, now| copy.add(said, now, 7));
+    all.carry(0, |_, to| to == 2);
+    let mut births = 1;
+    while all.now < NOW + SPAN - Duration::from_secs(1) {
+        births += 1;
+        all.restart(births as usize % 3, births);
+        all.carry(0, |_, _| false);
+        all.turn(0, |_, _| false);
+        assert!(all.copies.iter().all(|(_, said)| said.known.contains_key(&7)), "at {:?}", all.now);
+    }
+    for _ in 0..6 {
+        births += 1;
+        all.restart(births as usize % 3, births);
+        all.turn(0, |_, _| false);
+    }
+    assert!(all.copies.iter().all(|(copy, said)| copy.is_empty() && said.known.is_empty()));
+    // Nor are the logs of starts that are over held on to.
+    assert!(all.copies.iter().all(|(copy, _)| copy.logs() <= 3));
+}
