A holder never met counts as fuller by the price of a handshake

At fault: choose in src/policy.rs, which drew holders without asking whether any connection to them stands. Test: a_holder_never_met_counts_as_fuller_by_what_its_connection_costs.

--- a/crates/daemon/src/setup.rs
+++ b/crates/daemon/src/setup.rs
@@ -2,7 +2,7 @@
 
 use ivyward::front::{Cells, KindId, Listed, PackageId, ServerId, Standing, TitleId, ZoneId};
 use ivyward::policy::Manager;
-use ivyward::state::{Ladder, Limits, Network, Pace, Package, Ration};
+use ivyward::state::{Ladder, Limits, Network, Pace, Package, Prices, Ration};
 use ivyward_dash::token::Keys;
 use ivyward_edge::Refresh;
 use ivyward_replica::Group;
@@ -164,8 +164,9 @@
     let streams: Vec<_> = settings.list("kind").iter().map(|kind| kind.number("streams")).collect();
     let (warm_up, from, multiple) = (cold.span("warm_up_s"), cold.number("from"), cold.number("multiple"));
     let zone = ZoneId(manager.count("zone") as u8);
+    let prices = Prices { cross: network.number("cross"), handshake: network.number("handshake") };
     Manager::new(
-        (manager.whole("seed"), siblings, zone, network.number("cross")),
+        (manager.whole("seed"), siblings, zone, prices),
         Ladder { rates: of("rate_kb"), worths: of("worth"), switch: ladder.number("switch_s") },
         Network {
             places: network.count("places") as u32,
--- a/crates/lab/src/growth.rs
+++ b/crates/lab/src/growth.rs
@@ -3,7 +3,7 @@
 
 use ivyward::front::*;
 use ivyward::policy::Manager;
-use ivyward::state::{Ladder, Limits, Network, Pace, Package};
+use ivyward::state::{Ladder, Limits, Network, Pace, Package, Prices};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -62,7 +62,7 @@
             seen: Duration::from_secs(1),
         };
         let mut manager = Manager::new(
-            (7, 1, ZoneId(0), 0.0),
+            (7, 1, ZoneId(0), Prices { cross: 0.0, handshake: 0.0 }),
             Ladder { rates: RATES.to_vec(), worths: vec![0.25, 0.55, 0.8, 1.0], switch: 0.6 },
             network,
             Pace::new(1, &[1e9], Duration::from_millis(1), 1.0, 1000.0),
--- a/crates/options/src/lib.rs
+++ b/crates/options/src/lib.rs
@@ -3,7 +3,7 @@
 
 use ivyward::front::{Load, ZoneId};
 use ivyward::policy::Manager;
-use ivyward::state::{Ladder, Limits, Network, Pace, Package, Ration};
+use ivyward::state::{Ladder, Limits, Network, Pace, Package, Prices, Ration};
 use serde_json::Value;
 use std::time::Duration;
 
@@ -116,7 +116,9 @@
         call_off: truth(all, "/limits/cancelling"),
         come_back: truth(all, "/limits/retry-after").then_some(longest),
     };
-    let here = (seed, siblings, ZoneId(or_zero(all, "/my-zone") as u8), or_zero(all, "/prices/cross-zone"));
+    let prices =
+        Prices { cross: or_zero(all, "/prices/cross-zone"), handshake: or_zero(all, "/prices/handshake") };
+    let here = (seed, siblings, ZoneId(or_zero(all, "/my-zone") as u8), prices);
     Ok(Manager::new(here, ladder, network, pace, limits, ration, packages(all)?))
 }
 
--- a/crates/session/src/tests/world.rs
+++ b/crates/session/src/tests/world.rs
@@ -5,7 +5,7 @@
 };
 use ivyward::front::*;
 use ivyward::policy::Manager;
-use ivyward::state::{Ladder, Limits, Network, Pace, Package, Ration};
+use ivyward::state::{Ladder, Limits, Network, Pace, Package, Prices, Ration};
 use ivyward_edge::Shown;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -110,7 +110,7 @@
         let package =
             |once, seats| Package { value: 1.0, target: ms(1000), once, scale: 1.0, floor: 0, top: 1, seats };
         let module = Manager::new(
-            (7, 1, ZoneId(0), 0.0),
+            (7, 1, ZoneId(0), Prices { cross: 0.0, handshake: 0.0 }),
             Ladder { rates: vec![100.0, 200.0], worths: vec![0.5, 1.0], switch: 0.5 },
             Network {
                 places: 6,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -501,8 +501,11 @@
                 suspects.push((shunned, s.health.bad(now, recall), id));
             } else {
                 let uplink = &self.uplinks[self.network.rack(s.listed.cell)];
-                let far = if s.listed.zone == self.zone { 0.0 } else { FULLNESS * self.cross };
-                fit.push((s.link.full(&self.view).max(uplink.full(&self.view)) + far, id));
+                let far = if s.listed.zone == self.zone { 0.0 } else { self.prices.cross };
+                // Of whom nothing was heard since its start there is no connection.
+                let new = if s.link.heard.is_empty() { self.prices.handshake } else { 0.0 };
+                let full = s.link.full(&self.view).max(uplink.full(&self.view));
+                fit.push((full + FULLNESS * (far + new), id));
             }
         }
         // With all holders suspect, still the best of them.
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,12 @@
     pub come_back: Option<Duration>,
 }
 
+/// What a viewing costs, in parts of its value, that crosses to another zone, or needs a connection to a server anew.
+pub struct Prices {
+    pub cross: f64,
+    pub handshake: f64,
+}
+
 pub(crate) struct Viewing<Next> {
     pub package: usize,
     pub title: TitleId,
@@ -393,7 +399,7 @@
     pub(crate) chance: Pcg,
     pub(crate) siblings: f64,
     pub(crate) zone: ZoneId,
-    pub(crate) cross: f64,
+    pub(crate) prices: Prices,
     pub(crate) ladder: Ladder,
     pub(crate) network: Network,
     pub(crate) pace: Pace,
@@ -423,8 +429,8 @@
 
 impl Manager {
     pub fn new(
-        (seed, siblings, zone, cross): (u64, u32, ZoneId, f64), ladder: Ladder, network: Network, pace: Pace,
-        limits: Limits, ration: Option<Ration>, packages: Vec<Package>,
+        (seed, siblings, zone, prices): (u64, u32, ZoneId, Prices), ladder: Ladder, network: Network,
+        pace: Pace, limits: Limits, ration: Option<Ration>, packages: Vec<Package>,
     ) -> Self {
         let (now, siblings) = (Duration::ZERO, f64::from(siblings.max(1)));
         let uplinks: Vec<_> = (0..network.racks.max(1)).map(|_| Link::new(network.uplink_kb, 1)).collect();
@@ -437,7 +443,7 @@
             chance,
             siblings,
             zone,
-            cross,
+            prices,
             ladder,
             network,
             pace,
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -85,7 +85,7 @@
             seats,
         };
         let packages = vec![package(false, 0, 0), package(true, 0, 0), package(false, 1, 2)];
-        let here = (7, 2, ZoneId(0), 0.0);
+        let here = (7, 2, ZoneId(0), Prices { cross: 0.0, handshake: 0.0 });
         let manager = Manager::new(here, ladder, network, pace, limits, ration, packages);
         let mut desk = Desk { manager, did: Recorder::default(), now: START };
         desk.manager.start(&mut desk.did, START);
@@ -536,6 +536,17 @@
     }
 }
 
+#[test]
+fn a_holder_never_met_counts_as_fuller_by_what_its_connection_costs() {
+    // What a handshake costs, what the holder that was met tells of, who is taken; of the other nothing is known.
+    for (price, full, taken) in [(0.0, 0.5, 1), (0.2, 0.5, 1), (0.3, 0.5, 0), (0.3, 0.7, 1)] {
+        let mut desk = Desk::new(None);
+        desk.manager.prices.handshake = price;
+        desk.news(0, 0, News::Link(full));
+        assert_eq!(sent_to(&desk.ask(1, 0, 0, 2)), Some(taken), "{price} {full}");
+    }
+}
+
 #[test]
 fn managers_together_keep_to_a_cold_servers_pace() {
     // Managers, tune-ins that each made of late, the least and the most set-ups that all make at once.
