--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -159,9 +159,17 @@
         .map_err(|e| e.to_string())?;
     let dir = std::env::temp_dir().join(format!("ivyward-measure-{}", std::process::id()));
     fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
-    let manager =
-        Manager::start(&settings, (0, 1), 1, standins.list_address(), &dir, (program, false), None, begun)
-            .await?;
+    let manager = Manager::start(
+        &settings,
+        (0, 1),
+        1,
+        (standins.list_address(), None),
+        &dir,
+        (program, false),
+        None,
+        begun,
+    )
+    .await?;
     let ((mut other, _), address) = bare_process(program).await?;
     let package = settings.list("package")[0].text("name");
     let title = settings.list("title")[0].text("name");
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -95,7 +95,7 @@
     let History { records, asked, managers } = history;
     let judged = [
         lost(terms, asked, managers),
-        twice(terms, records, asked),
+        twice(terms, records, asked, managers),
         drains(terms, records, managers),
         cold(terms, records, managers),
         kept(terms, records),
@@ -150,11 +150,13 @@
 
 /// Rule 2: never two tune-ins of a viewing out; nothing paid is set up again or turned down unless all before provably
 /// never ran.
-fn twice(terms: &Terms, records: &[Record], asked: &[Asked]) -> (u64, Vec<String>) {
+fn twice(terms: &Terms, records: &[Record], asked: &[Asked], managers: &[Life]) -> (u64, Vec<String>) {
     let ends = ends(records);
     let (mut looked, mut broken) = (0, vec![]);
     // Per session the last set-up: its key, when it ended, and whether any so far may have run.
     let mut last: BTreeMap<u128, (Key, Option<Duration>, Option<Duration>)> = BTreeMap::new();
+    // By session and manager, when the first ran that may have.
+    let mut ran_by: BTreeMap<(u128, ManagerNo), Duration> = BTreeMap::new();
     for record in records {
         let What::SetUp { key, session, package, server, .. } = &record.what else { continue };
         let end = ends.get(&(*server, *key)).copied();
@@ -183,10 +185,18 @@
         }
         let ran = before.and_then(|before| before.2).or((!never_ran).then_some(record.at));
         last.insert(*session, (*key, over, ran));
+        if !never_ran {
+            ran_by.entry((*session, key.manager)).or_insert(record.at);
+        }
     }
     for ask in asked.iter().filter(|ask| ask.came == Came::Answer(503) && terms.packages[ask.package].once) {
         looked += 1;
-        if let Some(ran) = last.get(&ask.session).and_then(|last| last.2).filter(|ran| *ran < ask.came_at) {
+        // One that is cut off from the others can't know what ran by them: it says "come again", and sets nothing up.
+        let ran = match managers.get(ask.manager).and_then(|manager| manager.no) {
+            Some(no) => ran_by.get(&(ask.session, no)).copied(),
+            None => last.get(&ask.session).and_then(|last| last.2),
+        };
+        if let Some(ran) = ran.filter(|ran| *ran < ask.came_at) {
             broken.push(format!(
                 "session {:032x}: paid, blocked after a set-up at {:.3}",
                 ask.session,
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -139,6 +139,27 @@
         let (rules, _) = broken(&records, &asked, &[process(&[])]);
         assert_eq!(!rules.is_empty(), breaks, "blocked after {how:?} of package {package}");
     }
+    // By a manager that may not know what another set up it is blocked; set up again by none.
+    let (one, other) = (process(&[]), Life { no: Some(ManagerNo(1)), ..process(&[]) });
+    let ran = [set_up(100, 0, 1, 0, TICKET), over(200, 0, 1, 0, Plays)];
+    for (manager, breaks) in [(0, vec![1]), (1, vec![])] {
+        let ask = Asked { manager, ..asked(1, TICKET, 0, 300, Came::Answer(503)) };
+        let lives = [one.clone(), other.clone()];
+        assert_eq!(broken(&ran, &[ask], &lives).0, breaks, "blocked by manager {manager}");
+    }
+    let again = Record {
+        at: ms(400),
+        what: What::SetUp {
+            server: ServerNo(1),
+            key: Key { manager: ManagerNo(1), ..key(9, 0) },
+            session: 1,
+            package: TICKET,
+            title: "t".into(),
+            rung: 1,
+        },
+    };
+    let records = [ran.to_vec(), vec![again]].concat();
+    assert_eq!(broken(&records, &[], &[one, other]).0, [1], "set up again by another");
 }
 
 #[test]
