A zone where tune-ins to several servers came to nothing is left for others for a while

Cause: a zone that is cut off or lost is found out by each manager server by server: health in src/policy.rs (suspect) knows servers only. Change: where tune-ins to three servers of a zone got no connection or no answer, and none has played there since, its other servers are chosen only where nothing else is, for a pause that doubles as a suspect's. A fleet of one zone decides as before. Test: a_zone_in_which_several_servers_are_out_of_reach_is_left_for_others fails without it.

--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -145,7 +145,8 @@
                 row.gone.get_or_insert(now);
             }
         }
-        tracing::debug!(complete, ?list, "the list");
+        let words = || members.iter().filter_map(|member| member["id"].as_str()).collect::<Vec<_>>();
+        tracing::debug!(complete, ?list, words = ?words(), "the list");
         front.listed(now, &list, if complete { whole } else { Extent::Changes });
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,6 +51,8 @@
 const CHANCE: f64 = 0.5;
 /// So much fullness is reckoned as dear as a point of worth.
 const FULLNESS: f64 = 2.0;
+/// So many servers of a zone that tune-ins come to nothing at speak of the zone.
+const SEVERAL: usize = 3;
 /// A tune-in's limit before a further one, in parts of the join target.
 const LIMIT: f64 = 0.4;
 
@@ -242,8 +244,8 @@
             if bears / HEAVY + managers <= falls {
                 return (Duration::from_secs_f64(gap.min(600.0)), bears / HEAVY / window);
             }
-            // Many that draw alone add up to a Poisson count: the largest mean that seldom passes it. Its tail
-            // from k on is at most the first term by (k + 1) / (k + 1 - mean); k! by Stirling's formula.
+            // Many that draw alone add up to a Poisson count: the largest mean that seldom passes it. The
+            // tail from k is at most its first term by (k + 1) / (k + 1 - mean); k! by Stirling's formula.
             let k = falls.floor() + 1.0;
             let factorial = k * k.ln() - k + (std::f64::consts::TAU * k).ln() / 2.0;
             let tail = |mean: f64| k * mean.ln() - mean - factorial - (1.0 - mean / (k + 1.0)).ln();
@@ -359,6 +361,10 @@
         let Some(viewing) = self.viewings.get_mut(&vw).filter(|v| v.tune_ins == n.wrapping_add(1)) else {
             return;
         };
+        let unheard = matches!(ending, Ending::Unreachable | Ending::Unanswered) && !viewing.playing;
+        if let Some(s) = self.servers.get(&server).filter(|_| unheard && !earlier) {
+            keep(self.zones.entry(s.listed.zone).or_default(), KEPT, (now, server));
+        }
         let next = viewing.next.take().filter(|_| !terminal && !viewing.answered);
         self.place(vw, None);
         self.mark(server);
@@ -486,13 +492,31 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         keep(&mut s.health.tries, KEPT, (self.view.now, good));
         let was = std::mem::replace(&mut s.health.lost, lost);
+        let zone = s.listed.zone;
+        if good {
+            self.zones.remove(&zone);
+        }
         s.health.lost |= was && !good;
-        if was && good {
+        if was
+            && good
+            && let Some(s) = self.servers.get_mut(&server)
+        {
             // Guards against a restart that the list hasn't told of: what was lost may have come back cold.
             s.cold_until = s.cold_until.max(self.view.now + self.pace.cold_for);
         }
     }
 
+    /// Guards against a zone, cut off or lost, that is found out server by server: where tune-ins to several
+    /// there came to nothing, and none played since, all are left for others as a suspect is.
+    fn cut_off(&self, zone: ZoneId, pause: Duration, recall: Duration) -> bool {
+        let now = self.view.now;
+        let unheard = self.zones.get(&zone).into_iter().flatten();
+        let unheard = unheard.filter(|(at, _)| now.saturating_sub(*at) < recall);
+        let servers: BTreeMap<_, _> = unheard.map(|(at, server)| (server, at)).collect();
+        let more = servers.len().checked_sub(SEVERAL);
+        more.is_some_and(|more| servers.values().any(|at| now < **at + pause * (1 << more.min(2))))
+    }
+
     /// How often holders are sought, a second: since we started, at most a warm-up, or of late where that is
     /// more by more than chance and what is sought now.
     fn busy(&self) -> f64 {
@@ -516,7 +540,7 @@
         let spread = f64::from(viewing.cells.spread.min(self.network.places)) / self.places.len() as f64;
         let demand = self.siblings * self.busy() * spread;
         let mut turn = None;
-        let (mut fit, mut suspects) = (vec![], vec![]);
+        let (mut fit, mut suspects, mut cut_off) = (vec![], vec![], vec![]);
         for id in self.holders(viewing.cells) {
             self.walk(1);
             let s = &self.servers[&id];
@@ -549,9 +573,14 @@
                 // Of whom nothing was heard since its start there is no connection.
                 let new = if s.link.heard.is_empty() { self.prices.handshake } else { 0.0 };
                 let full = s.link.full(&self.view).max(uplink.full(&self.view));
-                fit.push((full + FULLNESS * (far + new), id));
+                let cut = self.cut_off(s.listed.zone, pause, recall);
+                let of = if cut { &mut cut_off } else { &mut fit };
+                of.push((full + FULLNESS * (far + new), id));
             }
         }
+        if fit.is_empty() {
+            fit = cut_off;
+        }
         // With all holders suspect, still the best of them.
         fit.extend(suspects.iter().min().filter(|_| fit.is_empty()).map(|s| (0.0, s.2)));
         // Guards against set-ups that keep landing on short links, where asking doesn't rise and no alarm
--- a/src/state.rs
+++ b/src/state.rs
@@ -422,6 +422,8 @@
     /// Servers by cell, and how many the list doesn't tell to be gone.
     pub(crate) places: Vec<Vec<ServerId>>,
     pub(crate) living: usize,
+    /// By zone the tune-ins that came to nothing since one played there, and where.
+    pub(crate) zones: BTreeMap<ZoneId, VecDeque<(Duration, ServerId)>>,
     /// How many of our viewings are of a package at a rung with a top.
     pub(crate) alike: BTreeMap<(usize, usize, usize), usize>,
     pub(crate) uplinks: Vec<Link>,
@@ -462,6 +464,7 @@
             racks,
             places,
             living: 0,
+            zones: BTreeMap::new(),
             alike: BTreeMap::new(),
             uplinks,
             view,
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -404,6 +404,50 @@
     }
 }
 
+#[test]
+fn a_zone_in_which_several_servers_are_out_of_reach_is_left_for_others() {
+    // At how many servers of a zone one tune-in each ends, how, whether one plays there after that, how much later a title
+    // is asked for that another server there and one elsewhere hold; whether none of it goes to the zone.
+    let cases = [
+        (3, Ending::Unreachable, false, 0, true),
+        (3, Ending::Unanswered, false, 400, true),
+        (3, Ending::Unreachable, false, 600, false),
+        (4, Ending::Unreachable, false, 600, true),
+        (2, Ending::Unreachable, false, 0, false),
+        (3, Ending::Errored, false, 0, false),
+        (3, Ending::TurnedAway, false, 0, false),
+        (3, Ending::Unreachable, true, 0, false),
+    ];
+    for (servers, ending, plays, later, left) in cases {
+        let mut desk = Desk::new(None);
+        for server in 0..7 {
+            let (weight, zone, cell) = (2.0, ZoneId(u8::from(server != 6)), u32::from(server));
+            let (server, standing, kind, born) = (ServerId([server; 6]), Standing::Ready, KindId(0), None);
+            let listed = Listed { server, standing, born, weight, zone, kind, cell };
+            desk.manager.listed(desk.now, &[listed], Extent::Changes);
+        }
+        desk.now += ms(20_000);
+        for server in 0..servers {
+            assert_eq!(sent_to(&desk.ask(100 + u32::from(server), 0, u32::from(server), 1)), Some(server));
+            desk.end(100 + u32::from(server), 0, server, ending, true);
+        }
+        if plays {
+            desk.ask(200, 0, 4, 1);
+            desk.play(200, 4);
+        }
+        desk.now += ms(later);
+        let to: Vec<_> = (0..12).filter_map(|vw| sent_to(&desk.ask(vw, 0, 5, 2))).collect();
+        assert_eq!(to.len(), 12);
+        assert_eq!(
+            to.iter().all(|server| *server == 6),
+            left,
+            "{servers} {ending:?} {plays} {later}: {to:?}"
+        );
+        // Who has no other holder is set up there all the same.
+        assert_eq!(sent_to(&desk.ask(50, 0, 5, 1)), Some(5));
+    }
+}
+
 #[test]
 fn short_holders_are_drawn_only_when_all_are() {
     // Fullness heard of the links of servers 0 to 2 and of the uplink of 0 and 2; whom the next three may go to.
