--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -20,6 +20,9 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+#[path = "node/races.rs"]
+mod races;
+
 const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=video \u{e4}\"\\ 0\r\n";
 /// Servers of the small platform; each title lies on all.
 const SERVERS: usize = 3;
@@ -72,10 +75,10 @@
 }
 
 impl World {
-    /// `connect`: how long a connection to a server may take to stand.
-    async fn new(does: Does, connect: Duration) -> World {
+    /// `count`: servers; `tweak`: what is changed in the configuration. The program really has no more descriptors than that allows.
+    async fn new(does: Does, count: usize, tweak: impl FnOnce(&mut Value)) -> World {
         let mut servers = vec![];
-        for i in 0..SERVERS {
+        for i in 0..count {
             servers.push(Server::start(&format!("s-{i:08x}"), does).await.expect("a server"));
         }
         let bus = Bus::start().await.expect("a bus");
@@ -89,17 +92,11 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "bus": bus.address.to_string(),
             "known": {"offset": 1, "batch": [event(1, true, &members)]}, "settings": settings(),
         });
-        config["settings"]["limits"]["connect-timeout-us"] = (connect.as_micros() as u64).into();
+        tweak(&mut config);
         let number = WORLDS.fetch_add(1, Ordering::Relaxed);
         let file = env::temp_dir().join(format!("ivyward-node-{}-{number}.json", process::id()));
         fs::write(&file, config.to_string()).expect("written");
-        let program = Command::new(env!("CARGO_BIN_EXE_ivyward"))
-            .arg("node")
-            .env("RELAY_CONFIG", &file)
-            .env("IVYWARD_LOG", "error")
-            .kill_on_drop(true)
-            .spawn()
-            .expect("the program runs");
+        let program = starts(&file, &config);
         let world = World { servers, bus, config, file, address, program };
         // Ready, and its servers warm.
         let mut test = world.viewer().await;
@@ -143,6 +140,18 @@
     }
 }
 
+/// The program on a configuration, with the limit on descriptors that this tells.
+fn starts(file: &Path, config: &Value) -> Child {
+    Command::new("sh")
+        .args(["-c", "ulimit -n $1; exec $0 node", env!("CARGO_BIN_EXE_ivyward")])
+        .arg(config["limits"]["sockets"].to_string())
+        .env("RELAY_CONFIG", file)
+        .env("IVYWARD_LOG", env::var("IVYWARD_LOG").unwrap_or("error".into()))
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the program runs")
+}
+
 impl Drop for World {
     fn drop(&mut self) {
         fs::remove_file(&self.file).ok();
@@ -153,9 +162,17 @@
     with_connect(does, ms(250), test);
 }
 
+/// `connect`: how long a connection to a server may take to stand.
 fn with_connect<F: Future<Output = ()>>(does: Does, connect: Duration, test: impl FnOnce(World) -> F) {
+    let micros = connect.as_micros() as u64;
+    with_config(does, |config| config["settings"]["limits"]["connect-timeout-us"] = micros.into(), test);
+}
+
+fn with_config<F: Future<Output = ()>>(
+    does: Does, tweak: impl FnOnce(&mut Value), test: impl FnOnce(World) -> F,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async { test(World::new(does, connect).await).await });
+    LocalSet::new().block_on(&runtime, async { test(World::new(does, SERVERS, tweak).await).await });
 }
 
 /// A set-up as a viewer sends it; `tweak` may spoil the text.
--- /dev/null
+++ b/crates/daemon/tests/node/races.rs
@@ -0,0 +1,457 @@
+//! Rare moments, made to happen: the program is stopped while what crosses is put into its sockets in a stated order, or a
+//! stand-in holds back until it is let go; then the program goes on. What is asserted is what servers, the bus and viewers
+//! saw.
+
+use super::*;
+use ivyward_signal::binary::{self, Messages};
+use std::cell::RefCell;
+use tokio::io::AsyncWriteExt;
+
+impl World {
+    /// Stops the program, and waits until it stands still.
+    async fn stops(&self) {
+        self.signal("-STOP");
+        let file = format!("/proc/{}/stat", self.program.id().expect("it runs"));
+        let still = || {
+            let stat = fs::read_to_string(&file).unwrap_or_default();
+            stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('T'))
+        };
+        waits("the program stands still", still).await;
+    }
+
+    fn goes_on(&self) {
+        self.signal("-CONT");
+    }
+
+    /// A viewer that asks now and gets its answer: what lay in the sockets before has had its turn.
+    async fn serves(&self, of: u64) {
+        let mut viewer = self.viewer().await;
+        assert!(viewer.write(&asks(Ref(of), "clip", 3000, "")).await);
+        let came = viewer.hears(ms(2500)).await.map(|came| (came.kind, came.of));
+        assert_eq!(came, Some((Kind::Answer, Ref(of))));
+    }
+
+    fn set_ups(&self, of: Ref) -> usize {
+        let all = self.servers.iter().flat_map(|server| server.of(Kind::SetUp));
+        all.filter(|seen| seen.of == of).count()
+    }
+
+    /// Only this server is listed from now on.
+    async fn leaves_only(&self, word: &str, address: SocketAddr) {
+        let gone = (0..SERVERS).map(|i| member(&self.servers[i], i, "gone"));
+        let list: Vec<_> = gone.chain([row(word, address, "ready")]).collect();
+        self.bus.tell(2, &event(2, false, &list), 1);
+        let read = || self.bus.asked.borrow().len();
+        assert!(read() > 0, "the bus is read");
+        sleep(ms(200)).await;
+    }
+}
+
+fn row(word: &str, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": word, "host_port": address.to_string(), "locality": "east", "flavor": "std", "cell": 0,
+        "phase": phase, "size": 4, "up_since_ms": 0})
+}
+
+/// How a viewer goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Goes {
+    Closes,
+    Resets,
+    GivesUp,
+    /// So much behind its set-up that one reading doesn't bring it all, then the end.
+    ClosesBehindMuch,
+    GivesUpBehindMuch,
+    ClosesBehindAFlood,
+}
+
+/// A viewer that asks and goes before anything of it is read.
+async fn asks_and_goes(viewer: &mut Viewer, of: Ref, goes: Goes) {
+    assert!(viewer.write(&asks(of, "clip", 3000, "")).await);
+    let test = line::write(Kind::Test, Ref(1), &[], Some(0), None).expect("short");
+    let much = match goes {
+        Goes::ClosesBehindMuch | Goes::GivesUpBehindMuch => 6 << 10,
+        Goes::ClosesBehindAFlood => 200 << 10,
+        _ => 0,
+    };
+    assert!(viewer.write(&test.repeat(much / test.len())).await);
+    if matches!(goes, Goes::GivesUp | Goes::GivesUpBehindMuch) {
+        assert!(viewer.says(Kind::Release, of, Some(16)).await);
+    }
+}
+
+#[test]
+fn a_set_up_whose_viewer_went_while_it_lay_unread_is_not_sent() {
+    let all = [
+        Goes::Closes,
+        Goes::Resets,
+        Goes::GivesUp,
+        Goes::ClosesBehindMuch,
+        Goes::GivesUpBehindMuch,
+        Goes::ClosesBehindAFlood,
+    ];
+    // Whether its connection was taken before the program stood still, and whether one to a server stands.
+    for (goes, taken, stands) in
+        all.into_iter().flat_map(|goes| [(goes, true, true), (goes, false, true), (goes, false, false)])
+    {
+        with(Does::Plays, |world| async move {
+            let case = format!("{goes:?}, taken {taken}, a connection stands {stands}");
+            if stands {
+                for i in 0..8 {
+                    world.serves(0x10 + i).await;
+                }
+            }
+            let mut before = world.viewer().await;
+            assert!(before.says(Kind::Test, Ref(2), Some(0)).await && before.hears(ms(1000)).await.is_some());
+            world.stops().await;
+            let mut viewer = if taken { before } else { world.viewer().await };
+            asks_and_goes(&mut viewer, Ref(0xaa), goes).await;
+            let viewer = match goes {
+                Goes::GivesUp | Goes::GivesUpBehindMuch => Some(viewer),
+                Goes::Resets => {
+                    viewer.reset();
+                    None
+                }
+                _ => {
+                    drop(viewer);
+                    None
+                }
+            };
+            world.goes_on();
+            for i in 0..3 {
+                world.serves(0x20 + i).await;
+            }
+            assert_eq!(world.set_ups(Ref(0xaa)), 0, "{case}");
+            // Nothing is owed to who gave up: a test is all that is answered.
+            if let Some(mut viewer) = viewer {
+                let mut kinds = vec![];
+                while let Some(came) = viewer.hears(ms(50)).await {
+                    kinds.push(came.kind);
+                }
+                assert!(kinds.iter().all(|kind| *kind == Kind::Tested), "{case}: {kinds:?}");
+            }
+        });
+    }
+}
+
+/// A socket on which no connection comes up before it is let go: its queue is full.
+async fn held_back() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let slow = socket.listen(1).expect("it listens");
+    let address = slow.local_addr().expect("its address");
+    let mut queued = vec![];
+    while let Ok(Ok(stream)) = timeout(ms(100), TcpStream::connect(address)).await {
+        queued.push(stream);
+    }
+    (address, slow, queued)
+}
+
+/// Takes all connections and keeps what comes on each.
+fn takes_all(slow: TcpListener) -> Rc<RefCell<Vec<Vec<u8>>>> {
+    let came: Rc<RefCell<Vec<Vec<u8>>>> = Rc::default();
+    let all = came.clone();
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = slow.accept().await {
+            let all = all.clone();
+            let number = all.borrow().len();
+            all.borrow_mut().push(vec![]);
+            spawn_local(async move {
+                let mut piece = [0; 4096];
+                while let Ok(read @ 1..) = stream.read(&mut piece).await {
+                    all.borrow_mut()[number].extend(&piece[..read]);
+                }
+            });
+        }
+    });
+    came
+}
+
+fn read_all(bytes: &[u8]) -> Vec<(Kind, Ref)> {
+    let mut messages = Messages::default();
+    messages.push(bytes);
+    let mut all = vec![];
+    while let Ok(Some(message)) = messages.cut() {
+        let signal = binary::read(message).expect("a message");
+        all.push((signal.kind, signal.of));
+    }
+    all
+}
+
+#[test]
+fn a_set_up_that_waits_for_a_connection_is_not_sent_once_its_viewer_has_gone() {
+    // How the viewer goes, and whether what is out may be called off.
+    for (goes, cancelling) in
+        [(Goes::Closes, true), (Goes::GivesUp, true), (Goes::Closes, false), (Goes::GivesUp, false)]
+    {
+        let tweak = |config: &mut Value| {
+            config["settings"]["limits"]["connect-timeout-us"] = 3_000_000.into();
+            config["settings"]["limits"]["cancelling"] = cancelling.into();
+        };
+        with_config(Does::Plays, tweak, |world| async move {
+            let (address, slow, queued) = held_back().await;
+            world.leaves_only("s-slow", address).await;
+            let (mut viewer, mut stays) = (world.viewer().await, world.viewer().await);
+            assert!(viewer.write(&asks(Ref(0xab), "ticket", 3500, "")).await);
+            assert!(stays.write(&asks(Ref(0xac), "ticket", 3500, "")).await);
+            sleep(ms(100)).await;
+            // The connection comes up, and the viewer goes, while the program stands still: both lie unread.
+            world.stops().await;
+            let came = takes_all(slow);
+            waits("the connection comes up", || came.borrow().len() > queued.len()).await;
+            if goes == Goes::GivesUp {
+                assert!(viewer.says(Kind::Release, Ref(0xab), Some(16)).await);
+            } else {
+                drop(viewer);
+            }
+            world.goes_on();
+            let sent =
+                |of| came.borrow().iter().any(|bytes| read_all(bytes).contains(&(Kind::SetUp, Ref(of))));
+            waits("the one who stays is sent on", || sent(0xac)).await;
+            sleep(ms(300)).await;
+            assert!(!sent(0xab), "{goes:?}, cancelling {cancelling}");
+        });
+    }
+}
+
+#[test]
+fn no_further_attempt_begins_for_a_viewer_that_went_behind_the_refusal() {
+    // How the viewer goes; whether its refusal lies before or behind that in the sockets.
+    for (goes, refused_first) in
+        [(Goes::Closes, true), (Goes::GivesUp, true), (Goes::Closes, false), (Goes::GivesUp, false)]
+    {
+        with(Does::Nothing, |world| async move {
+            let (mut viewer, of) = (world.viewer().await, Ref(0xad));
+            assert!(viewer.write(&asks(of, "clip", 3500, "")).await);
+            waits("a set-up", || world.of(Kind::SetUp) == 1).await;
+            let server = world.holder();
+            let connection = server.of(Kind::SetUp)[0].connection;
+            world.servers.iter().for_each(|server| server.does.set(Does::Plays));
+            world.stops().await;
+            let refuses = async || {
+                let before = server.wrote.get();
+                server.release(connection, of, 34);
+                waits("the refusal is written", || server.wrote.get() > before).await;
+            };
+            if refused_first {
+                refuses().await;
+            }
+            let stays = if goes == Goes::GivesUp {
+                assert!(viewer.says(Kind::Release, of, Some(16)).await);
+                Some(viewer)
+            } else {
+                drop(viewer);
+                None
+            };
+            if !refused_first {
+                refuses().await;
+            }
+            world.goes_on();
+            for i in 0..3 {
+                world.serves(0x30 + i).await;
+            }
+            assert_eq!(world.set_ups(of), 1, "{goes:?}, refused first: {refused_first}");
+            drop(stays);
+        });
+    }
+}
+
+#[test]
+fn what_has_not_begun_on_a_stalled_connection_does_not_go_out_behind_a_drain() {
+    let tweak = |config: &mut Value| {
+        config["limits"]["sockets"] = 2048.into();
+        config["settings"]["limits"]["streams-per-conn"] = 1000.into();
+    };
+    with_config(Does::Plays, tweak, |world| async move {
+        // It takes connections and reads nothing before it is told to.
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("a small buffer");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+        let stalled = socket.listen(8).expect("it listens");
+        let address = stalled.local_addr().expect("its address");
+        world.leaves_only("s-stalled", address).await;
+        let taken: Rc<RefCell<Vec<TcpStream>>> = Rc::default();
+        let takes = taken.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = stalled.accept().await {
+                takes.borrow_mut().push(stream);
+            }
+        });
+        let description = "x".repeat(12_000);
+        let mut viewers = vec![];
+        for i in 0..30 {
+            let mut viewer = world.viewer().await;
+            let text = String::from_utf8(asks(Ref(0xe00 + i), "ticket", 3500, "")).expect("text");
+            let text = text.replace("9d41c07a5be2f318", &description);
+            assert!(viewer.write(text.as_bytes()).await);
+            // It had its turn before the next one asks.
+            assert!(viewer.says(Kind::Test, Ref(3), Some(0)).await);
+            assert!(viewer.hears(ms(1000)).await.is_some());
+            viewers.push(viewer);
+        }
+        waits("a connection", || !taken.borrow().is_empty()).await;
+        world.bus.tell(3, &event(3, false, &[row("s-stalled", address, "draining")]), 1);
+        sleep(ms(250 + 200)).await;
+        world.stops().await;
+        // What the program had put into its socket by then, and what comes once it goes on.
+        let mut streams = std::mem::take(&mut *taken.borrow_mut());
+        let mut parts = vec![];
+        for goes_on in [false, true] {
+            if goes_on {
+                world.goes_on();
+            }
+            let mut came = vec![vec![]; streams.len()];
+            for (stream, came) in streams.iter_mut().zip(&mut came) {
+                let mut piece = [0; 4096];
+                while let Ok(Ok(read @ 1..)) = timeout(ms(300), stream.read(&mut piece)).await {
+                    came.extend_from_slice(&piece[..read]);
+                }
+            }
+            parts.push(came);
+        }
+        let set_ups = |all: &[(Kind, Ref)]| all.iter().filter(|(kind, _)| *kind == Kind::SetUp).count();
+        let mut begun = 0;
+        for (before, after) in parts[0].iter().zip(&parts[1]) {
+            let (first, all) = (read_all(before), read_all(&[&before[..], after].concat()));
+            // One that had begun is written to its end.
+            let rest = all.len().min(first.len() + 1);
+            assert_eq!(set_ups(&all[rest..]), 0, "set-ups begun after the drain");
+            begun += set_ups(&all);
+        }
+
+        assert!((1..30).contains(&begun), "{begun} of 30 were put where nobody reads");
+    });
+}
+
+#[test]
+fn requests_of_the_last_moment_are_answered_before_the_end() {
+    with(Does::Nothing, |mut world| async move {
+        let (mut open, mut half) = (world.viewer().await, world.viewer().await);
+        assert!(open.says(Kind::Test, Ref(2), Some(0)).await && open.hears(ms(1000)).await.is_some());
+        let text = asks(Ref(0x411), "ticket", 2500, "");
+        assert!(half.write(&text[..60]).await);
+        // Once more, and a new configuration before and after: all of it changes nothing.
+        for name in ["-HUP", "-TERM", "-TERM", "-HUP"] {
+            world.signal(name);
+        }
+        sleep(ms(600)).await;
+        world.stops().await;
+        assert!(open.write(&asks(Ref(0x410), "ticket", 2500, "")).await);
+        assert!(half.write(&text[60..]).await);
+        let mut queued = world.viewer().await;
+        assert!(queued.write(&asks(Ref(0x412), "ticket", 2500, "")).await);
+        // By then the time is over in which requests come.
+        sleep(ms(300)).await;
+        world.goes_on();
+        waits("all three are sent on", || world.of(Kind::SetUp) == 3).await;
+        sleep(ms(300)).await;
+        for server in &world.servers {
+            for seen in server.of(Kind::SetUp) {
+                let up = binary::write(Kind::Answer, seen.of, &[], None, Some(b"late")).expect("short");
+                server.say(seen.connection, up);
+            }
+        }
+        for (viewer, of) in [(&mut open, 0x410), (&mut half, 0x411), (&mut queued, 0x412)] {
+            let came = viewer.hears(ms(1000)).await.map(|came| (came.kind, came.of));
+            assert_eq!(came, Some((Kind::Answer, Ref(of))));
+            assert!(viewer.says(Kind::Release, Ref(of), Some(16)).await);
+        }
+        let ended = timeout(ms(3000), world.program.wait()).await.expect("it ends").expect("its status");
+        assert!(ended.success());
+    });
+}
+
+/// A bus that does as said with each reader, and counts them.
+async fn bus_that(does: &'static [u8], every: Duration, ends: bool) -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let (address, count) = (listener.local_addr().expect("its address"), Rc::new(Cell::new(0)));
+    let asked = count.clone();
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            asked.set(asked.get() + 1);
+            spawn_local(async move {
+                let mut piece = [0; 1024];
+                let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+                if stream.read(&mut piece).await.is_err() || stream.write_all(head).await.is_err() {
+                    return;
+                }
+                while !ends && stream.write_all(does).await.is_ok() {
+                    sleep(every).await;
+                }
+                stream.write_all(does).await.ok();
+            });
+        }
+    });
+    (address, count)
+}
+
+#[test]
+fn a_bus_that_is_of_no_use_is_asked_with_pauses() {
+    // What it tells each reader, how often, whether it ends then; how often it is asked in two seconds at the least, and most.
+    let spoilt = b"id: 7\ndata: {\"offset\":7,\"topology\":{\"members\":[{\"id\":\"s\"}]}}\n\n";
+    let cases: [(&'static [u8], u64, bool, usize, usize); 4] = [
+        (b"", 1, true, 3, 12),
+        (b": here\n\n", 1, true, 3, 12),
+        (b"id: 2\ndata: {\n\n", 1000, false, 3, 12),
+        (spoilt, 1000, false, 3, 12),
+    ];
+    for (does, every, ends, least, most) in cases {
+        with(Does::Plays, |world| async move {
+            let (address, count) = bus_that(does, ms(every), ends).await;
+            world.configure(|config| config["bus"] = address.to_string().into());
+            world.signal("-HUP");
+            waits("it is asked", || count.get() > 0).await;
+            sleep(ms(2000)).await;
+            let asked = count.get();
+            let what = String::from_utf8_lossy(does);
+            assert!((least..=most).contains(&asked), "{what:?}, ends {ends}: asked {asked} times");
+            world.serves(0x40).await;
+        });
+    }
+}
+
+#[test]
+fn a_watch_that_brings_no_whole_line_is_taken_for_silent() {
+    with(Does::Plays, |world| async move {
+        let (address, count) = bus_that(b"a", ms(300), false).await;
+        world.configure(|config| config["bus"] = address.to_string().into());
+        world.signal("-HUP");
+        waits("it is asked", || count.get() == 1).await;
+        waits("it is asked again", || count.get() > 1).await;
+    });
+}
+
+#[test]
+fn a_list_of_which_a_part_cannot_be_read_changes_nothing_and_hides_nothing() {
+    with(Does::Plays, |world| async move {
+        let dead =
+            TcpListener::bind("127.0.0.1:0").await.expect("a socket").local_addr().expect("its address");
+        let spoilt = [row("s-00000000", dead, "ready"), json!({"id": "s-00000001", "phase": "lost"})];
+        world.bus.tell(2, &event(2, false, &spoilt), 1);
+        waits("it is asked for again", || world.bus.asked.borrow().len() > 1).await;
+        // The first server is where it was, and the only one that the next event leaves.
+        let gone = [member(&world.servers[1], 1, "gone"), member(&world.servers[2], 2, "gone")];
+        world.bus.tell(3, &event(3, false, &gone), 1);
+        waits("it is passed over", || world.bus.asked.borrow().len() >= 3).await;
+        sleep(ms(300)).await;
+        for i in 0..6 {
+            world.serves(0x50 + i).await;
+        }
+        assert_eq!(world.servers[0].of(Kind::SetUp).len(), 6);
+    });
+}
+
+#[test]
+fn a_configuration_half_written_is_read_again() {
+    with(Does::Plays, |world| async move {
+        let other = Bus::start().await.expect("a bus");
+        let mut config = world.config.clone();
+        config["bus"] = other.address.to_string().into();
+        let text = config.to_string();
+        fs::write(&world.file, &text[..text.len() / 2]).expect("written");
+        world.signal("-HUP");
+        sleep(ms(300)).await;
+        assert!(other.asked.borrow().is_empty());
+        fs::write(&world.file, text).expect("written");
+        waits("the new bus is asked", || !other.asked.borrow().is_empty()).await;
+    });
+}
--- a/crates/node/src/bus.rs
+++ b/crates/node/src/bus.rs
@@ -1,5 +1,5 @@
 //! The event bus: numbered events as server-sent events, from the last one had. What comes twice is left out, what is cut
-//! short is not acted on; silence is taken for an end.
+//! short is not acted on; silence is taken for an end. An event that can't be read is asked for again, with pauses.
 
 use crate::shell::Hands;
 use bytes::Bytes;
@@ -20,9 +20,9 @@
 use std::pin::pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// A comment comes every second: two that fail to come are an end.
 const SILENT: Duration = Duration::from_millis(2200);
@@ -30,6 +30,8 @@
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// An event longer than this is none.
 const LONGEST: usize = 4 << 20;
+/// One that can't be read so many times is what the bus holds: it is passed over, as later ones are told beside it.
+const READINGS: u32 = 3;
 
 /// Ends a task with what it holds.
 struct Ends(JoinHandle<()>);
@@ -40,14 +42,23 @@
     }
 }
 
+/// What is known of the bus's events.
+struct Heard {
+    /// The number of the last one had.
+    last: u64,
+    /// One that could not be read, and how often.
+    spoilt: (u64, u32),
+}
+
 /// Follows the bus at the address that is told last, from the last number had.
-pub async fn follow(queue: Queue<Hands>, mut address: watch::Receiver<SocketAddr>, mut last: u64, seed: u64) {
+pub async fn follow(queue: Queue<Hands>, mut address: watch::Receiver<SocketAddr>, last: u64, seed: u64) {
     let (mut pause, mut chance) = (Duration::ZERO, Pcg64Mcg::seed_from_u64(seed));
+    let mut heard = Heard { last, spoilt: (0, 0) };
     loop {
         let at = *address.borrow_and_update();
-        let before = last;
-        let heard = tokio::select! {
-            heard = read(&queue, at, &mut last) => heard,
+        let (before, begun) = (heard.last, Instant::now());
+        tokio::select! {
+            () = read(&queue, at, &mut heard) => {}
             changed = address.changed() => {
                 if changed.is_err() {
                     return;
@@ -56,12 +67,13 @@
                 pause = Duration::ZERO;
                 continue;
             }
-        };
-        // After a break it is asked again at once; what keeps failing, less and less often.
-        if heard || last > before {
+        }
+        // After a break it is asked again at once. Guards against a bus that answers and ends, or that tells what can't be
+        // read: what brings nothing and doesn't last is asked less and less often.
+        if heard.last > before || begun.elapsed() >= SILENT {
             pause = Duration::ZERO;
         }
-        tracing::debug!(%at, last, heard, "the event bus broke off");
+        tracing::debug!(%at, last = heard.last, "the event bus broke off");
         tokio::select! {
             () = sleep(pause.mul_f64(0.5 + 0.5 * chance.random::<f64>())) => {}
             changed = address.changed() => if changed.is_err() { return },
@@ -70,41 +82,65 @@
     }
 }
 
-/// One connection to its end. Whether it answered.
-async fn read(queue: &Queue<Hands>, address: SocketAddr, last: &mut u64) -> bool {
-    let Ok(Ok(stream)) = timeout(SILENT, TcpStream::connect(address)).await else { return false };
-    let Ok((mut send, connection)) = handshake(TokioIo::new(stream)).await else { return false };
+/// Has the list take an event; whether it could be read.
+async fn told(queue: &Queue<Hands>, event: Value) -> bool {
+    let (say, taken) = oneshot::channel();
+    queue.tell(move |front, hands, now| {
+        say.send(hands.told(front, now, &event)).ok();
+    });
+    taken.await.unwrap_or_default()
+}
+
+/// One connection to its end.
+async fn read(queue: &Queue<Hands>, address: SocketAddr, heard: &mut Heard) {
+    let Ok(Ok(stream)) = timeout(SILENT, TcpStream::connect(address)).await else { return };
+    let Ok((mut send, connection)) = handshake(TokioIo::new(stream)).await else { return };
     let _ends = Ends(spawn_local(async move { drop(connection.await) }));
     let request = Request::get("/bus/read")
         .header("host", address.to_string())
         .header("accept", "text/event-stream")
-        .header("last-event-id", last.to_string())
+        .header("last-event-id", heard.last.to_string())
         .body(Empty::<Bytes>::new());
-    let Ok(request) = request else { return false };
-    let Ok(Ok(answer)) = timeout(SILENT, send.send_request(request)).await else { return false };
+    let Ok(request) = request else { return };
+    let Ok(Ok(answer)) = timeout(SILENT, send.send_request(request)).await else { return };
     if !answer.status().is_success() {
-        tracing::warn!(status = %answer.status(), "the event bus refuses");
-        return false;
+        return tracing::warn!(status = %answer.status(), "the event bus refuses");
     }
-    // Guards against an event without end: bytes since the last whole one are counted.
-    let pieces = unfold((answer.into_body(), 0), |(mut body, mut held)| async move {
+    // Guards against an event without end, and against a watch that brings a byte now and then and no whole line: bytes
+    // since the last whole event are counted, and lines have to come.
+    let whole = Instant::now() + SILENT;
+    let pieces = unfold((answer.into_body(), 0, whole), |(mut body, mut held, mut whole)| async move {
         loop {
-            let Ok(Some(Ok(frame))) = timeout(SILENT, body.frame()).await else { return None };
+            let Ok(Some(Ok(frame))) = timeout_at(whole, body.frame()).await else { return None };
             let Ok(data) = frame.into_data() else { continue };
             held = if data.ends_with(b"\n\n") { 0 } else { held + data.len() };
-            return (held < LONGEST).then_some((Ok::<_, Infallible>(data), (body, held)));
+            if data.contains(&b'\n') {
+                whole = Instant::now() + SILENT;
+            }
+            return (held < LONGEST).then_some((Ok::<_, Infallible>(data), (body, held, whole)));
         }
     });
     let mut events = pin!(pieces.eventsource());
     while let Some(Ok(event)) = events.next().await {
-        // What can't be read is asked for again.
-        let Ok(told) = serde_json::from_str::<Value>(&event.data) else { return true };
-        let Some(number) = event.id.parse().ok().or(told["offset"].as_u64()) else { continue };
-        if number <= *last {
+        let text = serde_json::from_str::<Value>(&event.data);
+        let offset = text.as_ref().ok().and_then(|text| text["offset"].as_u64());
+        let number = match (event.id.parse().ok().or(offset), &text) {
+            (Some(number), _) => number,
+            (None, Ok(_)) => continue,
+            (None, Err(_)) => return,
+        };
+        if number <= heard.last {
             continue;
         }
-        *last = number;
-        queue.tell(move |front, hands, now| hands.told(front, now, &told));
+        if !told(queue, text.unwrap_or_default()).await {
+            let before = if heard.spoilt.0 == number { heard.spoilt.1 } else { 0 };
+            heard.spoilt = (number, before + 1);
+            if before + 1 < READINGS {
+                return;
+            }
+            // Guards against one that stays as it is: drains and ends told behind it would never be heard of.
+            tracing::error!(number, "an event of the bus that can't be read is passed over");
+        }
+        heard.last = number;
     }
-    true
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,16 +23,19 @@
 use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use viewers::Viewers;
 
 /// Connections are looked after so often.
 const SWEEP: Duration = Duration::from_millis(100);
+/// A configuration that can't be read when it is told to have changed is read again after so long.
+const AGAIN: Duration = Duration::from_millis(250);
 /// Once told to end, requests still come for so long.
 const COMING: Duration = Duration::from_millis(700);
 /// A server that has gone is forgotten after so many times as its start would count as cold.
@@ -91,12 +94,14 @@
         line: None,
     };
     front.start(&mut hands, clock.now());
-    for event in known {
-        hands.topology(&mut front, clock.now(), event, Extent::Remembered);
-    }
+    let mut known = known.iter();
+    let read = known.all(|event| hands.topology(&mut front, clock.now(), event, Extent::Remembered));
+    // Of a list of which a part can't be read the whole is asked for.
+    let offset = if read { offset } else { 0 };
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     tracing::info!(%listen, %bus, offset, servers = hands.list.count(), "ready");
-    spawn_local(viewers::accept(listener, queue.clone(), hands.viewers.room()));
+    let (listener, room) = (Rc::new(listener), Arc::new(Semaphore::new(hands.viewers.room())));
+    spawn_local(viewers::accept(listener.clone(), queue.clone(), room.clone()));
     let (move_bus, address) = watch::channel(bus);
     spawn_local(bus::follow(queue.clone(), address, offset, seed));
     let (done, leaving) = (Rc::new(Notify::new()), Rc::new(Cell::new(None::<Instant>)));
@@ -104,24 +109,40 @@
     spawn_local(async move {
         loop {
             sleep(SWEEP).await;
-            let (tell, ends) = (tell.clone(), ends.clone());
+            let (tell, ends, listener, room) = (tell.clone(), ends.clone(), listener.clone(), room.clone());
             sweeps.tell(move |front, hands, now| {
                 hands.sweep(front, now, cold * FORGOTTEN);
                 let left = ends.get().is_some_and(|since| since.elapsed() >= COMING);
-                if left && hands.owes_nothing(front) {
-                    tell.notify_one();
+                if !left || !hands.owes_nothing(front) || !hands.viewers_are_done(front, now) {
+                    return;
+                }
+                // Guards against a connection that waits to be taken as the end is decided: its request is still answered.
+                let Ok(place) = room.try_acquire_owned() else { return };
+                match viewers::queued(&listener) {
+                    Some((stream, from)) => hands.visited(now, stream, from, place),
+                    None => tell.notify_one(),
                 }
             });
         }
     });
     spawn_local(async move { turns.run(&mut front, &mut hands, |_, _| ()).await });
+    let mut reread = None::<Instant>;
     loop {
+        let read = async {
+            match reread {
+                Some(at) => sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
-            _ = again.recv() => {
+            _ = again.recv() => reread = Some(Instant::now()),
+            () = read => {
                 let bus = config::read(file).and_then(|all| config::address(file, &all, "bus"));
+                // Guards against a file that is half written, or that no descriptor is free to read.
+                reread = bus.is_err().then(|| Instant::now() + AGAIN);
                 match bus {
                     Ok(bus) => drop(move_bus.send(bus)),
-                    Err(error) => tracing::error!(error, "the configuration stays as it was"),
+                    Err(error) => tracing::error!(error, "the configuration stays as it was, and is read again"),
                 }
             }
             _ = term.recv() => leaves(&leaving),
@@ -130,7 +151,6 @@
         }
     }
     tracing::info!("nothing is owed any more: ended");
-    sleep_until(Instant::now() + SWEEP).await;
     Ok(())
 }
 
--- a/crates/node/src/list.rs
+++ b/crates/node/src/list.rs
@@ -56,8 +56,11 @@
         ServerId([a, b, c, d, 0, 0])
     }
 
-    /// A member as the list tells it; what a change leaves out stays as it was.
-    fn member(&mut self, member: &Value, unix_now: Duration, now: Duration) -> Result<Listed, &'static str> {
+    /// A member as the list tells it, with its word and address; what a change leaves out stays as it was. Nothing of it
+    /// is held yet.
+    fn member<'a>(
+        &self, member: &'a Value, unix_now: Duration, now: Duration,
+    ) -> Result<(&'a str, SocketAddr, Listed), &'static str> {
         let word = member["id"].as_str().ok_or("id")?;
         let before = self.ids.get(word).and_then(|id| self.rows.get(id)).map(|row| (row.address, row.listed));
         let number =
@@ -94,14 +97,19 @@
             kind: kind.or(was.map(|was| was.kind)).ok_or("flavor")?,
             cell: cell.or(was.map(|was| was.cell)).ok_or("cell")?,
         };
-        let server = if before.is_some() { listed.server } else { self.fresh() };
+        Ok((word, address, listed))
+    }
+
+    /// Holds a member as it was read.
+    fn take(&mut self, now: Duration, (word, address, listed): (&str, SocketAddr, Listed)) -> Listed {
+        let server = self.ids.get(word).copied().unwrap_or_else(|| self.fresh());
         let listed = Listed { server, ..listed };
         let gone = (listed.standing == Standing::Gone).then_some(now);
         let since = self.rows.get(&server).and_then(|row| row.gone);
         self.ids.insert(word.into(), server);
         let gone = gone.map(|now| since.unwrap_or(now));
         self.rows.insert(server, Row { word: word.into(), address, listed, gone });
-        Ok(listed)
+        listed
     }
 
     /// Guards against a fleet whose machines come back under new words: who has been gone for so long is forgotten,
@@ -118,25 +126,30 @@
 }
 
 impl Hands {
-    /// One event of the bus. Nothing of a list is taken of which a part can't be read.
-    pub fn told(&mut self, front: &mut Front, now: Duration, event: &Value) {
-        self.topology(front, now, event, Extent::Whole);
+    /// One event of the bus. Whether it could be read: nothing of a list is taken of which a part can't.
+    pub fn told(&mut self, front: &mut Front, now: Duration, event: &Value) -> bool {
+        self.topology(front, now, event, Extent::Whole)
     }
 
     /// `whole`: what a whole list counts as.
-    pub fn topology(&mut self, front: &mut Front, now: Duration, event: &Value, whole: Extent) {
-        let Some(members) = event["topology"]["members"].as_array() else { return };
+    pub fn topology(&mut self, front: &mut Front, now: Duration, event: &Value, whole: Extent) -> bool {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let mut list = vec![];
-        for member in members {
-            match self.list.member(member, unix, now) {
-                Ok(listed) => list.push(listed),
-                Err(field) => {
+        let members = event["topology"]["members"].as_array().ok_or("members");
+        let read = members.and_then(|members| {
+            members.iter().map(|member| self.list.member(member, unix, now)).collect::<Result<Vec<_>, _>>()
+        });
+        let read = match read {
+            Ok(read) => read,
+            Err(field) => {
+                if let Some(left_out) = self.seldom.line(now, "an event") {
                     let event = brief(&event.to_string());
-                    return tracing::warn!(field, event, "an event of the bus can't be read");
+                    tracing::warn!(field, event, left_out, "an event of the bus can't be read");
                 }
+                return false;
             }
-        }
+        };
+        let words: Vec<_> = read.iter().map(|(word, ..)| word.to_string()).collect();
+        let list: Vec<_> = read.into_iter().map(|member| self.list.take(now, member)).collect();
         let complete = event["topology"]["complete"] == true;
         if complete {
             let named: BTreeSet<_> = list.iter().map(|listed| listed.server).collect();
@@ -145,8 +158,8 @@
                 row.gone.get_or_insert(now);
             }
         }
-        let words = || members.iter().filter_map(|member| member["id"].as_str()).collect::<Vec<_>>();
-        tracing::debug!(complete, ?list, words = ?words(), "the list");
+        tracing::debug!(complete, ?list, ?words, "the list");
         front.listed(now, &list, if complete { whole } else { Extent::Changes });
+        true
     }
 }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,7 +1,7 @@
 //! Servers' side: connections, the set-ups open on them, and what provably became of each.
 
 use crate::shell::{Hands, Stand};
-use crate::wire::{Pen, converse, pen};
+use crate::wire::{Came, Pen, Stream, converse, keeps_little, look, pen, piece};
 use ivyward::front::{Load, News, ServerId, Standing, ViewingId};
 use ivyward_edge::{Lane, Lanes};
 use ivyward_options as options;
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -46,6 +47,7 @@
 struct Link {
     server: ServerId,
     pen: Pen,
+    stream: Option<Stream>,
     task: AbortHandle,
     messages: Messages,
     /// Whether it stands; until then set-ups and tests wait for it.
@@ -105,7 +107,8 @@
     fn lane(&self, server: ServerId, of: Option<Ref>) -> Option<u64> {
         let fits = |link: &Link| {
             let given_up = of.is_some_and(|of| link.given_up.contains(&of));
-            !given_up && self.lanes.takes(&link.lane, link.open.len() + link.waiting.len())
+            let stalls = link.up && !link.pen.clear();
+            !given_up && !stalls && self.lanes.takes(&link.lane, link.open.len() + link.waiting.len())
         };
         let fit = self.there(server).filter(|(_, link)| fits(link));
         fit.max_by_key(|(id, link)| (link.up, link.lane.heard, *id)).map(|(id, _)| id)
@@ -150,20 +153,28 @@
                     return queue.tell(move |front, hands, now| hands.unreached(front, now, id, refused));
                 }
             };
-            queue.tell(move |front, hands, now| hands.link_up(front, now, id));
-            let told = queue.clone();
-            let heard = move |piece: Vec<u8>, had: oneshot::Sender<()>| {
+            keeps_little(&stream);
+            let (stream, told) = (Rc::new(stream), queue.clone());
+            let stands = stream.clone();
+            queue.tell(move |front, hands, now| hands.link_up(front, now, id, stands));
+            let heard = move |had: oneshot::Sender<()>| {
                 told.tell(move |front, hands, now| {
-                    hands.server_said(front, now, id, &piece);
-                    had.send(()).ok();
+                    if hands.server_wrote(front, now, id, piece) {
+                        had.send(()).ok();
+                    }
                 });
             };
             converse(stream, page, heard).await;
-            queue.tell(move |front, hands, now| hands.link_lost(front, now, id, "closed"));
+            queue.tell(move |front, hands, now| {
+                // What came before the connection broke still counts.
+                hands.server_wrote(front, now, id, look);
+                hands.link_lost(front, now, id, "closed");
+            });
         });
         let link = Link {
             server,
             pen,
+            stream: None,
             task: task.abort_handle(),
             messages: Messages::default(),
             up: false,
@@ -194,8 +205,13 @@
     }
 
     fn write_set_up(&mut self, front: &mut Front, now: Duration, id: u64, key: Key) {
+        let Some(of) = self.servers.attempts.get(&key).map(|attempt| attempt.of) else { return };
+        if !self.look_at_viewer(front, now, of) {
+            // Others have their turn before the rest is read.
+            return self.queue.tell(move |front, hands, now| hands.dispatch(front, now, key));
+        }
         let Some(attempt) = self.servers.attempts.get(&key) else { return };
-        let (of, server, rung) = (attempt.of, attempt.server, attempt.rung);
+        let (server, rung) = (attempt.server, attempt.rung);
         let left = attempt.until.saturating_sub(now);
         let bytes = self.viewers.open.get(&of).map(|open| {
             let (left, rung) = (left.as_millis().max(1).to_string(), rung.to_string());
@@ -211,20 +227,29 @@
             self.servers.attempts.remove(&key);
             return;
         }
-        tracing::debug!(of = format!("{:016x}", of.0), server = self.word(server), "a set-up goes out");
-        self.servers.attempts.entry(key).and_modify(|attempt| attempt.link = Some(id));
-        let Some(link) = self.servers.links.get_mut(&id) else { return };
+        let link = self.servers.links.get_mut(&id);
+        let Some(link) = link.filter(|link| link.pen.begin(bytes)) else {
+            // Nothing of it went out, and nothing will.
+            tracing::debug!(
+                of = format!("{:016x}", of.0),
+                server = self.word(server),
+                "a connection takes nothing"
+            );
+            self.servers.attempts.remove(&key);
+            return front.happened(self, now, key.0, key.1, Happened::NotWritten, Load::default());
+        };
         link.open.insert(of, key);
         link.lane.asked = now;
-        if !link.pen.write(bytes) {
-            self.link_lost(front, now, id, "takes nothing");
-        }
+        self.servers.attempts.entry(key).and_modify(|attempt| attempt.link = Some(id));
+        tracing::debug!(of = format!("{:016x}", of.0), server = self.word(server), "a set-up goes out");
     }
 
-    fn link_up(&mut self, front: &mut Front, now: Duration, id: u64) {
+    fn link_up(&mut self, front: &mut Front, now: Duration, id: u64, stream: Stream) {
         let Some(link) = self.servers.links.get_mut(&id) else { return };
         let server = link.server;
         (link.up, link.lane.heard) = (true, now);
+        link.pen.stands(&stream);
+        link.stream = Some(stream);
         let waiting = std::mem::take(&mut link.waiting);
         for test in link.tests.clone() {
             self.servers.write(id, binary::write(Kind::Test, test, &[], Some(REPORT), None));
@@ -393,6 +418,22 @@
         }
     }
 
+    /// What a server's connection has brought. Whether more may come.
+    fn server_wrote(
+        &mut self, front: &mut Front, now: Duration, id: u64, read: fn(&TcpStream) -> Came,
+    ) -> bool {
+        let link = self.servers.links.get(&id);
+        let Some(stream) = link.and_then(|link| link.stream.as_ref()) else { return false };
+        let (bytes, closed) = match read(stream) {
+            Came::Bytes(bytes) | Came::More(bytes) => (bytes, false),
+            Came::Closed(bytes) => (bytes, true),
+        };
+        if !bytes.is_empty() {
+            self.server_said(front, now, id, &bytes);
+        }
+        !closed && self.servers.links.contains_key(&id)
+    }
+
     fn server_said(&mut self, front: &mut Front, now: Duration, id: u64, piece: &[u8]) {
         let Some(link) = self.servers.links.get_mut(&id) else { return };
         link.messages.push(piece);
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,15 +1,17 @@
 //! Viewers' side: their connections, what they ask, what they are answered.
 
 use crate::shell::{Hands, Stand};
-use crate::wire::{End, Pen, converse, pen};
+use crate::wire::{Came, End, Pen, Stream, converse, look, pen, piece};
 use ivyward::front::{Cells, PackageId, TitleId};
 use ivyward_edge::{Visit, Visits, brief};
 use ivyward_session::{Answer, Front, Over, RequestId, SessionId};
 use ivyward_signal::line::{self, Lines};
 use ivyward_signal::{Field, Kind, Ref, Signal, binary, id};
 use ivyward_turns::Queue;
+use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::net::IpAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -24,6 +26,7 @@
 
 struct Connection {
     pen: Pen,
+    stream: Stream,
     lines: Lines,
     visit: Visit,
     from: IpAddr,
@@ -142,9 +145,8 @@
     }
 }
 
-/// Takes viewers' connections for as long as the program runs.
-pub async fn accept(listener: TcpListener, queue: Queue<Hands>, room: usize) {
-    let room = Arc::new(Semaphore::new(room));
+/// Takes viewers' connections for as long as the program runs. `room`: places for them.
+pub async fn accept(listener: Rc<TcpListener>, queue: Queue<Hands>, room: Arc<Semaphore>) {
     loop {
         let Ok(place) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
@@ -160,26 +162,36 @@
     }
 }
 
+/// A connection that waits to be taken, if any does, whether the runtime knows of it or not.
+pub fn queued(listener: &TcpListener) -> Option<(TcpStream, IpAddr)> {
+    let (stream, from) = SockRef::from(listener).accept().ok()?;
+    stream.set_nonblocking(true).ok()?;
+    Some((TcpStream::from_std(stream.into()).ok()?, from.as_socket()?.ip()))
+}
+
 impl Hands {
-    fn visited(&mut self, now: Duration, stream: TcpStream, from: IpAddr, place: OwnedSemaphorePermit) {
+    pub fn visited(&mut self, now: Duration, stream: TcpStream, from: IpAddr, place: OwnedSemaphorePermit) {
         self.viewers.last += 1;
-        let (visit, (pen, page)) = (self.viewers.last, pen());
+        let (visit, (pen, page), stream) = (self.viewers.last, pen(), Rc::new(stream));
+        pen.stands(&stream);
         let about = Visit { since: now, last: now, ..Visit::default() };
-        let connection =
-            Connection { pen, lines: Lines::default(), visit: about, from, leaving: false, had: 0 };
+        let (lines, talks) = (Lines::default(), stream.clone());
+        let connection = Connection { pen, stream, lines, visit: about, from, leaving: false, had: 0 };
         self.viewers.connections.insert(visit, connection);
         let queue = self.queue.clone();
         spawn_local(async move {
-            let heard = |piece: Vec<u8>, had: oneshot::Sender<()>| {
+            let heard = |had: oneshot::Sender<()>| {
                 queue.tell(move |front, hands, now| {
-                    hands.viewer_said(front, now, visit, &piece);
-                    had.send(()).ok();
+                    if hands.viewer_wrote(front, now, visit) {
+                        had.send(()).ok();
+                    }
                 });
             };
-            let untold = converse(stream, page, heard).await;
-            drop(place);
+            let untold = converse(talks, page, heard).await;
             queue.tell(move |front, hands, now| {
                 hands.left(front, now, visit);
+                // Its descriptor is free only now.
+                drop(place);
                 // What was taken and never put out is owed still.
                 untold.into_iter().for_each(|(of, cause)| hands.tell_viewer(now, of, None, cause));
             });
@@ -219,10 +231,43 @@
         front.closed(self, now, SessionId(of.0.into()), open.request);
     }
 
+    /// One piece of what a viewers' connection has brought. Whether more may come.
+    fn viewer_wrote(&mut self, front: &mut Front, now: Duration, visit: u64) -> bool {
+        let Some(connection) = self.viewers.connections.get_mut(&visit) else { return false };
+        connection.had += 1;
+        let came = piece(&connection.stream);
+        self.viewer_came(front, now, visit, came)
+    }
+
+    /// Reads what the connection on which a set-up was asked for holds by now. Guards against a set-up sent on for a viewer
+    /// whose close or give-up lies unread: it came while its connection waited to be taken, behind a queue, or while this
+    /// process stood still. Whether that is all there is.
+    pub fn look_at_viewer(&mut self, front: &mut Front, now: Duration, of: Ref) -> bool {
+        let Some(visit) = self.viewers.open.get(&of).map(|open| open.visit) else { return true };
+        let Some(connection) = self.viewers.connections.get(&visit) else { return true };
+        let came = look(&connection.stream);
+        let more = matches!(came, Came::More(_));
+        self.viewer_came(front, now, visit, came);
+        !more
+    }
+
+    fn viewer_came(&mut self, front: &mut Front, now: Duration, visit: u64, came: Came) -> bool {
+        let (bytes, closed) = match came {
+            Came::Bytes(bytes) | Came::More(bytes) => (bytes, false),
+            Came::Closed(bytes) => (bytes, true),
+        };
+        if !bytes.is_empty() {
+            self.viewer_said(front, now, visit, &bytes);
+        }
+        if closed {
+            self.left(front, now, visit);
+        }
+        self.viewers.connections.contains_key(&visit)
+    }
+
     fn viewer_said(&mut self, front: &mut Front, now: Duration, visit: u64, piece: &[u8]) {
         let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
         connection.lines.push(piece);
-        connection.had += 1;
         loop {
             let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
             let signal = match connection.lines.cut() {
@@ -402,6 +447,22 @@
         }
     }
 
+    /// Reads what all viewers' connections hold, and whether nothing is left to be read, answered or written: then nobody
+    /// loses anything if they all close. Guards against a request that came as the end was decided.
+    pub fn viewers_are_done(&mut self, front: &mut Front, now: Duration) -> bool {
+        let mut dry = true;
+        for visit in self.viewers.connections.keys().copied().collect::<Vec<_>>() {
+            let came = self.viewers.connections.get(&visit).map(|connection| look(&connection.stream));
+            let Some(came) = came else { continue };
+            dry &= matches!(&came, Came::Closed(_)) || came == Came::Bytes(vec![]);
+            self.viewer_came(front, now, visit, came);
+        }
+        let written = |c: &Connection| c.pen.unsent() == 0;
+        dry && self.viewers.open.is_empty()
+            && self.viewers.owed.is_empty()
+            && self.viewers.connections.values().all(written)
+    }
+
     /// Closes connections that are of no use.
     pub fn sweep_viewers(&mut self, now: Duration) {
         self.viewers.owed.retain(|_, (_, since)| now < *since + Visits::OWED);
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -1,20 +1,27 @@
-//! One connection, whatever is spoken on it: what comes is handed over piece by piece, the next once the last had its
-//! turn, so that nobody's flood waits before others; what is to be written waits in order.
+//! One connection, whatever is spoken on it. What comes is read by the core's task in its turn, piece by piece, so that
+//! nobody's flood waits before others, and so that the core can look at what a socket holds before it acts; what is to be
+//! written goes out at once where nothing waits before it, else in order.
 
+use futures_util::FutureExt;
 use ivyward_edge::Visits;
-use ivyward_signal::Ref;
-use std::cell::Cell;
+use ivyward_signal::{LONGEST, Ref};
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::io::{self, ErrorKind, Read};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
 /// What was sent before a connection is to be closed as unused is known after so long.
 const SENT: Duration = Duration::from_millis(2);
-/// What is read at once.
+/// What is read in one turn.
 const PIECE: usize = 4096;
+/// What is read at most by one look.
+const LOOK: usize = 4 * LONGEST;
+/// What may lie unsent in the socket of a connection: what is there can't be recalled any more.
+const BEGUN: usize = 2 * LONGEST;
 
 /// What is to be done on a connection, in order.
 enum Line {
@@ -27,9 +34,23 @@
 /// A session and the cause with which it ended.
 pub type End = (Ref, u8);
 
+/// A connection that stands, read by the core's task.
+pub type Stream = Rc<TcpStream>;
+
+/// What a reading brought.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Came {
+    Bytes(Vec<u8>),
+    /// So much that there may be more.
+    More(Vec<u8>),
+    /// The other end has closed, or the connection is broken; what it sent before.
+    Closed(Vec<u8>),
+}
+
 /// Writes on a connection; when it is dropped, the connection closes after what was written.
 pub struct Pen {
     lines: mpsc::UnboundedSender<Line>,
+    stream: RefCell<Option<Stream>>,
     unsent: Rc<Cell<usize>>,
 }
 
@@ -45,10 +66,34 @@
 pub fn pen() -> (Pen, Page) {
     let (send, lines) = mpsc::unbounded_channel();
     let unsent = Rc::new(Cell::new(0));
-    (Pen { lines: send, unsent: unsent.clone() }, Page { lines, bytes: vec![], end: None, unsent })
+    let pen = Pen { lines: send, stream: RefCell::default(), unsent: unsent.clone() };
+    (pen, Page { lines, bytes: vec![], end: None, unsent })
 }
 
 impl Pen {
+    /// The connection stands.
+    pub fn stands(&self, stream: &Stream) {
+        self.stream.replace(Some(stream.clone()));
+    }
+
+    /// Bytes that were taken and are not in the socket yet.
+    pub fn unsent(&self) -> usize {
+        self.unsent.get()
+    }
+
+    /// Whether what is written now begins to go out now.
+    pub fn clear(&self) -> bool {
+        let writable = |stream: &Stream| stream.writable().now_or_never().is_some();
+        self.unsent.get() == 0 && self.stream.borrow().as_ref().is_some_and(writable)
+    }
+
+    /// What of it goes out at once.
+    fn now(&self, bytes: &[u8]) -> usize {
+        let stream = self.stream.borrow();
+        let stream = stream.as_ref().filter(|_| self.unsent.get() == 0);
+        stream.and_then(|stream| stream.try_write(bytes).ok()).unwrap_or_default()
+    }
+
     /// Whether it could be taken: not where the other end reads too slowly, or is gone.
     pub fn write(&self, bytes: Vec<u8>) -> bool {
         self.tell(bytes, None)
@@ -56,10 +101,26 @@
 
     /// The same for the end of a session. Taken and not put out, it comes back from [`converse`].
     pub fn tell(&self, bytes: Vec<u8>, end: Option<End>) -> bool {
-        let unsent = self.unsent.get() + bytes.len();
-        if unsent > Visits::UNSENT {
+        if self.lines.is_closed() {
             return false;
         }
+        let out = self.now(&bytes);
+        self.rest(bytes, out, end)
+    }
+
+    /// Writes it if a part of it at least goes out at once. Guards against a message that goes out when a connection that
+    /// stalls moves again, and nobody wants it any more: where none of it goes out, none ever does.
+    pub fn begin(&self, bytes: Vec<u8>) -> bool {
+        let out = if self.clear() { self.now(&bytes) } else { 0 };
+        out > 0 && self.rest(bytes, out, None)
+    }
+
+    fn rest(&self, mut bytes: Vec<u8>, out: usize, end: Option<End>) -> bool {
+        bytes.drain(..out);
+        let unsent = self.unsent.get() + bytes.len();
+        if bytes.is_empty() || unsent > Visits::UNSENT {
+            return bytes.is_empty();
+        }
         self.unsent.set(unsent);
         self.lines.send(Line::Bytes { bytes, end }).is_ok()
     }
@@ -71,21 +132,21 @@
 }
 
 impl Page {
-    /// `came`: pieces that were read so far.
-    async fn write(&mut self, to: &mut (impl AsyncWriteExt + Unpin), came: &Cell<u64>) {
+    /// `came`: pieces that came so far.
+    async fn write(&mut self, to: &TcpStream, came: &Cell<u64>) {
         while let Some(line) = self.lines.recv().await {
             match line {
                 Line::Unused { had } => {
                     // Guards against a request that crosses the close: what was sent before is read first, and one that
-                    // was read and waited for its turn as the close was decided counts as well.
+                    // waited for its turn as the close was decided counts as well.
                     sleep(SENT).await;
-                    if came.get() == had && self.lines.is_empty() {
+                    if came.get() == had && self.lines.is_empty() && !holds(to) {
                         break;
                     }
                 }
                 Line::Bytes { bytes, end } => {
                     (self.bytes, self.end) = (bytes, end);
-                    if !matches!(timeout(Visits::STALLED, to.write_all(&self.bytes)).await, Ok(Ok(()))) {
+                    if !matches!(timeout(Visits::STALLED, all(to, &self.bytes)).await, Ok(Ok(()))) {
                         return;
                     }
                     let written = std::mem::take(&mut self.bytes).len();
@@ -94,7 +155,7 @@
                 }
             }
         }
-        timeout(Visits::STALLED, to.shutdown()).await.ok();
+        SockRef::from(to).shutdown(std::net::Shutdown::Write).ok();
     }
 
     /// The ends that were taken and not put out whole. Nothing is taken any more.
@@ -108,99 +169,75 @@
     }
 }
 
-/// Until either end closes. `heard`: gets what came, and what to drop or use once that had its turn. The ends that could
-/// not be told.
-pub async fn converse(
-    mut stream: TcpStream, mut page: Page, heard: impl Fn(Vec<u8>, oneshot::Sender<()>),
-) -> Vec<End> {
+async fn all(to: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        to.writable().await?;
+        match to.try_write(bytes) {
+            Ok(out) => bytes = &bytes[out..],
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Whether bytes wait in a socket that were not read.
+fn holds(stream: &TcpStream) -> bool {
+    let mut one = [std::mem::MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut one).is_ok_and(|held| held > 0)
+}
+
+/// One piece of what has come, as far as the runtime knows of it.
+pub fn piece(stream: &TcpStream) -> Came {
+    let mut piece = [0; PIECE];
+    match stream.try_read(&mut piece) {
+        Ok(0) => Came::Closed(vec![]),
+        Ok(read) => Came::Bytes(piece[..read].to_vec()),
+        Err(error) if error.kind() == ErrorKind::WouldBlock => Came::Bytes(vec![]),
+        Err(_) => Came::Closed(vec![]),
+    }
+}
+
+/// All that a socket holds now, its end included, whether the runtime knows of it or not. Guards against acting for somebody
+/// whose close or word lies unread.
+pub fn look(stream: &TcpStream) -> Came {
+    let (socket, mut piece, mut bytes) = (SockRef::from(stream), [0; PIECE], vec![]);
+    while bytes.len() < LOOK {
+        match (&*socket).read(&mut piece) {
+            Ok(0) => return Came::Closed(bytes),
+            Ok(read) => bytes.extend_from_slice(&piece[..read]),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Came::Bytes(bytes),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return Came::Closed(bytes),
+        }
+    }
+    Came::More(bytes)
+}
+
+/// Little is to lie unsent in the socket: see [`Pen::begin`].
+pub fn keeps_little(stream: &TcpStream) {
+    SockRef::from(stream).set_send_buffer_size(BEGUN).ok();
+}
+
+/// Until either end closes. `heard`: something has come, and is to be read in its turn; told afterwards whether more is
+/// wanted, dropped where not. The ends that could not be told.
+pub async fn converse(stream: Stream, mut page: Page, heard: impl Fn(oneshot::Sender<()>)) -> Vec<End> {
     stream.set_nodelay(true).ok();
-    let (mut from, mut to) = stream.split();
     let came = Cell::new(0);
     let reads = async {
-        let mut piece = [0; PIECE];
-        while let Ok(read @ 1..) = from.read(&mut piece).await {
+        while stream.readable().await.is_ok() {
             came.set(came.get() + 1);
             let (had, turn) = oneshot::channel();
-            heard(piece[..read].to_vec(), had);
+            heard(had);
             if turn.await.is_err() {
                 return;
             }
         }
     };
-    tokio::select! { biased; () = reads => {}, () = page.write(&mut to, &came) => {} }
+    tokio::select! { biased; () = reads => {}, () = page.write(&stream, &came) => {} }
     page.left()
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::duplex;
-
-    const END: End = (Ref(7), 16);
-
-    fn block_on<T>(test: impl Future<Output = T>) -> T {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        runtime.expect("a runtime").block_on(test)
-    }
-
-    #[test]
-    fn an_unused_connection_closes_unless_something_crosses() {
-        // Pieces that came, those that had had their turn as the close was decided, pieces that come while it waits,
-        // what is to be written behind it; whether it closes.
-        let cases: [(u64, u64, u64, &[u8], bool); 5] = [
-            (3, 3, 0, b"", true),
-            (3, 2, 0, b"", false),
-            (3, 3, 1, b"", false),
-            (3, 3, 0, b"end", false),
-            (0, 0, 0, b"", true),
-        ];
-        for (came, had, more, behind, closes) in cases {
-            let (pen, mut page) = pen();
-            let pieces = Cell::new(came);
-            let (mut near, mut far) = duplex(64);
-            pen.ends_unused(had);
-            if !behind.is_empty() {
-                assert!(pen.write(behind.to_vec()));
-            }
-            let closed = block_on(async {
-                let read = async {
-                    sleep(SENT / 2).await;
-                    pieces.set(came + more);
-                    let mut piece = [0; 64];
-                    let read = timeout(SENT * 4, far.read(&mut piece)).await;
-                    read.is_ok_and(|read| read.is_ok_and(|read| read == 0))
-                };
-                tokio::select! { closed = read => closed, () = page.write(&mut near, &pieces) => true }
-            });
-            assert_eq!(
-                closed, closes,
-                "{came} came, {had} had their turn, {more} more, behind it {behind:?}"
-            );
-        }
-    }
-
-    #[test]
-    fn ends_that_were_taken_and_not_put_out_come_back() {
-        // Room at the other end, what is written before the end and behind it; what comes back.
-        let cases: [(usize, usize, &[End], &[End]); 4] = [
-            (1000, 10, &[END], &[]),
-            (10, 100, &[END], &[END]),
-            (10, 10, &[END, (Ref(8), 41)], &[END, (Ref(8), 41)]),
-            (10, 100, &[], &[]),
-        ];
-        for (room, before, ends, back) in cases {
-            let (pen, mut page) = pen();
-            assert!(pen.write(vec![b'x'; before]));
-            for end in ends {
-                assert!(pen.tell(vec![b'e'; 12], Some(*end)));
-            }
-            let (mut near, far) = duplex(room);
-            let stalled =
-                block_on(async { timeout(SENT, page.write(&mut near, &Cell::new(0))).await.is_err() });
-            assert!(stalled, "an open pen ends nothing");
-            assert_eq!(page.left(), back, "room for {room}, {before} before {ends:?}");
-            assert!(!pen.write(vec![b'x']), "nothing is taken any more");
-            drop(far);
-        }
-    }
-}
+#[path = "wire_tests.rs"]
+mod tests;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -73,6 +73,8 @@
     pub tested: Cell<bool>,
     pub seen: RefCell<Vec<Seen>>,
     pub ends: RefCell<Vec<End>>,
+    /// What was written on connections, in bytes.
+    pub wrote: Cell<usize>,
     /// Set-ups without an end, and the connections that they came on.
     open: RefCell<BTreeSet<(usize, Ref)>>,
     connections: RefCell<Vec<Out>>,
@@ -95,6 +97,7 @@
             tested: Cell::new(true),
             seen: RefCell::default(),
             ends: RefCell::default(),
+            wrote: Cell::new(0),
             open: RefCell::default(),
             connections: RefCell::default(),
         });
@@ -126,7 +129,9 @@
         loop {
             tokio::select! {
                 out = written.recv() => match out {
-                    Some(Some(bytes)) if stream.write_all(&bytes).await.is_ok() => {}
+                    Some(Some(bytes)) if stream.write_all(&bytes).await.is_ok() => {
+                        self.wrote.set(self.wrote.get() + bytes.len());
+                    }
                     _ => return drop(stream.set_zero_linger()),
                 },
                 read = stream.read(&mut piece) => {
@@ -251,7 +256,13 @@
     /// # Errors
     /// No socket is to be had.
     pub async fn start() -> io::Result<Rc<Bus>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Bus::at("127.0.0.1:0".parse().map_err(io::Error::other)?).await
+    }
+
+    /// # Errors
+    /// That address can't be had.
+    pub async fn at(address: SocketAddr) -> io::Result<Rc<Bus>> {
+        let listener = TcpListener::bind(address).await?;
         let bus = Rc::new(Bus {
             address: listener.local_addr()?,
             asked: RefCell::default(),
@@ -333,9 +344,16 @@
     /// No connection came about.
     pub async fn connect(address: SocketAddr) -> io::Result<Viewer> {
         let stream = TcpStream::connect(address).await?;
+        // What is written second is there as soon as what was written first.
+        stream.set_nodelay(true)?;
         Ok(Viewer { stream, lines: Lines::default(), came: VecDeque::new() })
     }
 
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        self.stream.set_zero_linger().ok();
+    }
+
     /// Writes bytes as they are; whether the connection took them.
     pub async fn write(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).await.is_ok()
