--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -455,3 +455,212 @@
         waits("the new bus is asked", || !other.asked.borrow().is_empty()).await;
     });
 }
+
+#[test]
+fn idle_clients_fill_the_descriptors_while_discovery_is_down() {
+    const COUNT: usize = 60;
+    let down =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a socket").local_addr().expect("its address");
+    let tweak = |config: &mut Value| {
+        config["limits"]["sockets"] = 96.into();
+        config["bus"] = down.to_string().into();
+        config["settings"]["specifics"]["places"] = COUNT.into();
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let world = World::new(Does::Plays, COUNT, tweak).await;
+        let home = |of: u64, home: usize| {
+            let text = String::from_utf8(asks(Ref(of), "clip", 3000, "")).expect("text");
+            text.replace("home:0;", &format!("home:{home};")).into_bytes()
+        };
+        // Silent ones, ones that asked long ago, half lines, ones with a session that stands.
+        let mut idle = vec![];
+        for i in 0..200u64 {
+            let Ok(Ok(mut client)) = timeout(ms(200), Viewer::connect(world.address)).await else { continue };
+            match i % 4 {
+                1 => drop(client.says(Kind::Test, Ref(4), Some(0)).await),
+                2 => drop(client.write(&asks(Ref(0x2000 + i), "clip", 3000, "")[..50]).await),
+                3 => drop(client.write(&home(0x2000 + i, i as usize % 4)).await),
+                _ => {}
+            }
+            idle.push(client);
+        }
+        let mut served = vec![];
+        for i in 0..40 {
+            let mut viewer = world.viewer().await;
+            assert!(viewer.write(&home(0x3000 + i as u64, i)).await);
+            let came = viewer.hears(ms(3000)).await.map(|came| came.kind);
+            assert_eq!(came, Some(Kind::Answer), "viewer {i}, discovery down");
+            // What stands at the first ones goes on; each of those servers wants its connection.
+            let over = i < 24 || viewer.says(Kind::Release, Ref(0x3000 + i as u64), Some(16)).await;
+            assert!(over);
+            served.push(viewer);
+        }
+        // Some are left for the bus, its next connection and a new configuration.
+        let held = format!("/proc/{}/fd", world.program.id().expect("it runs"));
+        let held = fs::read_dir(held).expect("its descriptors").count();
+        assert!(held <= 92, "{held} of 96 descriptors are held");
+        let bus = Bus::at(down).await.expect("the bus comes back");
+        let drains: Vec<_> = (1..COUNT).map(|i| member(&world.servers[i], i, "draining")).collect();
+        bus.tell(2, &event(2, false, &drains), 1);
+        waits("the bus is asked", || !bus.asked.borrow().is_empty()).await;
+        sleep(ms(300)).await;
+        let before = world.servers[0].of(Kind::SetUp).len();
+        for i in 0..10 {
+            let mut viewer = world.viewer().await;
+            assert!(viewer.write(&asks(Ref(0x4000 + i), "clip", 3000, "")).await);
+            let came = viewer.hears(ms(3000)).await.map(|came| came.kind);
+            assert_eq!(came, Some(Kind::Answer), "viewer {i}, discovery back");
+        }
+        assert_eq!(world.servers[0].of(Kind::SetUp).len(), before + 10, "the drains are obeyed");
+    });
+}
+
+/// A manager beside the world's own, with the same servers and bus.
+struct Another {
+    file: PathBuf,
+    config: Value,
+    address: SocketAddr,
+    program: Child,
+}
+
+impl Another {
+    async fn start(world: &World, n: usize) -> Another {
+        let free = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        let address = free.local_addr().expect("its address");
+        let mut config = world.config.clone();
+        config["listen"] = address.to_string().into();
+        config["seed"] = format!("{:016x}", n + 1).into();
+        let file = world.file.with_extension(format!("another-{n}"));
+        fs::write(&file, config.to_string()).expect("written");
+        drop(free);
+        let program = starts(&file, &config);
+        Another { file, config, address, program }
+    }
+
+    /// Killed outright, and started anew with nothing in its memory.
+    async fn again(&mut self) {
+        self.program.kill().await.expect("it ends");
+        self.program = starts(&self.file, &self.config);
+    }
+}
+
+impl Drop for Another {
+    fn drop(&mut self) {
+        fs::remove_file(&self.file).ok();
+    }
+}
+
+#[test]
+fn a_cold_server_bears_what_twenty_and_thirty_processes_send_it_together() {
+    for (count, killed) in [(20usize, 0), (30, 0), (20, 6)] {
+        const WARM_UP: Duration = Duration::from_secs(3);
+        // Within a second it bears so many; two roots of that and two are put down to chance.
+        let (streams, windows) = (150.0, WARM_UP.as_secs_f64());
+        let bears: f64 = 2.0 * 0.5 * streams / windows;
+        let most = (bears + 2.0 * bears.sqrt() + 2.0) as usize;
+        let tweak = |config: &mut Value| {
+            config["settings"]["siblings"] = count.into();
+            config["settings"]["guarantees"]["cold-us"] = (WARM_UP.as_micros() as u64).into();
+            config["settings"]["specifics"]["kind-streams"] = json!([streams]);
+        };
+        with_config(Does::Plays, tweak, |world| async move {
+            let mut others = vec![];
+            for n in 0..count {
+                others.push(Another::start(&world, n).await);
+            }
+            // They are warm to each other, as they stand.
+            sleep(WARM_UP + ms(500)).await;
+            let fresh = Server::start("s-fresh", Does::Plays).await.expect("a server");
+            let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock");
+            let mut start = row(&fresh.word, fresh.address, "ready");
+            start["up_since_ms"] = (unix.as_millis() as u64).into();
+            let gone = (0..SERVERS).map(|i| member(&world.servers[i], i, "gone"));
+            world.bus.tell(2, &event(2, false, &gone.chain([start]).collect::<Vec<_>>()), 1);
+            let begun = Instant::now();
+            let mut asked = 0u64;
+            while begun.elapsed() < WARM_UP {
+                // Three times what it bears, most of it at a few of them.
+                let n = (asked * 7 % count as u64).min(asked * 3 % count as u64) as usize;
+                let (address, of) = (others[n].address, Ref(0x10_0000 + asked));
+                spawn_local(async move {
+                    let Ok(mut viewer) = Viewer::connect(address).await else { return };
+                    viewer.write(&asks(of, "clip", 1500, "")).await;
+                    viewer.hears(ms(2000)).await;
+                });
+                asked += 1;
+                if killed > 0 && asked.is_multiple_of(60) && asked / 60 <= killed {
+                    others[(asked / 60) as usize].again().await;
+                }
+                sleep(Duration::from_secs_f64(1.0 / (3.0 * bears))).await;
+            }
+            let mut times: Vec<_> = fresh.of(Kind::SetUp).iter().map(|seen| seen.at).collect();
+            times.sort();
+            let within =
+                |from: &Instant| times.iter().filter(|at| *at >= from && **at < *from + ms(1000)).count();
+            let fullest = times.iter().map(within).max().unwrap_or_default();
+            println!(
+                "{count} processes, {killed} killed: {} of {asked} sent, {fullest} in the fullest second of {most}",
+                times.len()
+            );
+            assert!(
+                fullest <= most,
+                "{count} processes, {killed} killed: {fullest} in a second, {most} at most"
+            );
+            assert!(times.len() as f64 >= bears, "{} of {asked} sent", times.len());
+        });
+    }
+}
+
+#[test]
+fn restarted_together_nine_in_ten_are_ready_at_once_while_discovery_is_silent() {
+    const ALL: usize = 24;
+    with(Does::Plays, |world| async move {
+        // A bus that takes connections and says nothing.
+        let silent = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        let mut configs = vec![];
+        for i in 0..=ALL {
+            let free = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+            let mut config = world.config.clone();
+            config["listen"] = free.local_addr().expect("its address").to_string().into();
+            config["bus"] = silent.local_addr().expect("its address").to_string().into();
+            let file = world.file.with_extension(format!("ready-{i}"));
+            fs::write(&file, config.to_string()).expect("written");
+            configs.push((file, config, free));
+        }
+        let ready = async |(file, config, free): (PathBuf, Value, TcpListener)| {
+            let address = free.local_addr().expect("its address");
+            drop(free);
+            let (begun, program) = (Instant::now(), starts(&file, &config));
+            loop {
+                if let Ok(mut test) = Viewer::connect(address).await
+                    && test.says(Kind::Test, Ref(1), Some(0)).await
+                    && test.hears(ms(20_000)).await.is_some_and(|tested| tested.cause == Some(1))
+                {
+                    break;
+                }
+                assert!(begun.elapsed() < ms(30_000), "not ready");
+                sleep(ms(5)).await;
+            }
+            fs::remove_file(&file).ok();
+            (begun.elapsed(), program)
+        };
+        let (alone, _program) = ready(configs.remove(0)).await;
+        // All cores busy beside them.
+        let cores = std::thread::available_parallelism().map_or(4, usize::from);
+        let busy: Vec<_> = (0..cores)
+            .map(|_| Command::new("sh").args(["-c", "while :; do :; done"]).kill_on_drop(true).spawn())
+            .collect();
+        let starts: Vec<_> = configs.into_iter().map(ready).collect();
+        let mut times: Vec<_> =
+            futures_util::future::join_all(starts).await.into_iter().map(|(time, _)| time).collect();
+        drop(busy);
+        times.sort();
+        let ninth = times[ALL * 9 / 10];
+        println!(
+            "ready: nine in ten of {ALL} within {:.1} times what one takes alone",
+            ninth.as_secs_f64() / alone.as_secs_f64()
+        );
+        assert!(ninth < ms(10_000), "{times:?}");
+    });
+}
