Where servers tell of links at no interval, all viewings tell of what links are asked on the mean

At fault: View::settle went by our viewings at one link, of which few managers have more than one, and else held all links for as full as the aim; news that would mend it is never told there. Where servers tell of links nothing changes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -128,10 +128,12 @@
 
     /// What is usually asked of a link or uplink: the news of any. Guards against none: it fades into all
     /// asking as we do as far as ours are enough to tell, else into the aim: nobody moves; uplinks by links.
-    pub(crate) fn settle(&mut self, own: f64, kbs: [f64; 2]) {
+    /// `all`: where no news is to be had of links, all our viewings tell of their mean.
+    pub(crate) fn settle(&mut self, own: f64, kbs: [f64; 2], all: Option<f64>) {
         for tier in 0..2 {
             let base = [1.0, self.usual[0] * kbs[0] / kbs[1]][tier].min(BANDS[tier].0);
-            let (held, alike) = ((self.held[tier] - 1.0).max(0.0) / ENOUGH, own * self.siblings / kbs[tier]);
+            let held = all.unwrap_or(self.held[tier]);
+            let (held, alike) = ((held - 1.0).max(0.0) / ENOUGH, own * self.siblings / kbs[tier]);
             let start = (FADED * (held * alike + base) / (held + 1.0), FADED);
             let news = self.news[tier].iter().map(|(at, full)| (self.weight(*at), *full));
             let (sum, weights) = news.fold(start, |(s, w), (weight, full)| (s + weight * full, w + weight));
@@ -482,7 +484,7 @@
         let kbs = [self.network.links_kb.max(1.0), (self.network.uplink_kb * uplinks).max(1.0)];
         keep(&mut self.view.crowd, 2 * KEPT, (now, crowd));
         self.view.held = [crowd / self.living.max(1) as f64, crowd / uplinks];
-        self.view.settle(own, kbs);
+        self.view.settle(own, kbs, self.network.told.is_zero().then_some(crowd));
         self.looks += 1;
         if self.looks.is_multiple_of(LOOKS) {
             self.close_interval();
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -517,13 +517,38 @@
         (view.siblings, view.held) = (siblings, [held, held]);
         let (mut other, mut link) = (Link::new(1000.0, 0), Link::new(1000.0, 0));
         (0..9).for_each(|_| view.hear(&mut other, view.now, news));
-        view.settle(500.0 / siblings, [1000.0, 1000.0]);
+        view.settle(500.0 / siblings, [1000.0, 1000.0], None);
         age.into_iter().for_each(|age| link.hear(view.now - ms(age * 1000), 1.0));
         let full = link.full(&view);
         assert!(full >= least && full <= most, "{full} at {news}, {siblings} managers, {age:?}");
     }
 }
 
+#[test]
+fn where_servers_tell_of_links_at_no_interval_all_viewings_tell_of_their_mean() {
+    // Whether servers tell of links, our viewings in all where they don't, what all ask if all ask as we do; what an unknown
+    // link is held to be asked, and what a word of 1.6 a second ago still makes of it.
+    let cases = [
+        (true, 100.0, 0.3, (0.9, 1.0), (1.3, 1.6)),
+        (false, 100.0, 0.3, (0.3, 0.4), (1.0, 1.6)),
+        (false, 100.0, 0.8, (0.75, 0.85), (1.2, 1.6)),
+        (false, 1.0, 0.3, (0.9, 1.0), (1.2, 1.6)),
+    ];
+    for (tells, crowd, asks, unknown, short) in cases {
+        let mut desk = Desk::new(None);
+        desk.manager.network.told = if tells { ms(3000) } else { Duration::ZERO };
+        let mut view = View::new(desk.manager.network.told(), 200.0);
+        view.now = START;
+        view.settle(asks * 1000.0 / 200.0, [1000.0, 1000.0], (!tells).then_some(crowd));
+        let mut link = Link::new(1000.0, 0);
+        let full = link.full(&view);
+        assert!(full >= unknown.0 && full <= unknown.1, "tells {tells}, {crowd} ask {asks}: {full}");
+        link.hear(START - ms(1000), 1.6);
+        let full = link.full(&view);
+        assert!(full >= short.0 && full <= short.1, "tells {tells}, {crowd} ask {asks}, short: {full}");
+    }
+}
+
 #[test]
 fn alone_at_a_link_a_viewing_goes_by_the_price() {
     // Fullness of the link, the rungs of the viewing there and of ten of ours elsewhere, whether it rises.
