The checker finds set-ups for viewers that have gone; the run with failures has some that leave

crates/rules gone: a set-up read over 0.1 s after its viewer closed, with no other request of its session waiting. Histories just inside and just outside in its tests.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -1,7 +1,7 @@
 //! The program as a viewing manager, on loopback, over stand-ins that speak the platform's protocol.
 
 use ivyward_fleet::{Cold, Key, ManagerNo, ServerNo};
-use ivyward_rules::{Asked, Came, History, Life, Package, Record, Terms, What, judge, table};
+use ivyward_rules::{Asked, Came, History, Life, Package, Record, Terms, What, gone, judge, table};
 use ivyward_signal::{Field, Kind, Ref, line};
 use ivyward_standin::platform::{Bus, Does, Server, Viewer, answer};
 use serde_json::{Value, json};
@@ -723,10 +723,13 @@
         let left = Rc::new(Cell::new(0));
         let ways =
             [Does::Plays, Does::Releases(34), Does::Releases(47), Does::Resets, Does::Nothing, Does::Noise];
-        for i in 0..120u64 {
+        for i in 0..135u64 {
+            // The last ones don't wait for their answer, which none gives them.
+            let leaves = i >= 120;
             let turn = (i / 10) as usize;
             for (n, server) in world.servers.iter().enumerate() {
-                server.does.set(if n == turn % SERVERS { ways[turn % ways.len()] } else { Does::Plays });
+                let way = if n == turn % SERVERS { ways[turn % ways.len()] } else { Does::Plays };
+                server.does.set(if leaves { Does::Nothing } else { way });
             }
             let (package, name) = if i % 3 == 0 { (1, "ticket") } else { (0, "clip") };
             let (mut viewer, told, waiting) = (world.viewer().await, asked.clone(), left.clone());
@@ -734,11 +737,18 @@
             spawn_local(async move {
                 let at = begun.elapsed();
                 viewer.write(&asks(Ref(0x9000 + i), name, 1500, "")).await;
-                let came = viewer.hears(ms(2500)).await;
+                let came = viewer.hears(if leaves { ms(i) } else { ms(2500) }).await;
+                let leaves = leaves && came.is_none();
                 let came_at = begun.elapsed();
-                let more = usize::from(viewer.hears(ms(200)).await.is_some());
+                let more = if leaves {
+                    drop(viewer);
+                    0
+                } else {
+                    usize::from(viewer.hears(ms(200)).await.is_some())
+                };
                 // Answers as the checker knows them: playing, refused, failed.
-                let came = came.map_or(Came::Nothing, |came| match (came.kind, came.cause) {
+                let none = if leaves { Came::Closed } else { Came::Nothing };
+                let came = came.map_or(none, |came| match (came.kind, came.cause) {
                     (Kind::Answer, _) => Came::Answer(200),
                     (_, Some(34 | 42 | 102)) => Came::Answer(503),
                     _ => Came::Answer(502),
@@ -805,13 +815,16 @@
             cold: (Cold { warm_up: ms(100), from: 0.5, multiple: 2.0, fall: ms(1000) }, 1000),
         };
         let asked = asked.take();
-        assert_eq!(asked.len(), 120);
+        assert_eq!(asked.len(), 135);
         let history =
             History { records, asked, managers: vec![Life { no: Some(ManagerNo(0)), gaps: vec![] }] };
+        let gone = gone(ms(100), &history);
+        println!("{} set-ups of viewers that left, {:?}", gone.looked, gone.broken);
+        assert!(gone.looked > 5 && gone.broken.is_empty(), "{:?}", gone.broken);
         let judged = judge(&terms, &history);
         assert!(judged.iter().all(|rule| rule.broken.is_empty()), "{}", table(&judged));
         let [lost, twice, _, _, _, ration] = judged.each_ref().map(|rule| rule.looked);
-        assert!(lost == 120 && twice > 10 && ration > 5, "{}", table(&judged));
+        assert!(lost == 135 && twice > 10 && ration > 5, "{}", table(&judged));
     });
 }
 
--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -104,6 +104,30 @@
     judged.map(|(looked, broken)| Judged { looked, broken })
 }
 
+/// Held beside the rules where servers read at once what is sent to them: a viewer that closed its request has gone, and
+/// no set-up for it is read later than `after`, if no other request for its session waited by then.
+pub fn gone(after: Duration, history: &History) -> Judged {
+    let mut judged = Judged::default();
+    let mut asked: BTreeMap<u128, Vec<&Asked>> = BTreeMap::new();
+    history.asked.iter().for_each(|ask| asked.entry(ask.session).or_default().push(ask));
+    for record in &history.records {
+        let What::SetUp { server, session, .. } = &record.what else { continue };
+        let of = asked.get(session).map_or(&[][..], Vec::as_slice);
+        let waits = |ask: &&&Asked| ask.at <= record.at && record.at <= ask.came_at + after;
+        let closed = of.iter().rfind(|ask| ask.came == Came::Closed && ask.at <= record.at);
+        let Some(closed) = closed else { continue };
+        judged.looked += 1;
+        if !of.iter().any(|ask| waits(&ask)) {
+            judged.broken.push(format!(
+                "session {session:032x}: to {server:?} at {:.3}, its viewer had gone at {:.3}",
+                secs(record.at),
+                secs(closed.came_at)
+            ));
+        }
+    }
+    judged
+}
+
 fn secs(at: Duration) -> f64 {
     at.as_secs_f64()
 }
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -104,6 +104,28 @@
     }
 }
 
+#[test]
+fn set_ups_for_viewers_that_have_gone_are_found() {
+    // What became of the request at 200, another one for the session from and until when, when the set-up was read; how
+    // many are looked at and broken by.
+    let cases = [
+        ("just in time", Came::Closed, None, 300, 1, 0),
+        ("too late", Came::Closed, None, 301, 1, 1),
+        ("long after", Came::Closed, None, 2500, 1, 1),
+        ("answered, not closed", Came::Answer(503), None, 301, 0, 0),
+        ("another waits", Came::Closed, Some((250, 900)), 800, 1, 0),
+        ("another waited", Came::Closed, Some((250, 600)), 800, 1, 1),
+        ("another comes later", Came::Closed, Some((900, 950)), 800, 1, 1),
+    ];
+    for (name, came, other, read, looked, breaks) in cases {
+        let mut all = vec![asked(1, CLIP, 0, 200, came)];
+        all.extend(other.map(|(at, came_at)| asked(1, CLIP, at, came_at, Came::Answer(200))));
+        let history = History { records: vec![set_up(read, 0, 1, 0, CLIP)], asked: all, managers: vec![] };
+        let judged = gone(ms(100), &history);
+        assert_eq!((judged.looked, judged.broken.len()), (looked, breaks), "{name}: {:?}", judged.broken);
+    }
+}
+
 #[test]
 fn set_ups_side_by_side_or_paid_twice_are_found() {
     use SetUpEnd::*;
