--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -748,3 +748,26 @@
         });
     }
 }
+
+#[test]
+fn an_answer_that_came_while_the_process_stood_still_counts_before_its_limit() {
+    // The package, and how long the process stands still: longer than one tune-in may take, and than the viewer waits.
+    for (package, left, still) in [("clip", 3000, 700), ("ticket", 1200, 1300)] {
+        with(Does::Nothing, |world| async move {
+            let (mut viewer, of) = (world.viewer().await, Ref(0x80));
+            assert!(viewer.write(&asks(of, package, left, "")).await);
+            waits("a set-up", || world.of(Kind::SetUp) == 1).await;
+            world.stops().await;
+            let server = world.holder();
+            let up = binary::write(Kind::Answer, of, &[], None, Some(b"here")).expect("short");
+            server.say(server.of(Kind::SetUp)[0].connection, up);
+            waits("the answer is written", || server.wrote.get() > 0).await;
+            sleep(ms(still)).await;
+            world.goes_on();
+            let came = viewer.hears(ms(1000)).await.map(|came| (came.kind, came.of));
+            assert_eq!(came, Some((Kind::Answer, of)), "{package}");
+            assert_eq!(viewer.hears(ms(300)).await, None, "{package}: one answer only");
+            assert_eq!(world.of(Kind::SetUp), 1, "{package}: no further one");
+        });
+    }
+}
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -463,6 +463,14 @@
         !closed && self.servers.links.contains_key(&id)
     }
 
+    /// Reads what the connections hold on which set-ups are open.
+    pub fn reads_servers(&mut self, front: &mut Front, now: Duration) {
+        let open = self.servers.links.iter().filter(|(_, link)| !link.open.is_empty()).map(|(id, _)| *id);
+        for id in open.collect::<Vec<_>>() {
+            self.server_wrote(front, now, id, look);
+        }
+    }
+
     fn server_said(&mut self, front: &mut Front, now: Duration, id: u64, piece: &[u8]) {
         let Some(link) = self.servers.links.get_mut(&id) else { return };
         link.messages.push(piece);
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -6,7 +6,7 @@
 use crate::viewers::Viewers;
 use ivyward::front::{PackageId, ServerId, TitleId, ViewingId};
 use ivyward_edge::Seldom;
-use ivyward_session::{Answer, Birth, Breach, Effects, SessionId, Timer, TuneIn};
+use ivyward_session::{Answer, Birth, Breach, Effects, Front, SessionId, Timer, TuneIn};
 use ivyward_signal::Ref;
 use ivyward_turns::{Queue, Timers};
 use std::collections::{BTreeMap, BTreeSet};
@@ -130,6 +130,13 @@
     fn timers(&mut self) -> &mut Timers {
         &mut self.timers
     }
+
+    /// Guards against an answer that came while this process stood still, and is taken for none as its limit is over.
+    fn catches_up(&mut self, front: &mut Front, now: Duration) {
+        if self.held.is_none() && self.stood_still(now) {
+            self.reads_servers(front, now);
+        }
+    }
 }
 
 impl Effects for Hands {
--- a/crates/turns/src/lib.rs
+++ b/crates/turns/src/lib.rs
@@ -64,6 +64,9 @@
 /// The effects of a core, with its timers among them.
 pub trait Hands: Effects {
     fn timers(&mut self) -> &mut Timers;
+
+    /// Timers are due: what came before them and may lie unread is told first.
+    fn catches_up(&mut self, _: &mut Front, _: Duration) {}
 }
 
 /// Something that happened, handed to the core in its turn.
@@ -122,6 +125,7 @@
                 biased;
                 () = sleep_until(due.unwrap_or_else(|| Instant::now() + NEVER)) => {
                     let now = self.clock.now();
+                    hands.catches_up(front, now);
                     while let Some(timer) = hands.timers().due(now) {
                         front.woken(hands, now, timer);
                     }
