--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -695,9 +695,9 @@
             for viewer in &mut viewers {
                 assert_eq!(viewer.hears(ms(2000)).await.map(|came| came.kind), Some(Kind::Answer));
             }
-            for n in 0..2 {
-                let sent = world.servers[n].of(Kind::SetUp).len() - before[n];
-                assert_eq!(sent, 0, "server {n}, drained first: {drained_first}");
+            for (server, before) in world.servers.iter().zip(before).take(2) {
+                let sent = server.of(Kind::SetUp).len() - before;
+                assert_eq!(sent, 0, "server {}, drained first: {drained_first}", server.word);
             }
         });
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -104,8 +104,8 @@
 }
 
 impl Network {
-    /// How old news of links may be. Guards against servers that tell of them at no interval of their own, which is told as
-    /// none: then what is heard of them counts for the design's.
+    /// How old news of links may be. Guards against servers that tell of them at no interval, told as
+    /// zero: then what is heard counts for the design's.
     pub(crate) fn told(&self) -> Duration {
         if self.told.is_zero() { INTERVAL } else { self.told }
     }
@@ -238,7 +238,8 @@
 }
 
 /// Mechanism 5: the pace of all managers to a server that has just started. Within the window it bears the
-/// multiple of its lowest pace; two roots of that and two more are put down to chance.
+/// multiple of its lowest pace; two roots of that and two more calls are put down to chance, and it falls at
+/// three roots and three more of mean work.
 impl Pace {
     /// `streams` by kind; `fall`: the window.
     pub fn new(
@@ -248,7 +249,8 @@
         let (managers, windows) = (f64::from(siblings.max(1)), (cold_for.as_secs_f64() / window).max(1.0));
         let pace = |streams: &f64| {
             let bears = multiple * from * streams / windows;
-            let falls = (bears + 2.0 * bears.sqrt() + 2.0) / HEAVY;
+            let chance = |roots: f64| bears + roots * (bears.sqrt() + 1.0);
+            let falls = (chance(3.0) / HEAVY).min(chance(2.0));
             // Few managers come to no more than that whoever is asked, and however suddenly, if each sends at
             // most its part in a window, or one in as many as its part then takes.
             if bears / HEAVY + managers <= falls {
@@ -545,8 +547,8 @@
             let sought = sought.count() as f64;
             (sought - chance * (1.0 + CHANCE * sought.sqrt())) / span.as_secs_f64()
         };
-        // Guards against a crowd that all managers meet at once, after quiet: the shorter, the sooner it is seen.
-        let lately = (0..4).map(|n| over(INTERVAL / (1 << n), 1.0));
+        // Guards against a crowd that all managers meet at once, after quiet: short spans see it sooner.
+        let lately = (0..3).map(|n| over(INTERVAL / (1 << n), 1.0));
         lately.fold(over(self.pace.cold_for, 0.0), f64::max)
     }
 
