--- a/crates/edge/src/visitor.rs
+++ b/crates/edge/src/client.rs
@@ -8,7 +8,7 @@
 /// One that nothing is open or stands on is closed after so long without a word. Viewers close theirs after 4 s.
 const IDLE: Duration = Duration::from_secs(6);
 /// The part of the descriptors that viewers' connections may take. They hold a third; strangers come beside them. What is
-/// left has to do for one connection to each of some hundred servers ([`Visits::servers`]).
+/// left has to do for one connection to each of some hundred servers ([`Clients::servers`]).
 const SHARE: f64 = 0.4;
 /// The part that they may take for the moment in which some are being closed.
 const ROOM: f64 = 0.45;
@@ -24,7 +24,7 @@
 
 /// What is known of a connection.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Visit {
+pub struct Client {
     pub since: Duration,
     /// When it last said anything that could be read.
     pub last: Duration,
@@ -37,7 +37,7 @@
 }
 
 /// Connections of viewers, within a number of descriptors.
-pub struct Visits {
+pub struct Clients {
     descriptors: usize,
     most: usize,
     room: usize,
@@ -45,7 +45,7 @@
     all: usize,
 }
 
-impl Visits {
+impl Clients {
     /// Bytes that may wait to be written on one connection.
     pub const UNSENT: usize = 128 << 10;
     /// Whoever takes nothing for so long reads no more, and is closed.
@@ -57,7 +57,7 @@
 
     pub fn new(descriptors: usize) -> Self {
         let part = |share: f64| ((descriptors as f64 * share) as usize).max(1);
-        Visits { descriptors, most: part(SHARE), room: part(ROOM), open: part(OPEN), all: part(ALL) }
+        Clients { descriptors, most: part(SHARE), room: part(ROOM), open: part(OPEN), all: part(ALL) }
     }
 
     /// Connections to servers that may stand at any time. Guards against descriptors of which none is left for the bus, its
@@ -72,28 +72,28 @@
     }
 
     /// Whether one more set-up may be open on it, with so many on all. Guards against memory that long descriptions hold.
-    pub fn takes(&self, visit: &Visit, all: usize) -> bool {
-        visit.open < self.open && all < self.all
+    pub fn takes(&self, client: &Client, all: usize) -> bool {
+        client.open < self.open && all < self.all
     }
 
     /// Whether it is closed now. Guards against clients that connect and say nothing, or nothing that can be answered.
-    pub fn over(&self, now: Duration, visit: &Visit) -> bool {
-        let silent = !visit.answered && now >= visit.since + UNANSWERED;
-        let idle = visit.stand == 0 && now >= visit.last.max(visit.since) + IDLE;
-        visit.open == 0 && (silent && visit.stand == 0 || idle)
+    pub fn over(&self, now: Duration, client: &Client) -> bool {
+        let silent = !client.answered && now >= client.since + UNANSWERED;
+        let idle = client.stand == 0 && now >= client.last.max(client.since) + IDLE;
+        client.open == 0 && (silent && client.stand == 0 || idle)
     }
 
     /// With so many connections, which of them gives way; none where there is room, or where all are of use. Guards
     /// against descriptors that strangers hold: who was never answered goes first, then who has been idle for longest.
     pub fn gives_way<T: Copy + Ord>(
-        &self, now: Duration, visits: impl Iterator<Item = (T, Visit)> + Clone,
+        &self, now: Duration, clients: impl Iterator<Item = (T, Client)> + Clone,
     ) -> Option<T> {
-        if visits.clone().count() <= self.most {
+        if clients.clone().count() <= self.most {
             return None;
         }
-        let may = |visit: &Visit| visit.open == 0 && (visit.answered || now >= visit.since + FIRST);
-        let rank = |visit: &Visit| (visit.answered, visit.stand > 0, visit.last.max(visit.since));
-        let may = visits.filter(|(_, visit)| may(visit));
-        may.min_by_key(|(id, visit)| (rank(visit), *id)).map(|(id, _)| id)
+        let may = |client: &Client| client.open == 0 && (client.answered || now >= client.since + FIRST);
+        let rank = |client: &Client| (client.answered, client.stand > 0, client.last.max(client.since));
+        let may = clients.filter(|(_, client)| may(client));
+        may.min_by_key(|(id, client)| (rank(client), *id)).map(|(id, _)| id)
     }
 }
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -1,6 +1,6 @@
 use crate::{
-    Calendar, Doors, Errand, Gate, Lane, Lanes, Line, Refresh, Seldom, Shown, Ticket, Turn, Visit, Visits,
-    brief,
+    Calendar, Client, Clients, Doors, Errand, Gate, Line, Refresh, Seldom, Shown, Ticket, Turn, Upstream,
+    Upstreams, brief,
 };
 use ivyward::front::ServerId;
 use proptest::prelude::*;
@@ -357,11 +357,11 @@
 
 #[test]
 fn which_visitors_are_closed_and_which_give_way() {
-    let visits = Visits::new(10);
+    let clients = Clients::new(10);
     // Viewers' connections and those to servers of so many descriptors, with what is left beside them.
     for (descriptors, room, servers) in [(256, 115, 121), (1024, 460, 544), (20, 9, 1)] {
-        let visits = Visits::new(descriptors);
-        assert_eq!((visits.room(), visits.servers()), (room, servers), "{descriptors}");
+        let clients = Clients::new(descriptors);
+        assert_eq!((clients.room(), clients.servers()), (room, servers), "{descriptors}");
     }
     // Since when it stands, when it last spoke, set-ups open, sessions that stand, whether anything was answered; whether
     // it is closed at 10 s.
@@ -376,7 +376,7 @@
         ((1000, 4000, 1, 0, true), false),
         ((1000, 4000, 0, 1, true), false),
     ];
-    let visit = |(since, last, open, stand, answered): (u64, u64, usize, usize, bool)| Visit {
+    let client = |(since, last, open, stand, answered): (u64, u64, usize, usize, bool)| Client {
         since: ms(since),
         last: ms(last),
         open,
@@ -385,12 +385,12 @@
         served: answered,
     };
     for (of, closed) in cases {
-        assert_eq!(visits.over(ms(10_000), &visit(of)), closed, "{of:?}");
+        assert_eq!(clients.over(ms(10_000), &client(of)), closed, "{of:?}");
     }
     // Set-ups open on one connection of 64 descriptors and on all: whether one more may be.
-    let visits_64 = Visits::new(64);
+    let clients_64 = Clients::new(64);
     for (open, all, takes) in [(7, 127, true), (8, 8, false), (0, 128, false)] {
-        assert_eq!(visits_64.takes(&visit((0, 0, open, 0, true)), all), takes, "{open} of {all}");
+        assert_eq!(clients_64.takes(&client((0, 0, open, 0, true)), all), takes, "{open} of {all}");
     }
     // Five where four may stay: which of them gives way at 10 s.
     let busy = (1000, 1000, 1, 0, true);
@@ -406,52 +406,52 @@
         ([busy, busy, busy, busy, busy], None),
     ];
     for (all, way) in cases {
-        let all = all.map(visit);
-        assert_eq!(visits.gives_way(ms(10_000), all.into_iter().enumerate()), way, "{all:?}");
-        assert_eq!(visits.gives_way(ms(10_000), all.into_iter().take(4).enumerate()), None, "room for four");
+        let all = all.map(client);
+        assert_eq!(clients.gives_way(ms(10_000), all.into_iter().enumerate()), way, "{all:?}");
+        assert_eq!(clients.gives_way(ms(10_000), all.into_iter().take(4).enumerate()), None, "room for four");
     }
 }
 
 #[test]
 fn which_connections_to_servers_are_used_tested_and_closed() {
-    let lanes = Lanes::new(2, ms(250), ms(15_000), ms(2000));
-    let mut lane = Lane::new(ms(0));
-    assert!(lanes.takes(&lane, 1) && !lanes.takes(&lane, 2));
+    let upstreams = Upstreams::new(2, ms(250), ms(15_000), ms(2000));
+    let mut upstream = Upstream::new(ms(0));
+    assert!(upstreams.takes(&upstream, 1) && !upstreams.takes(&upstream, 2));
     // A set-up that ran out of time: heard since it was asked or not.
     for (heard, takes) in [(50, false), (150, true)] {
-        lane = Lane { asked: ms(100), ..Lane::new(ms(heard)) };
-        lane.unanswered();
-        assert_eq!(lanes.takes(&lane, 0), takes, "heard at {heard}");
-        lane.said(ms(200));
-        assert!(lanes.takes(&lane, 0), "it has spoken since");
+        upstream = Upstream { asked: ms(100), ..Upstream::new(ms(heard)) };
+        upstream.unanswered();
+        assert_eq!(upstreams.takes(&upstream, 0), takes, "heard at {heard}");
+        upstream.said(ms(200));
+        assert!(upstreams.takes(&upstream, 0), "it has spoken since");
     }
     // A part of a message since 100 ms, and the rest.
-    lane.part(ms(100), true);
-    lane.part(ms(300), true);
-    assert!(!lanes.stuck(ms(349), &lane) && lanes.stuck(ms(350), &lane));
-    lane.part(ms(350), false);
-    assert!(!lanes.stuck(ms(900), &lane));
+    upstream.part(ms(100), true);
+    upstream.part(ms(300), true);
+    assert!(!upstreams.stuck(ms(349), &upstream) && upstreams.stuck(ms(350), &upstream));
+    upstream.part(ms(350), false);
+    assert!(!upstreams.stuck(ms(900), &upstream));
     // Servers that tell nothing unasked: they are tested once in so long, not at every look.
-    let untold = Lanes::new(2, ms(250), ms(15_000), ms(0));
-    let asks = |at| untold.asks(ms(at), ms(1000), &Lane::new(ms(1000)));
+    let untold = Upstreams::new(2, ms(250), ms(15_000), ms(0));
+    let asks = |at| untold.asks(ms(at), ms(1000), &Upstream::new(ms(1000)));
     assert!(!asks(1100) && !asks(6499) && asks(6500));
     assert!(untold.silent(ms(7000), ms(1000)), "and known as lost within eight seconds");
     // Silence: tested, doubted, another connection.
-    let mut lane = Lane::new(ms(1000));
-    assert!(!lanes.asks(ms(3399), ms(1000), &lane) && lanes.asks(ms(3400), ms(1000), &lane));
-    lane.tested = Some(ms(3400));
-    assert!(!lanes.asks(ms(3500), ms(1000), &lane));
-    lanes.doubt(ms(3899), &mut lane);
-    assert!(lanes.takes(&lane, 0));
-    lanes.doubt(ms(3900), &mut lane);
-    assert!(!lanes.takes(&lane, 0) && lanes.idle(ms(3900), &lane));
-    assert!(!lanes.silent(ms(3899), ms(1000)) && lanes.silent(ms(3900), ms(1000)));
+    let mut upstream = Upstream::new(ms(1000));
+    assert!(!upstreams.asks(ms(3399), ms(1000), &upstream) && upstreams.asks(ms(3400), ms(1000), &upstream));
+    upstream.tested = Some(ms(3400));
+    assert!(!upstreams.asks(ms(3500), ms(1000), &upstream));
+    upstreams.doubt(ms(3899), &mut upstream);
+    assert!(upstreams.takes(&upstream, 0));
+    upstreams.doubt(ms(3900), &mut upstream);
+    assert!(!upstreams.takes(&upstream, 0) && upstreams.idle(ms(3900), &upstream));
+    assert!(!upstreams.silent(ms(3899), ms(1000)) && upstreams.silent(ms(3900), ms(1000)));
     // Failures to reach a server: since when they count, as one follows another.
     for (before, since) in [(None, 9000), (Some((5000, 7500)), 5000), (Some((5000, 7000)), 9000)] {
         let before = before.map(|(first, last)| (ms(first), ms(last)));
-        assert_eq!(lanes.unreached(ms(9000), before), ms(since), "{before:?}");
+        assert_eq!(upstreams.unreached(ms(9000), before), ms(since), "{before:?}");
     }
-    assert!(!lanes.lost(ms(1999)) && lanes.lost(ms(2000)));
-    let idle = Lane { asked: ms(1000), ..Lane::new(ms(500)) };
-    assert!(!lanes.idle(ms(8499), &idle) && lanes.idle(ms(8500), &idle));
+    assert!(!upstreams.lost(ms(1999)) && upstreams.lost(ms(2000)));
+    let idle = Upstream { asked: ms(1000), ..Upstream::new(ms(500)) };
+    assert!(!upstreams.idle(ms(8499), &idle) && upstreams.idle(ms(8500), &idle));
 }
--- a/crates/edge/src/lane.rs
+++ b/crates/edge/src/upstream.rs
@@ -16,7 +16,7 @@
 
 /// What is known of a connection to a server.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Lane {
+pub struct Upstream {
     /// When it last brought anything, and when something was last asked on it.
     pub heard: Duration,
     pub asked: Duration,
@@ -27,9 +27,9 @@
     pub tested: Option<Duration>,
 }
 
-impl Lane {
+impl Upstream {
     pub fn new(now: Duration) -> Self {
-        Lane { heard: now, ..Lane::default() }
+        Upstream { heard: now, ..Upstream::default() }
     }
 
     pub fn said(&mut self, now: Duration) {
@@ -49,14 +49,14 @@
 }
 
 /// Connections to servers.
-pub struct Lanes {
+pub struct Upstreams {
     streams: usize,
     connect: Duration,
     keep: Duration,
     told: Duration,
 }
 
-impl Lanes {
+impl Upstreams {
     /// What is to be ended at a server that can't be reached is ended when it can, but not after so long.
     pub const CARED: Duration = Duration::from_secs(8);
 
@@ -64,27 +64,27 @@
     /// close an idle one; `told`: the spans in which servers tell of themselves, none where they don't unasked: then they
     /// are tested as late as still lets a server be known as lost while what stood there is owed its end.
     pub fn new(streams: usize, connect: Duration, keep: Duration, told: Duration) -> Self {
-        let late = Lanes::CARED.saturating_sub(connect * (WAITED + LOST)).div_f64(QUIET);
+        let late = Upstreams::CARED.saturating_sub(connect * (WAITED + LOST)).div_f64(QUIET);
         let told = if told.is_zero() { late.max(connect) } else { told };
-        Lanes { streams, connect, keep, told }
+        Upstreams { streams, connect, keep, told }
     }
 
-    pub fn takes(&self, lane: &Lane, open: usize) -> bool {
-        open < self.streams && !lane.suspect
+    pub fn takes(&self, upstream: &Upstream, open: usize) -> bool {
+        open < self.streams && !upstream.suspect
     }
 
     /// Guards against an answer that says it is longer than it is: what comes after it would be taken for its rest.
-    pub fn stuck(&self, now: Duration, lane: &Lane) -> bool {
-        lane.part.is_some_and(|since| now >= since + self.connect * REST)
+    pub fn stuck(&self, now: Duration, upstream: &Upstream) -> bool {
+        upstream.part.is_some_and(|since| now >= since + self.connect * REST)
     }
 
-    pub fn idle(&self, now: Duration, lane: &Lane) -> bool {
-        lane.suspect || now >= lane.heard.max(lane.asked) + self.keep.mul_f64(IDLE)
+    pub fn idle(&self, now: Duration, upstream: &Upstream) -> bool {
+        upstream.suspect || now >= upstream.heard.max(upstream.asked) + self.keep.mul_f64(IDLE)
     }
 
     /// `heard`: when anything of the server was.
-    pub fn asks(&self, now: Duration, heard: Duration, lane: &Lane) -> bool {
-        lane.tested.is_none() && now >= heard + self.told.mul_f64(QUIET)
+    pub fn asks(&self, now: Duration, heard: Duration, upstream: &Upstream) -> bool {
+        upstream.tested.is_none() && now >= heard + self.told.mul_f64(QUIET)
     }
 
     pub fn silent(&self, now: Duration, heard: Duration) -> bool {
@@ -92,8 +92,8 @@
     }
 
     /// A test that nobody answered: whoever is there doesn't read this connection.
-    pub fn doubt(&self, now: Duration, lane: &mut Lane) {
-        lane.suspect |= lane.tested.is_some_and(|at| now >= at + self.connect * WAITED);
+    pub fn doubt(&self, now: Duration, upstream: &mut Upstream) {
+        upstream.suspect |= upstream.tested.is_some_and(|at| now >= at + self.connect * WAITED);
     }
 
     /// Whether a failure to reach a server, first and last, still counts when another comes. Guards against failures far
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,7 +10,7 @@
 mod wire;
 
 use ivyward::front::Extent;
-use ivyward_edge::{Lanes, Seldom};
+use ivyward_edge::{Seldom, Upstreams};
 use ivyward_options as options;
 use ivyward_session::{Birth, Fence, Front};
 use ivyward_turns::{Clock, Timers, queue};
@@ -86,7 +86,7 @@
         timers: Timers::default(),
         list: List::new(zones, kinds),
         servers: Servers::new(
-            Lanes::new(streams, connect, keep, told),
+            Upstreams::new(streams, connect, keep, told),
             (connect, viewers.servers()),
             BIRTH,
             Pcg64Mcg::seed_from_u64(seed),
@@ -124,7 +124,7 @@
                 // Guards against a connection that waits to be taken as the end is decided: its request is still answered.
                 let Ok(place) = room.try_acquire_owned() else { return };
                 match viewers::queued(&listener) {
-                    Some((stream, from)) => hands.visited(now, stream, from, place),
+                    Some((stream, from)) => hands.accepted(now, stream, from, place),
                     None => tell.notify_one(),
                 }
             });
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,9 +1,9 @@
 //! Servers' side: connections, the set-ups open on them, and what provably became of each.
 
 use crate::shell::{Hands, Stand};
-use crate::wire::{Came, Pen, Stream, converse, keeps_little, look, pen, piece};
+use crate::wire::{Came, Stream, Writer, converse, keeps_little, look, piece, writer};
 use ivyward::front::{Load, News, ServerId, Standing, ViewingId};
-use ivyward_edge::{Lane, Lanes};
+use ivyward_edge::{Upstream, Upstreams};
 use ivyward_options as options;
 use ivyward_session::{Birth, Front, Happened, Over, TuneIn};
 use ivyward_signal::binary::{self, Messages};
@@ -46,7 +46,7 @@
 
 struct Link {
     server: ServerId,
-    pen: Pen,
+    writer: Writer,
     stream: Option<Stream>,
     task: AbortHandle,
     messages: Messages,
@@ -56,7 +56,7 @@
     open: BTreeMap<Ref, Key>,
     given_up: VecDeque<Ref>,
     tests: BTreeSet<Ref>,
-    lane: Lane,
+    upstream: Upstream,
 }
 
 pub struct Servers {
@@ -66,7 +66,7 @@
     cares: BTreeMap<ServerId, BTreeMap<Ref, Duration>>,
     /// Since when connections to a server don't stand, and when that was last tried.
     unreached: BTreeMap<ServerId, (Duration, Duration)>,
-    lanes: Lanes,
+    upstreams: Upstreams,
     connect: Duration,
     /// Connections at most.
     most: usize,
@@ -76,13 +76,15 @@
 }
 
 impl Servers {
-    pub fn new(lanes: Lanes, (connect, most): (Duration, usize), birth: Birth, chance: Pcg64Mcg) -> Servers {
+    pub fn new(
+        upstreams: Upstreams, (connect, most): (Duration, usize), birth: Birth, chance: Pcg64Mcg,
+    ) -> Servers {
         Servers {
             links: BTreeMap::new(),
             attempts: BTreeMap::new(),
             cares: BTreeMap::new(),
             unreached: BTreeMap::new(),
-            lanes,
+            upstreams,
             connect,
             most,
             birth,
@@ -107,25 +109,25 @@
     }
 
     /// The connection for something to a server: one that stands and isn't suspect before one that doesn't yet.
-    fn lane(&self, server: ServerId, of: Option<Ref>) -> Option<u64> {
+    fn upstream(&self, server: ServerId, of: Option<Ref>) -> Option<u64> {
         let fits = |link: &Link| {
             let given_up = of.is_some_and(|of| link.given_up.contains(&of));
-            let stalls = link.up && !link.pen.clear();
-            !given_up && !stalls && self.lanes.takes(&link.lane, link.open.len() + link.waiting.len())
+            let stalls = link.up && !link.writer.clear();
+            !given_up && !stalls && self.upstreams.takes(&link.upstream, link.open.len() + link.waiting.len())
         };
         let fit = self.there(server).filter(|(_, link)| fits(link));
-        fit.max_by_key(|(id, link)| (link.up, link.lane.heard, *id)).map(|(id, _)| id)
+        fit.max_by_key(|(id, link)| (link.up, link.upstream.heard, *id)).map(|(id, _)| id)
     }
 
     /// Any connection that stands, the one that was heard last.
     fn any(&self, server: ServerId) -> Option<u64> {
         let up = self.there(server).filter(|(_, link)| link.up);
-        up.max_by_key(|(id, link)| (link.lane.heard, *id)).map(|(id, _)| id)
+        up.max_by_key(|(id, link)| (link.upstream.heard, *id)).map(|(id, _)| id)
     }
 
     fn write(&self, id: u64, bytes: Result<Vec<u8>, String>) -> bool {
         let link = self.links.get(&id);
-        bytes.is_ok_and(|bytes| link.is_some_and(|link| link.pen.write(bytes)))
+        bytes.is_ok_and(|bytes| link.is_some_and(|link| link.writer.write(bytes)))
     }
 
     pub fn has_links(&self, server: ServerId) -> bool {
@@ -151,7 +153,7 @@
                 link.up && unused && !self.stands.any_at(link.server)
             };
             let idle = self.servers.links.iter().filter(|(_, link)| idle(link));
-            let way = idle.min_by_key(|(id, link)| (link.lane.heard.max(link.lane.asked), **id));
+            let way = idle.min_by_key(|(id, link)| (link.upstream.heard.max(link.upstream.asked), **id));
             let way = way.map(|(id, _)| *id)?;
             self.link_lost(front, now, way, "closed");
         }
@@ -165,7 +167,7 @@
         }
         let address = self.list.row(server)?.address;
         self.servers.last += 1;
-        let (id, (pen, page)) = (self.servers.last, pen());
+        let (id, (writer, outgoing)) = (self.servers.last, writer());
         let (queue, within) = (self.queue.clone(), self.servers.connect);
         let task = spawn_local(async move {
             let stream = match connect(address, within).await {
@@ -186,7 +188,7 @@
                     }
                 });
             };
-            converse(stream, page, heard).await;
+            converse(stream, outgoing, heard).await;
             queue.tell(move |front, hands, now| {
                 // What came before the connection broke still counts.
                 hands.server_wrote(front, now, id, look);
@@ -195,7 +197,7 @@
         });
         let link = Link {
             server,
-            pen,
+            writer,
             stream: None,
             task: task.abort_handle(),
             messages: Messages::default(),
@@ -204,7 +206,7 @@
             open: BTreeMap::new(),
             given_up: VecDeque::new(),
             tests: BTreeSet::new(),
-            lane: Lane::new(now),
+            upstream: Upstream::new(now),
         };
         self.servers.links.insert(id, link);
         Some(id)
@@ -214,8 +216,8 @@
     pub fn dispatch(&mut self, front: &mut Front, now: Duration, key: Key) {
         let Some(attempt) = self.servers.attempts.get(&key) else { return };
         let (server, of) = (attempt.server, attempt.of);
-        let lane = self.servers.lane(server, Some(of));
-        let Some(id) = lane.or_else(|| self.new_link(front, now, server)) else {
+        let upstream = self.servers.upstream(server, Some(of));
+        let Some(id) = upstream.or_else(|| self.new_link(front, now, server)) else {
             self.servers.attempts.remove(&key);
             // Where it is listed nothing is known against it: no descriptor was to be had.
             let listed = self.list.row(server).is_some();
@@ -256,7 +258,7 @@
             return;
         }
         let link = self.servers.links.get_mut(&id);
-        let Some(link) = link.filter(|link| link.pen.begin(bytes)) else {
+        let Some(link) = link.filter(|link| link.writer.begin(bytes)) else {
             // Nothing of it went out, and nothing will.
             tracing::debug!(
                 of = format!("{:016x}", of.0),
@@ -267,7 +269,7 @@
             return front.happened(self, now, key.0, key.1, Happened::NotWritten, Load::default());
         };
         link.open.insert(of, key);
-        link.lane.asked = now;
+        link.upstream.asked = now;
         self.servers.attempts.entry(key).and_modify(|attempt| attempt.link = Some(id));
         tracing::debug!(of = format!("{:016x}", of.0), server = self.word(server), "a set-up goes out");
     }
@@ -275,8 +277,8 @@
     fn link_up(&mut self, front: &mut Front, now: Duration, id: u64, stream: Stream) {
         let Some(link) = self.servers.links.get_mut(&id) else { return };
         let server = link.server;
-        (link.up, link.lane.heard) = (true, now);
-        link.pen.stands(&stream);
+        (link.up, link.upstream.heard) = (true, now);
+        link.writer.stands(&stream);
         link.stream = Some(stream);
         let waiting = std::mem::take(&mut link.waiting);
         for test in link.tests.clone() {
@@ -307,10 +309,10 @@
         }
         self.fail_tests(front, now, server, link.tests);
         let before = self.servers.unreached.get(&server).copied();
-        let since = self.servers.lanes.unreached(now, before);
+        let since = self.servers.upstreams.unreached(now, before);
         self.servers.unreached.insert(server, (since, now));
-        let heard = self.servers.there(server).any(|(_, link)| link.up && link.lane.heard > since);
-        let lost = !heard && self.servers.lanes.lost(now.saturating_sub(since));
+        let heard = self.servers.there(server).any(|(_, link)| link.up && link.upstream.heard > since);
+        let lost = !heard && self.servers.upstreams.lost(now.saturating_sub(since));
         if refused && self.list.standing(server) != Standing::Draining || lost {
             self.servers.cares.remove(&server);
             self.servers.unreached.remove(&server);
@@ -347,7 +349,7 @@
         // Guards against an end that overtakes the answer: whoever ended it itself is owed none, and may not have read
         // yet that it stood.
         if cause != CANCELLED {
-            self.tell_viewer(now, of, stand.visit, cause);
+            self.tell_viewer(now, of, stand.client, cause);
         }
         front.over(self, now, server, stand.key, why);
     }
@@ -395,9 +397,9 @@
             link.given_up.pop_front();
         }
         link.given_up.push_back(of);
-        link.lane.unanswered();
+        link.upstream.unanswered();
         if let Ok(bytes) = release(of) {
-            link.pen.write(bytes);
+            link.writer.write(bytes);
         }
     }
 
@@ -420,8 +422,8 @@
     /// Asks a server for its load.
     pub fn probe_there(&mut self, front: &mut Front, now: Duration, server: ServerId) {
         let of = Ref(self.servers.chance.random());
-        let lane = self.servers.lane(server, None);
-        let Some(id) = lane.or_else(|| self.new_link(front, now, server)) else {
+        let upstream = self.servers.upstream(server, None);
+        let Some(id) = upstream.or_else(|| self.new_link(front, now, server)) else {
             return front.probed(self, now, server, None);
         };
         let Some(link) = self.servers.links.get_mut(&id) else { return };
@@ -474,12 +476,12 @@
     fn server_said(&mut self, front: &mut Front, now: Duration, id: u64, piece: &[u8]) {
         let Some(link) = self.servers.links.get_mut(&id) else { return };
         link.messages.push(piece);
-        link.lane.said(now);
+        link.upstream.said(now);
         loop {
             let Some(link) = self.servers.links.get_mut(&id) else { return };
             let server = link.server;
             let message = match link.messages.cut() {
-                Ok(None) => return link.lane.part(now, link.messages.begun()),
+                Ok(None) => return link.upstream.part(now, link.messages.begun()),
                 Ok(Some(message)) => message.to_vec(),
                 Err(wrong) => return self.spoilt(front, now, id, &wrong),
             };
@@ -525,7 +527,7 @@
                 let line = line::write(Kind::Answer, of, &[], None, Some(text))?;
                 link.open.remove(&of);
                 self.servers.attempts.remove(&key);
-                let stand = Stand { server, key: (self.servers.birth, key.0, key.1), visit: None };
+                let stand = Stand { server, key: (self.servers.birth, key.0, key.1), client: None };
                 self.stands.insert(of, stand);
                 self.line = Some(line);
                 front.happened(self, now, key.0, key.1, Happened::Plays, load);
@@ -589,7 +591,8 @@
 
     /// Looks after connections to servers.
     pub fn sweep_servers(&mut self, front: &mut Front, now: Duration) {
-        let late = |cares: &mut BTreeMap<Ref, Duration>| cares.retain(|_, since| now < *since + Lanes::CARED);
+        let late =
+            |cares: &mut BTreeMap<Ref, Duration>| cares.retain(|_, since| now < *since + Upstreams::CARED);
         self.servers.cares.values_mut().for_each(late);
         self.servers.cares.retain(|_, cares| !cares.is_empty());
         let all: BTreeSet<_> = self.servers.links.values().map(|link| link.server).collect();
@@ -597,36 +600,38 @@
             let stand = self.stands.any_at(server);
             let links: Vec<_> =
                 self.servers.there(server).filter(|(_, link)| link.up).map(|(id, _)| id).collect();
-            let heard = links.iter().map(|id| self.servers.links[id].lane.heard).max().unwrap_or(now);
+            let heard = links.iter().map(|id| self.servers.links[id].upstream.heard).max().unwrap_or(now);
             let mut left = links.len();
             for id in links {
                 let Some(link) = self.servers.links.get_mut(&id) else { continue };
-                if self.servers.lanes.stuck(now, &link.lane) {
+                if self.servers.upstreams.stuck(now, &link.upstream) {
                     self.spoilt(front, now, id, "the rest of a message doesn't come");
                     left -= 1;
                     continue;
                 }
-                self.servers.lanes.doubt(now, &mut link.lane);
+                self.servers.upstreams.doubt(now, &mut link.upstream);
                 let idle = link.open.is_empty() && link.tests.is_empty();
-                if idle && (left > 1 || !stand) && self.servers.lanes.idle(now, &link.lane) {
+                if idle && (left > 1 || !stand) && self.servers.upstreams.idle(now, &link.upstream) {
                     self.link_lost(front, now, id, "closed");
                     left -= 1;
-                } else if stand && self.servers.lanes.asks(now, heard, &link.lane) {
-                    link.lane.tested = Some(now);
+                } else if stand && self.servers.upstreams.asks(now, heard, &link.upstream) {
+                    link.upstream.tested = Some(now);
                     let of = Ref(self.servers.chance.random());
                     self.servers.write(id, binary::write(Kind::Test, of, &[], Some(BARE), None));
                 }
             }
-            if stand && self.servers.lanes.silent(now, heard) && self.servers.there(server).all(|(_, l)| l.up)
+            if stand
+                && self.servers.upstreams.silent(now, heard)
+                && self.servers.there(server).all(|(_, l)| l.up)
             {
                 // Guards against a machine that has vanished: its connections stay and say nothing, new ones don't stand.
                 self.open_link(now, server);
             }
         }
-        let (lanes, list) = (&self.servers.lanes, &self.list);
+        let (upstreams, list) = (&self.servers.upstreams, &self.list);
         self.servers
             .unreached
-            .retain(|server, tried| list.row(*server).is_some() && lanes.recent(now, *tried));
+            .retain(|server, tried| list.row(*server).is_some() && upstreams.recent(now, *tried));
         let servers: BTreeSet<_> = self.stands.servers().chain(self.servers.cares.keys().copied()).collect();
         servers.into_iter().for_each(|server| self.reach(server));
     }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -25,7 +25,7 @@
 pub struct Stand {
     pub server: ServerId,
     pub key: (Birth, ViewingId, TuneIn),
-    pub visit: Option<u64>,
+    pub client: Option<u64>,
 }
 
 /// All sessions that stand, by what names them on the wire and by their viewings.
@@ -81,8 +81,8 @@
     }
 
     /// The connections on which they were asked for, where those stand.
-    pub fn visits(&self) -> impl Iterator<Item = u64> {
-        self.by_ref.values().filter_map(|stand| stand.visit)
+    pub fn clients(&self) -> impl Iterator<Item = u64> {
+        self.by_ref.values().filter_map(|stand| stand.client)
     }
 
     pub fn count(&self) -> usize {
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -1,9 +1,9 @@
 //! Viewers' side: their connections, what they ask, what they are answered.
 
 use crate::shell::{Hands, Stand};
-use crate::wire::{Came, End, Pen, Stream, converse, look, pen, piece};
+use crate::wire::{Came, End, Stream, Writer, converse, look, piece, writer};
 use ivyward::front::{Cells, PackageId, TitleId};
-use ivyward_edge::{Visit, Visits, brief};
+use ivyward_edge::{Client, Clients, brief};
 use ivyward_session::{Answer, Front, Over, RequestId, SessionId};
 use ivyward_signal::line::{self, Lines};
 use ivyward_signal::{Field, Kind, Ref, Signal, binary, id};
@@ -25,10 +25,10 @@
 const UNUSABLE: u8 = 100;
 
 struct Connection {
-    pen: Pen,
+    writer: Writer,
     stream: Stream,
     lines: Lines,
-    visit: Visit,
+    client: Client,
     from: IpAddr,
     /// It was told to close unless something has come.
     leaving: bool,
@@ -38,7 +38,7 @@
 
 /// A set-up without an answer.
 pub struct Open {
-    visit: u64,
+    client: u64,
     request: RequestId,
     pub package: String,
     pub title: String,
@@ -47,7 +47,7 @@
 
 pub struct Viewers {
     connections: BTreeMap<u64, Connection>,
-    visits: Visits,
+    clients: Clients,
     pub open: BTreeMap<Ref, Open>,
     requests: BTreeMap<RequestId, Ref>,
     /// Ends that no connection could be found for, with their causes and when they were.
@@ -65,7 +65,7 @@
     ) -> Viewers {
         Viewers {
             connections: BTreeMap::new(),
-            visits: Visits::new(descriptors),
+            clients: Clients::new(descriptors),
             open: BTreeMap::new(),
             requests: BTreeMap::new(),
             owed: BTreeMap::new(),
@@ -82,36 +82,36 @@
     }
 
     /// Writes on a connection; false where it is gone or reads too slowly.
-    fn say(&mut self, visit: u64, line: Vec<u8>) -> bool {
-        self.connections.get(&visit).is_some_and(|connection| connection.pen.write(line))
+    fn say(&mut self, client: u64, line: Vec<u8>) -> bool {
+        self.connections.get(&client).is_some_and(|connection| connection.writer.write(line))
     }
 
     /// The same for the end of a session.
-    fn ends(&mut self, visit: u64, line: Vec<u8>, end: End) -> bool {
-        self.connections.get(&visit).is_some_and(|connection| connection.pen.tell(line, Some(end)))
+    fn ends(&mut self, client: u64, line: Vec<u8>, end: End) -> bool {
+        self.connections.get(&client).is_some_and(|connection| connection.writer.tell(line, Some(end)))
     }
 
-    fn ends_unused(&mut self, visit: u64) {
-        if let Some(connection) = self.connections.get_mut(&visit) {
+    fn ends_unused(&mut self, client: u64) {
+        if let Some(connection) = self.connections.get_mut(&client) {
             connection.leaving = true;
-            connection.pen.ends_unused(connection.had);
+            connection.writer.ends_unused(connection.had);
         }
     }
 
     /// Connections of viewers, and to servers, that may stand.
     pub fn room(&self) -> usize {
-        self.visits.room()
+        self.clients.room()
     }
 
     pub fn servers(&self) -> usize {
-        self.visits.servers()
+        self.clients.servers()
     }
 
-    fn refuse(&mut self, visit: u64, of: Ref, cause: u8) {
+    fn refuse(&mut self, client: u64, of: Ref, cause: u8) {
         if let Ok(line) = line::write(Kind::Release, of, &[], Some(cause), None) {
-            self.say(visit, line);
+            self.say(client, line);
         }
-        self.connections.entry(visit).and_modify(|c| c.visit.answered = true);
+        self.connections.entry(client).and_modify(|c| c.client.answered = true);
     }
 
     /// What names no package or tenant of ours, or holds figures out of range.
@@ -136,7 +136,7 @@
             ("tenant", self.tenants.is_empty() || known(&self.tenants, Field::Tenant)),
             (
                 "left",
-                stands || left.is_some_and(|left| !left.is_zero() && left <= self.longest * Visits::PATIENT),
+                stands || left.is_some_and(|left| !left.is_zero() && left <= self.longest * Clients::PATIENT),
             ),
             ("key", title),
             ("home", extra("home", 0)),
@@ -156,7 +156,7 @@
         let Ok(place) = room.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, from)) => {
-                queue.tell(move |_, hands, now| hands.visited(now, stream, from.ip(), place));
+                queue.tell(move |_, hands, now| hands.accepted(now, stream, from.ip(), place));
             }
             // Guards against descriptors that have run out: some come free.
             Err(error) => {
@@ -175,26 +175,26 @@
 }
 
 impl Hands {
-    pub fn visited(&mut self, now: Duration, stream: TcpStream, from: IpAddr, place: OwnedSemaphorePermit) {
+    pub fn accepted(&mut self, now: Duration, stream: TcpStream, from: IpAddr, place: OwnedSemaphorePermit) {
         self.viewers.last += 1;
-        let (visit, (pen, page), stream) = (self.viewers.last, pen(), Rc::new(stream));
-        pen.stands(&stream);
-        let about = Visit { since: now, last: now, ..Visit::default() };
+        let (client, (writer, outgoing), stream) = (self.viewers.last, writer(), Rc::new(stream));
+        writer.stands(&stream);
+        let about = Client { since: now, last: now, ..Client::default() };
         let (lines, talks) = (Lines::default(), stream.clone());
-        let connection = Connection { pen, stream, lines, visit: about, from, leaving: false, had: 0 };
-        self.viewers.connections.insert(visit, connection);
+        let connection = Connection { writer, stream, lines, client: about, from, leaving: false, had: 0 };
+        self.viewers.connections.insert(client, connection);
         let queue = self.queue.clone();
         spawn_local(async move {
             let heard = |had: oneshot::Sender<()>| {
                 queue.tell(move |front, hands, now| {
-                    if hands.viewer_wrote(front, now, visit) {
+                    if hands.viewer_wrote(front, now, client) {
                         had.send(()).ok();
                     }
                 });
             };
-            let untold = converse(talks, page, heard).await;
+            let untold = converse(talks, outgoing, heard).await;
             queue.tell(move |front, hands, now| {
-                hands.left(front, now, visit);
+                hands.left(front, now, client);
                 // Its descriptor is free only now.
                 drop(place);
                 // What was taken and never put out is owed still.
@@ -208,18 +208,18 @@
     fn give_way(&mut self, now: Duration) {
         loop {
             let stay = self.viewers.connections.iter().filter(|(_, connection)| !connection.leaving);
-            let stay = stay.map(|(id, connection)| (*id, connection.visit));
-            let Some(way) = self.viewers.visits.gives_way(now, stay) else { return };
+            let stay = stay.map(|(id, connection)| (*id, connection.client));
+            let Some(way) = self.viewers.clients.gives_way(now, stay) else { return };
             self.viewers.ends_unused(way);
         }
     }
 
     /// A viewers' connection is over: nobody waits any more for what is open on it.
-    fn left(&mut self, front: &mut Front, now: Duration, visit: u64) {
-        let Some(connection) = self.viewers.connections.remove(&visit) else { return };
-        let Visit { open, stand, served, .. } = connection.visit;
-        tracing::debug!(visit, open, stand, served, from = %connection.from, "a viewers' connection is over");
-        let open = self.viewers.open.iter().filter(|(_, open)| open.visit == visit).map(|(of, _)| *of);
+    fn left(&mut self, front: &mut Front, now: Duration, client: u64) {
+        let Some(connection) = self.viewers.connections.remove(&client) else { return };
+        let Client { open, stand, served, .. } = connection.client;
+        tracing::debug!(client, open, stand, served, from = %connection.from, "a viewers' connection is over");
+        let open = self.viewers.open.iter().filter(|(_, open)| open.client == client).map(|(of, _)| *of);
         for of in open.collect::<Vec<_>>() {
             self.given_up(front, now, of);
         }
@@ -231,51 +231,51 @@
         self.viewers.requests.remove(&open.request);
         self.viewers
             .connections
-            .entry(open.visit)
-            .and_modify(|c| c.visit.open = c.visit.open.saturating_sub(1));
+            .entry(open.client)
+            .and_modify(|c| c.client.open = c.client.open.saturating_sub(1));
         front.closed(self, now, SessionId(of.0.into()), open.request);
     }
 
     /// One piece of what a viewers' connection has brought. Whether more may come.
-    fn viewer_wrote(&mut self, front: &mut Front, now: Duration, visit: u64) -> bool {
-        let Some(connection) = self.viewers.connections.get_mut(&visit) else { return false };
+    fn viewer_wrote(&mut self, front: &mut Front, now: Duration, client: u64) -> bool {
+        let Some(connection) = self.viewers.connections.get_mut(&client) else { return false };
         // Guards against one that was told to close and has spoken since: it stays, and may be told again.
         (connection.had, connection.leaving) = (connection.had + 1, false);
         let came = piece(&connection.stream);
-        self.viewer_came(front, now, visit, came)
+        self.viewer_came(front, now, client, came)
     }
 
     /// Reads what the connection on which a set-up was asked for holds by now. Guards against a set-up sent on for a viewer
     /// whose close or give-up lies unread: it came while its connection waited to be taken, behind a queue, or while this
     /// process stood still. Whether that is all there is.
     pub fn look_at_viewer(&mut self, front: &mut Front, now: Duration, of: Ref) -> bool {
-        let Some(visit) = self.viewers.open.get(&of).map(|open| open.visit) else { return true };
-        let Some(connection) = self.viewers.connections.get(&visit) else { return true };
+        let Some(client) = self.viewers.open.get(&of).map(|open| open.client) else { return true };
+        let Some(connection) = self.viewers.connections.get(&client) else { return true };
         let came = look(&connection.stream);
         let more = matches!(came, Came::More(_));
-        self.viewer_came(front, now, visit, came);
+        self.viewer_came(front, now, client, came);
         !more
     }
 
-    fn viewer_came(&mut self, front: &mut Front, now: Duration, visit: u64, came: Came) -> bool {
+    fn viewer_came(&mut self, front: &mut Front, now: Duration, client: u64, came: Came) -> bool {
         let (bytes, closed) = match came {
             Came::Bytes(bytes) | Came::More(bytes) => (bytes, false),
             Came::Closed(bytes) => (bytes, true),
         };
         if !bytes.is_empty() {
-            self.viewer_said(front, now, visit, &bytes);
+            self.viewer_said(front, now, client, &bytes);
         }
         if closed {
-            self.left(front, now, visit);
+            self.left(front, now, client);
         }
-        self.viewers.connections.contains_key(&visit)
+        self.viewers.connections.contains_key(&client)
     }
 
-    fn viewer_said(&mut self, front: &mut Front, now: Duration, visit: u64, piece: &[u8]) {
-        let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
+    fn viewer_said(&mut self, front: &mut Front, now: Duration, client: u64, piece: &[u8]) {
+        let Some(connection) = self.viewers.connections.get_mut(&client) else { return };
         connection.lines.push(piece);
         loop {
-            let Some(connection) = self.viewers.connections.get_mut(&visit) else { return };
+            let Some(connection) = self.viewers.connections.get_mut(&client) else { return };
             let signal = match connection.lines.cut() {
                 Ok(None) => return,
                 Ok(Some(text)) => line::read(text),
@@ -288,17 +288,17 @@
                         let (from, wrong) = (connection.from, brief(&wrong));
                         tracing::info!(%from, wrong, left_out, "a viewer's line can't be read");
                     }
-                    return self.left(front, now, visit);
+                    return self.left(front, now, client);
                 }
             };
-            (connection.visit.last, connection.leaving) = (now, false);
+            (connection.client.last, connection.leaving) = (now, false);
             match signal.kind {
-                Kind::SetUp => self.asked(front, now, visit, &signal),
-                Kind::Release => self.viewer_ends(front, now, visit, signal.of),
+                Kind::SetUp => self.asked(front, now, client, &signal),
+                Kind::Release => self.viewer_ends(front, now, client, signal.of),
                 Kind::Test => {
-                    connection.visit.answered = true;
+                    connection.client.answered = true;
                     if let Ok(line) = line::write(Kind::Tested, signal.of, &[], Some(1), None) {
-                        self.viewers.say(visit, line);
+                        self.viewers.say(client, line);
                     }
                 }
                 _ => {}
@@ -306,22 +306,22 @@
         }
     }
 
-    fn asked(&mut self, front: &mut Front, now: Duration, visit: u64, signal: &Signal) {
+    fn asked(&mut self, front: &mut Front, now: Duration, client: u64, signal: &Signal) {
         let of = signal.of;
         let wrong = self.viewers.wrong(signal);
         let known = self.viewers.open.contains_key(&of) || self.stands.get(of).is_some();
         if let Some(word) = signal.extra("at") {
             // No answer is wanted, and it may name what is held already.
             if wrong.is_none() && !known {
-                self.handed(front, now, visit, signal, word);
+                self.handed(front, now, client, signal, word);
             }
             return;
         }
         let takes = self
             .viewers
             .connections
-            .get(&visit)
-            .is_some_and(|c| self.viewers.visits.takes(&c.visit, self.viewers.open.len()));
+            .get(&client)
+            .is_some_and(|c| self.viewers.clients.takes(&c.client, self.viewers.open.len()));
         let cause = match (wrong, known, takes) {
             (None, false, true) => None,
             (None, false, false) => Some(("too many are open", REFUSED)),
@@ -332,13 +332,13 @@
             if let Some(left_out) = self.seldom.line(now, "a set-up") {
                 tracing::info!(wrong, left_out, "a set-up is turned away");
             }
-            return self.viewers.refuse(visit, of, cause);
+            return self.viewers.refuse(client, of, cause);
         }
         self.viewers.asked += 1;
         let request = RequestId(self.viewers.asked);
         let text = |field| signal.text(field).unwrap_or_default().to_string();
         let open = Open {
-            visit,
+            client,
             request,
             package: text(Field::Package),
             title: text(Field::Title),
@@ -351,7 +351,7 @@
         tracing::debug!(of = format!("{:016x}", of.0), ?left, package = open.package, "asked");
         self.viewers.open.insert(of, open);
         self.viewers.requests.insert(request, of);
-        self.viewers.connections.entry(visit).and_modify(|c| c.visit.open += 1);
+        self.viewers.connections.entry(client).and_modify(|c| c.client.open += 1);
         front.asked_once(self, now, request, SessionId(of.0.into()), about, left);
     }
 
@@ -364,7 +364,7 @@
     }
 
     /// A session that plays at a server already.
-    fn handed(&mut self, front: &mut Front, now: Duration, visit: u64, signal: &Signal, word: &str) {
+    fn handed(&mut self, front: &mut Front, now: Duration, client: u64, signal: &Signal, word: &str) {
         let Some(server) = self.list.id(word) else {
             return tracing::info!(
                 word = brief(word),
@@ -375,14 +375,14 @@
         // Its rung comes in a note.
         let session = SessionId(signal.of.0.into());
         if let Some(key) = front.handed(self, now, server, session, (package, title, (0, top))) {
-            self.stands.insert(signal.of, Stand { server, key, visit: Some(visit) });
+            self.stands.insert(signal.of, Stand { server, key, client: Some(client) });
             self.reach(server);
         }
     }
 
     /// A viewer gives a set-up up, or ends a session that stands.
-    fn viewer_ends(&mut self, front: &mut Front, now: Duration, visit: u64, of: Ref) {
-        if self.viewers.open.get(&of).is_some_and(|open| open.visit == visit) {
+    fn viewer_ends(&mut self, front: &mut Front, now: Duration, client: u64, of: Ref) {
+        if self.viewers.open.get(&of).is_some_and(|open| open.client == client) {
             return self.given_up(front, now, of);
         }
         if let Some(stand) = self.stands.remove(of) {
@@ -391,7 +391,7 @@
         }
         self.viewers.owed.remove(&of);
         if let Ok(line) = line::write(Kind::Heard, of, &[], None, None) {
-            self.viewers.say(visit, line);
+            self.viewers.say(client, line);
         }
     }
 
@@ -399,56 +399,56 @@
     pub fn answered(&mut self, request: RequestId, answer: Answer) {
         let Some(of) = self.viewers.requests.remove(&request) else { return };
         let Some(open) = self.viewers.open.remove(&of) else { return };
-        let connection = self.viewers.connections.get_mut(&open.visit);
+        let connection = self.viewers.connections.get_mut(&open.client);
         connection
             .into_iter()
-            .for_each(|c| (c.visit.open, c.visit.answered) = (c.visit.open.saturating_sub(1), true));
+            .for_each(|c| (c.client.open, c.client.answered) = (c.client.open.saturating_sub(1), true));
         match (answer, self.line.take()) {
             (Answer::Plays { .. }, Some(line)) => {
                 tracing::debug!(of = format!("{:016x}", of.0), "plays");
                 if let Some(stand) = self.stands.get_mut(of) {
-                    stand.visit = Some(open.visit);
+                    stand.client = Some(open.client);
                 }
-                self.viewers.connections.entry(open.visit).and_modify(|c| c.visit.served = true);
-                self.queue.tell(move |_, hands, now| hands.pay(now, open.visit));
-                if !self.viewers.say(open.visit, line) {
+                self.viewers.connections.entry(open.client).and_modify(|c| c.client.served = true);
+                self.queue.tell(move |_, hands, now| hands.pay(now, open.client));
+                if !self.viewers.say(open.client, line) {
                     // Guards against a viewer that takes no answer: nobody watches.
                     self.queue.tell(move |front, hands, now| {
-                        hands.left(front, now, open.visit);
-                        hands.viewer_ends(front, now, open.visit, of);
+                        hands.left(front, now, open.client);
+                        hands.viewer_ends(front, now, open.client, of);
                     });
                 }
             }
             (Answer::Blocked { why, .. }, _) => {
                 tracing::debug!(of = format!("{:016x}", of.0), ?why, "blocked");
-                self.viewers.refuse(open.visit, of, REFUSED);
+                self.viewers.refuse(open.client, of, REFUSED);
             }
             (answer, _) => {
                 tracing::debug!(of = format!("{:016x}", of.0), ?answer, "aborted");
-                self.viewers.refuse(open.visit, of, FAILED);
+                self.viewers.refuse(open.client, of, FAILED);
             }
         }
     }
 
     /// A session that stood is over: its viewer is told on the connection on which it asked, else on another from there.
-    pub fn tell_viewer(&mut self, now: Duration, of: Ref, visit: Option<u64>, cause: u8) {
+    pub fn tell_viewer(&mut self, now: Duration, of: Ref, client: Option<u64>, cause: u8) {
         let Ok(line) = line::write(Kind::Release, of, &[], Some(cause), None) else { return };
-        if visit.is_some_and(|visit| self.viewers.ends(visit, line.clone(), (of, cause))) {
+        if client.is_some_and(|client| self.viewers.ends(client, line.clone(), (of, cause))) {
             return;
         }
         // Guards against ends told to strangers, who were turned away at most.
-        let served = self.viewers.connections.iter().filter(|(_, c)| c.visit.stand > 0 || c.visit.served);
-        let last = served.max_by_key(|(id, c)| (c.visit.last, **id)).map(|(id, _)| *id);
-        if !last.is_some_and(|visit| self.viewers.ends(visit, line, (of, cause))) {
+        let served = self.viewers.connections.iter().filter(|(_, c)| c.client.stand > 0 || c.client.served);
+        let last = served.max_by_key(|(id, c)| (c.client.last, **id)).map(|(id, _)| *id);
+        if !last.is_some_and(|client| self.viewers.ends(client, line, (of, cause))) {
             self.viewers.owed.insert(of, (cause, now));
         }
     }
 
     /// Tells on a connection what could not be told before.
-    fn pay(&mut self, now: Duration, visit: u64) {
+    fn pay(&mut self, now: Duration, client: u64) {
         for (of, (cause, since)) in std::mem::take(&mut self.viewers.owed) {
-            if now < since + Visits::OWED {
-                self.tell_viewer(since, of, Some(visit), cause);
+            if now < since + Clients::OWED {
+                self.tell_viewer(since, of, Some(client), cause);
             }
         }
     }
@@ -457,13 +457,13 @@
     /// loses anything if they all close. Guards against a request that came as the end was decided.
     pub fn viewers_are_done(&mut self, front: &mut Front, now: Duration) -> bool {
         let mut dry = true;
-        for visit in self.viewers.connections.keys().copied().collect::<Vec<_>>() {
-            let came = self.viewers.connections.get(&visit).map(|connection| look(&connection.stream));
+        for client in self.viewers.connections.keys().copied().collect::<Vec<_>>() {
+            let came = self.viewers.connections.get(&client).map(|connection| look(&connection.stream));
             let Some(came) = came else { continue };
             dry &= matches!(&came, Came::Closed(_)) || came == Came::Bytes(vec![]);
-            self.viewer_came(front, now, visit, came);
+            self.viewer_came(front, now, client, came);
         }
-        let written = |c: &Connection| c.pen.unsent() == 0;
+        let written = |c: &Connection| c.writer.unsent() == 0;
         dry && self.viewers.open.is_empty()
             && self.viewers.owed.is_empty()
             && self.viewers.connections.values().all(written)
@@ -471,24 +471,24 @@
 
     /// Closes connections that are of no use.
     pub fn sweep_viewers(&mut self, now: Duration) {
-        self.viewers.owed.retain(|_, (_, since)| now < *since + Visits::OWED);
+        self.viewers.owed.retain(|_, (_, since)| now < *since + Clients::OWED);
         // With no viewer's connection for half the time, whatever connection there is.
-        let due = self.viewers.owed.values().any(|(_, since)| now >= *since + Visits::OWED / 2);
+        let due = self.viewers.owed.values().any(|(_, since)| now >= *since + Clients::OWED / 2);
         if let Some(last) = self.viewers.connections.keys().next_back().copied().filter(|_| due) {
             self.pay(now, last);
         }
         let mut stand = BTreeMap::new();
-        for visit in self.stands.visits() {
-            *stand.entry(visit).or_insert(0) += 1;
+        for client in self.stands.clients() {
+            *stand.entry(client).or_insert(0) += 1;
         }
         let over = self.viewers.connections.iter_mut().filter_map(|(id, connection)| {
-            connection.visit.stand = stand.get(id).copied().unwrap_or_default();
+            connection.client.stand = stand.get(id).copied().unwrap_or_default();
             // Whoever was told to close is gone by now, or stays.
             connection.leaving = false;
-            self.viewers.visits.over(now, &connection.visit).then_some(*id)
+            self.viewers.clients.over(now, &connection.client).then_some(*id)
         });
-        for visit in over.collect::<Vec<_>>() {
-            self.viewers.ends_unused(visit);
+        for client in over.collect::<Vec<_>>() {
+            self.viewers.ends_unused(client);
         }
         self.give_way(now);
     }
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -3,7 +3,7 @@
 //! written goes out at once where nothing waits before it, else in order.
 
 use futures_util::FutureExt;
-use ivyward_edge::Visits;
+use ivyward_edge::Clients;
 use ivyward_signal::{LONGEST, Ref};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -48,14 +48,14 @@
 }
 
 /// Writes on a connection; when it is dropped, the connection closes after what was written.
-pub struct Pen {
+pub struct Writer {
     lines: mpsc::UnboundedSender<Line>,
     stream: RefCell<Option<Stream>>,
     unsent: Rc<Cell<usize>>,
 }
 
-/// The other end of a pen.
-pub struct Page {
+/// The other end of a writer.
+pub struct Outgoing {
     lines: mpsc::UnboundedReceiver<Line>,
     /// What is being written.
     bytes: Vec<u8>,
@@ -63,14 +63,14 @@
     unsent: Rc<Cell<usize>>,
 }
 
-pub fn pen() -> (Pen, Page) {
+pub fn writer() -> (Writer, Outgoing) {
     let (send, lines) = mpsc::unbounded_channel();
     let unsent = Rc::new(Cell::new(0));
-    let pen = Pen { lines: send, stream: RefCell::default(), unsent: unsent.clone() };
-    (pen, Page { lines, bytes: vec![], end: None, unsent })
+    let writer = Writer { lines: send, stream: RefCell::default(), unsent: unsent.clone() };
+    (writer, Outgoing { lines, bytes: vec![], end: None, unsent })
 }
 
-impl Pen {
+impl Writer {
     /// The connection stands.
     pub fn stands(&self, stream: &Stream) {
         self.stream.replace(Some(stream.clone()));
@@ -118,7 +118,7 @@
     fn rest(&self, mut bytes: Vec<u8>, out: usize, end: Option<End>) -> bool {
         bytes.drain(..out);
         let unsent = self.unsent.get() + bytes.len();
-        if bytes.is_empty() || unsent > Visits::UNSENT {
+        if bytes.is_empty() || unsent > Clients::UNSENT {
             return bytes.is_empty();
         }
         self.unsent.set(unsent);
@@ -131,7 +131,7 @@
     }
 }
 
-impl Page {
+impl Outgoing {
     /// `came`: pieces that came so far.
     async fn write(&mut self, to: &TcpStream, came: &Cell<u64>) {
         while let Some(line) = self.lines.recv().await {
@@ -146,7 +146,7 @@
                 }
                 Line::Bytes { bytes, end } => {
                     (self.bytes, self.end) = (bytes, end);
-                    if !matches!(timeout(Visits::STALLED, all(to, &self.bytes)).await, Ok(Ok(()))) {
+                    if !matches!(timeout(Clients::STALLED, all(to, &self.bytes)).await, Ok(Ok(()))) {
                         return;
                     }
                     let written = std::mem::take(&mut self.bytes).len();
@@ -214,14 +214,16 @@
     Came::More(bytes)
 }
 
-/// Little is to lie unsent in the socket: see [`Pen::begin`].
+/// Little is to lie unsent in the socket: see [`Writer::begin`].
 pub fn keeps_little(stream: &TcpStream) {
     SockRef::from(stream).set_send_buffer_size(BEGUN).ok();
 }
 
 /// Until either end closes. `heard`: something has come, and is to be read in its turn; told afterwards whether more is
 /// wanted, dropped where not. The ends that could not be told.
-pub async fn converse(stream: Stream, mut page: Page, heard: impl Fn(oneshot::Sender<()>)) -> Vec<End> {
+pub async fn converse(
+    stream: Stream, mut outgoing: Outgoing, heard: impl Fn(oneshot::Sender<()>),
+) -> Vec<End> {
     stream.set_nodelay(true).ok();
     let came = Cell::new(0);
     let reads = async {
@@ -234,8 +236,8 @@
             }
         }
     };
-    tokio::select! { biased; () = reads => {}, () = page.write(&stream, &came) => {} }
-    page.left()
+    tokio::select! { biased; () = reads => {}, () = outgoing.write(&stream, &came) => {} }
+    outgoing.left()
 }
 
 #[cfg(test)]
--- a/crates/node/src/wire_tests.rs
+++ b/crates/node/src/wire_tests.rs
@@ -41,11 +41,11 @@
         ([0, 0, 0], [b"", b""], true),
     ];
     for ([came, had, more], [unread, behind], closes) in cases {
-        let (pen, mut page) = pen();
+        let (writer, mut outgoing) = writer();
         let pieces = Cell::new(came);
-        pen.ends_unused(had);
+        writer.ends_unused(had);
         if !behind.is_empty() {
-            assert!(pen.write(behind.to_vec()));
+            assert!(writer.write(behind.to_vec()));
         }
         let closed = block_on(async {
             let (near, mut far) = both().await;
@@ -59,7 +59,7 @@
             };
             tokio::select! {
                 closed = read => closed,
-                () = async { page.write(&near, &pieces).await; sleep(SENT * 80).await } => true,
+                () = async { outgoing.write(&near, &pieces).await; sleep(SENT * 80).await } => true,
             }
         });
         assert_eq!(
@@ -81,21 +81,21 @@
     for (reads, ends, back) in cases {
         block_on(async {
             let (near, mut far) = if reads { both().await } else { full().await };
-            let (pen, mut page) = pen();
-            pen.stands(&near);
-            assert!(pen.write(vec![b'x'; 10]));
+            let (writer, mut outgoing) = writer();
+            writer.stands(&near);
+            assert!(writer.write(vec![b'x'; 10]));
             for end in ends {
-                assert!(pen.tell(vec![b'e'; 12], Some(*end)));
+                assert!(writer.tell(vec![b'e'; 12], Some(*end)));
             }
-            let stalled = timeout(SENT * 10, page.write(&near, &Cell::new(0))).await.is_err();
-            assert!(stalled, "an open pen ends nothing");
-            assert_eq!(pen.unsent() == 0, reads);
+            let stalled = timeout(SENT * 10, outgoing.write(&near, &Cell::new(0))).await.is_err();
+            assert!(stalled, "an open writer ends nothing");
+            assert_eq!(writer.unsent() == 0, reads);
             if reads {
                 let mut came = [0; 64];
                 assert_eq!(far.read(&mut came).await.expect("bytes"), 22);
             }
-            assert_eq!(page.left(), back, "reads {reads}, {ends:?}");
-            assert!(!pen.write(vec![b'x']), "nothing is taken any more");
+            assert_eq!(outgoing.left(), back, "reads {reads}, {ends:?}");
+            assert!(!writer.write(vec![b'x']), "nothing is taken any more");
             drop(far);
         });
     }
@@ -109,18 +109,18 @@
     for (reads, before, begins) in cases {
         block_on(async {
             let (near, far) = if reads { both().await } else { full().await };
-            let (pen, _page) = pen();
-            assert!(!pen.begin(b"early".to_vec()), "it doesn't stand yet");
-            pen.stands(&near);
+            let (writer, _page) = writer();
+            assert!(!writer.begin(b"early".to_vec()), "it doesn't stand yet");
+            writer.stands(&near);
             near.writable().now_or_never();
             if reads {
                 near.writable().await.expect("it stands");
             }
-            assert!(before.is_empty() || pen.write(before.to_vec()));
-            assert_eq!(pen.clear(), begins, "reads {reads}, before {before:?}");
-            assert_eq!(pen.begin(b"a set-up".to_vec()), begins, "reads {reads}, before {before:?}");
+            assert!(before.is_empty() || writer.write(before.to_vec()));
+            assert_eq!(writer.clear(), begins, "reads {reads}, before {before:?}");
+            assert_eq!(writer.begin(b"a set-up".to_vec()), begins, "reads {reads}, before {before:?}");
             let waits = if reads { 0 } else { before.len() };
-            assert_eq!(pen.unsent(), waits, "nothing of it waits");
+            assert_eq!(writer.unsent(), waits, "nothing of it waits");
             drop(far);
         });
     }
