--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -459,8 +459,10 @@
 #[test]
 fn idle_clients_fill_the_descriptors_while_discovery_is_down() {
     const COUNT: usize = 60;
-    let down =
-        std::net::TcpListener::bind("127.0.0.1:0").expect("a socket").local_addr().expect("its address");
+    // Nobody listens there yet, and nobody else gets the address.
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("bound");
+    let down = socket.local_addr().expect("its address");
     let tweak = |config: &mut Value| {
         config["limits"]["sockets"] = 96.into();
         config["bus"] = down.to_string().into();
@@ -500,7 +502,7 @@
         let held = format!("/proc/{}/fd", world.program.id().expect("it runs"));
         let held = fs::read_dir(held).expect("its descriptors").count();
         assert!(held <= 92, "{held} of 96 descriptors are held");
-        let bus = Bus::at(down).await.expect("the bus comes back");
+        let bus = socket.listen(64).and_then(Bus::on).expect("the bus comes back");
         let drains: Vec<_> = (1..COUNT).map(|i| member(&world.servers[i], i, "draining")).collect();
         bus.tell(2, &event(2, false, &drains), 1);
         waits("the bus is asked", || !bus.asked.borrow().is_empty()).await;
@@ -771,3 +773,128 @@
         });
     }
 }
+
+#[test]
+fn a_list_that_falls_silent_and_then_replaces_all_is_heeded_at_once() {
+    with(Does::Plays, |world| async move {
+        world.serves(0x90).await;
+        let mut fresh = vec![];
+        for i in 0..SERVERS {
+            fresh.push(Server::start(&format!("s-new{i}"), Does::Plays).await.expect("a server"));
+        }
+        // The watch stays open and says nothing more; what is told meanwhile is there for whoever asks again.
+        world.bus.comments.set(false);
+        let asked = world.bus.asked.borrow().len();
+        let all: Vec<_> = fresh.iter().enumerate().map(|(i, server)| member(server, i, "ready")).collect();
+        world.bus.tell(2, &event(2, true, &all), 0);
+        waits("asked again after silence", || world.bus.asked.borrow().len() > asked).await;
+        world.bus.comments.set(true);
+        sleep(ms(200)).await;
+        let before = world.of(Kind::SetUp);
+        for i in 0..8 {
+            world.serves(0x91 + i).await;
+        }
+        assert_eq!(world.of(Kind::SetUp), before, "nothing new to those that are gone");
+        assert_eq!(fresh.iter().map(|server| server.of(Kind::SetUp).len()).sum::<usize>(), 8);
+    });
+}
+
+#[test]
+fn a_viewer_that_goes_before_its_answer_is_written_leaves_nothing_playing() {
+    // How it goes; whether before the answer lies in the socket, or after it.
+    for (goes, first) in
+        [(Goes::Resets, true), (Goes::Resets, false), (Goes::Closes, true), (Goes::Closes, false)]
+    {
+        goes_before_its_answer(goes, first);
+    }
+}
+
+fn goes_before_its_answer(goes: Goes, first: bool) {
+    with(Does::Nothing, |world| async move {
+        let (mut viewer, of) = (world.viewer().await, Ref(0xa0));
+        assert!(viewer.write(&asks(of, "ticket", 3000, "")).await);
+        waits("a set-up", || world.of(Kind::SetUp) == 1).await;
+        let server = world.holder();
+        let connection = server.of(Kind::SetUp)[0].connection;
+        world.stops().await;
+        let leaves = || if goes == Goes::Resets { viewer.reset() } else { drop(viewer) };
+        let up = binary::write(Kind::Answer, of, &[], None, Some(b"here")).expect("short");
+        let answers = async || {
+            server.say(connection, up);
+            waits("the answer is written", || server.wrote.get() > 0).await;
+        };
+        if first {
+            leaves();
+            answers().await;
+        } else {
+            answers().await;
+            leaves();
+        }
+        world.goes_on();
+        waits("its end at the server", || server.of(Kind::Release).iter().any(|seen| seen.of == of)).await;
+        // Its number is free at once, for another viewer.
+        world.servers.iter().for_each(|server| server.does.set(Does::Plays));
+        let mut viewer = world.viewer().await;
+        assert!(viewer.write(&asks(of, "ticket", 3000, "")).await);
+        let came = viewer.hears(ms(1500)).await.map(|came| (came.kind, came.of));
+        assert_eq!(came, Some((Kind::Answer, of)));
+        assert_eq!(viewer.hears(ms(200)).await, None, "one answer only");
+        assert_eq!(world.set_ups(of), 2);
+    });
+}
+
+#[test]
+fn an_end_that_crosses_the_viewers_own_is_told_to_nobody_twice() {
+    // Which of the two lies first in the sockets.
+    for server_first in [true, false] {
+        with(Does::Plays, |world| async move {
+            let (mut viewer, of) = (world.viewer().await, Ref(0xa8));
+            assert!(viewer.write(&asks(of, "clip", 3000, "")).await);
+            assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+            let server = world.holder();
+            let connection = server.of(Kind::SetUp)[0].connection;
+            world.stops().await;
+            let ends = async || {
+                let before = server.wrote.get();
+                server.release(connection, of, 16);
+                waits("its end is written", || server.wrote.get() > before).await;
+            };
+            if server_first {
+                ends().await;
+            }
+            assert!(viewer.says(Kind::Release, of, Some(16)).await);
+            if !server_first {
+                ends().await;
+            }
+            world.goes_on();
+            let mut releases = 0;
+            while let Some(came) = viewer.hears(ms(300)).await {
+                releases += usize::from(came.kind == Kind::Release);
+            }
+            assert!(releases <= 1, "server first {server_first}: told {releases} times");
+            assert!(server.of(Kind::Release).len() <= 1, "server first {server_first}");
+            world.serves(0xa9).await;
+        });
+    }
+}
+
+#[test]
+fn a_late_second_answer_changes_nothing() {
+    with(Does::Plays, |world| async move {
+        let (mut viewer, of) = (world.viewer().await, Ref(0xb0));
+        assert!(viewer.write(&asks(of, "ticket", 3000, "")).await);
+        assert_eq!(viewer.hears(ms(1000)).await.map(|came| came.kind), Some(Kind::Answer));
+        let server = world.holder();
+        let connection = server.of(Kind::SetUp)[0].connection;
+        let up = binary::write(Kind::Answer, of, &[], None, Some(b"again")).expect("short");
+        // Some milliseconds behind the first; then behind the session's end.
+        server.say(connection, up.clone());
+        assert_eq!(viewer.hears(ms(200)).await, None, "one answer only");
+        assert!(viewer.says(Kind::Release, of, Some(16)).await);
+        waits("its end at the server", || server.of(Kind::Release).len() == 1).await;
+        server.say(connection, up);
+        let more = viewer.hears(ms(200)).await.filter(|came| came.kind != Kind::Heard);
+        assert_eq!(more, None, "nothing more");
+        world.serves(0xb1).await;
+    });
+}
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -257,6 +257,13 @@
         !more
     }
 
+    /// Whether a viewers' connection is over, by what its socket holds.
+    fn has_gone(&mut self, front: &mut Front, now: Duration, client: u64) -> bool {
+        let Some(connection) = self.viewers.connections.get(&client) else { return true };
+        let came = look(&connection.stream);
+        !self.viewer_came(front, now, client, came)
+    }
+
     fn viewer_came(&mut self, front: &mut Front, now: Duration, client: u64, came: Came) -> bool {
         let (bytes, closed) = match came {
             Came::Bytes(bytes) | Came::More(bytes) => (bytes, false),
@@ -410,14 +417,15 @@
                     stand.client = Some(open.client);
                 }
                 self.viewers.connections.entry(open.client).and_modify(|c| c.client.served = true);
-                self.queue.tell(move |_, hands, now| hands.pay(now, open.client));
-                if !self.viewers.say(open.client, line) {
-                    // Guards against a viewer that takes no answer: nobody watches.
-                    self.queue.tell(move |front, hands, now| {
+                let told = self.viewers.say(open.client, line);
+                self.queue.tell(move |front, hands, now| {
+                    hands.pay(now, open.client);
+                    // Guards against a viewer that takes no answer, or had gone before it: nobody watches.
+                    if !told || hands.has_gone(front, now, open.client) {
                         hands.left(front, now, open.client);
                         hands.viewer_ends(front, now, open.client, of);
-                    });
-                }
+                    }
+                });
             }
             (Answer::Blocked { why, .. }, _) => {
                 tracing::debug!(of = format!("{:016x}", of.0), ?why, "blocked");
--- a/crates/node/src/wire.rs
+++ b/crates/node/src/wire.rs
@@ -87,11 +87,14 @@
         self.unsent.get() == 0 && self.stream.borrow().as_ref().is_some_and(writable)
     }
 
-    /// What of it goes out at once.
-    fn now(&self, bytes: &[u8]) -> usize {
+    /// What of it goes out at once; none where the connection is broken.
+    fn now(&self, bytes: &[u8]) -> Option<usize> {
         let stream = self.stream.borrow();
-        let stream = stream.as_ref().filter(|_| self.unsent.get() == 0);
-        stream.and_then(|stream| stream.try_write(bytes).ok()).unwrap_or_default()
+        let Some(stream) = stream.as_ref().filter(|_| self.unsent.get() == 0) else { return Some(0) };
+        match stream.try_write(bytes) {
+            Ok(out) => Some(out),
+            Err(error) => (error.kind() == ErrorKind::WouldBlock).then_some(0),
+        }
     }
 
     /// Whether it could be taken: not where the other end reads too slowly, or is gone.
@@ -104,14 +107,13 @@
         if self.lines.is_closed() {
             return false;
         }
-        let out = self.now(&bytes);
-        self.rest(bytes, out, end)
+        self.now(&bytes).is_some_and(|out| self.rest(bytes, out, end))
     }
 
     /// Writes it if a part of it at least goes out at once. Guards against a message that goes out when a connection that
     /// stalls moves again, and nobody wants it any more: where none of it goes out, none ever does.
     pub fn begin(&self, bytes: Vec<u8>) -> bool {
-        let out = if self.clear() { self.now(&bytes) } else { 0 };
+        let out = if self.clear() { self.now(&bytes).unwrap_or_default() } else { 0 };
         out > 0 && self.rest(bytes, out, None)
     }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -256,13 +256,12 @@
     /// # Errors
     /// No socket is to be had.
     pub async fn start() -> io::Result<Rc<Bus>> {
-        Bus::at("127.0.0.1:0".parse().map_err(io::Error::other)?).await
+        Bus::on(TcpListener::bind("127.0.0.1:0").await?)
     }
 
     /// # Errors
-    /// That address can't be had.
-    pub async fn at(address: SocketAddr) -> io::Result<Rc<Bus>> {
-        let listener = TcpListener::bind(address).await?;
+    /// The socket has no address.
+    pub fn on(listener: TcpListener) -> io::Result<Rc<Bus>> {
         let bus = Rc::new(Bus {
             address: listener.local_addr()?,
             asked: RefCell::default(),
