A manager's first ask is not taken for four a second

Seen by reading while tests of the package failed beside other work: with crowds looked for in shorter spans the least span had been halved too, and a manager asked for the first time took itself for twice as busy, so that half as many first set-ups passed to cold servers. Back to half a second. (The failures themselves, six of peers.rs and one of sockets.rs at a load of 15 on 6 cores, are not of it: three managers don't reckon by it; alone they pass.)

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -540,7 +540,7 @@
     /// How often holders are sought, a second: since we started, at most a warm-up, or of late where that is
     /// more by more than chance and what is sought now.
     fn busy(&self) -> f64 {
-        let (now, least) = (self.view.now, INTERVAL / (2 * LOOKS));
+        let (now, least) = (self.view.now, INTERVAL / LOOKS);
         let over = |span: Duration, chance: f64| {
             let span = span.min(now.saturating_sub(self.started)).max(least);
             let sought = self.sought.iter().rev().take_while(|at| now.saturating_sub(**at) < span);
