The checker's rule on seats: a tune-in given up and read behind its viewing's next holds none

The manager held two. Rule 2 has known this order from the start ('given up on its way may be read just after the next'); rule 5 counted such a one as a second seat of its viewing. Now both go by the same condition, and as strictly: not paid, older, of the same viewing, closed within what sockets can't tell apart; each edge has its case in a_tune_in_given_up_and_read_behind.

--- a/crates/rules/src/lib.rs
+++ b/crates/rules/src/lib.rs
@@ -339,6 +339,7 @@
 
 /// Rule 5: no rung under a package's floor, no more viewings of a title held by a manager than its seats.
 fn kept(terms: &Terms, records: &[Record]) -> (u64, Vec<String>) {
+    let ends = ends(records);
     let (mut looked, mut broken) = (0, vec![]);
     // What each tune-in is of, and who holds a seat since when.
     let mut about: BTreeMap<Key, (usize, String)> = BTreeMap::new();
@@ -355,6 +356,15 @@
                     broken.push(format!("{key:?} to {server:?} at {at:.3}: rung {rung}, under {floor}"));
                 }
                 let there = held.entry(seat(key, &of)).or_default();
+                // A tune-in given up on its way may be read just after its viewing's next, as for rule 2: it holds no second seat.
+                let given_up = matches!(ends.get(&(*server, *key)),
+                    Some((at, SetUpEnd::Closed)) if *at <= record.at + terms.grain);
+                let next = |of: &Key| {
+                    (of.manager, of.birth, of.vw) == (key.manager, key.birth, key.vw) && of.n > key.n
+                };
+                if given_up && !terms_of.once && there.keys().any(next) {
+                    continue;
+                }
                 // What ended this moment may still be on its way here.
                 there.retain(|_, ended| ended.is_none_or(|at| at + terms.grain > record.at));
                 there.insert(*key, None);
--- a/crates/rules/src/tests.rs
+++ b/crates/rules/src/tests.rs
@@ -5,6 +5,7 @@
 
 const CLIP: usize = 0;
 const TICKET: usize = 1;
+const REPLAY: usize = 2;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -287,6 +288,36 @@
     }
 }
 
+#[test]
+fn a_tune_in_given_up_and_read_behind_its_viewings_next_holds_no_seat() {
+    // Two viewings hold both seats; the second one's first tune-in is read behind its further one. When and how that ended,
+    // of which viewing it is, in which package; whether it counts.
+    use SetUpEnd::*;
+    let cases = [
+        ("closed at once", Some((301, Closed)), 2, REPLAY, false),
+        ("closed within what sockets can't tell apart", Some((311, Closed)), 2, REPLAY, false),
+        ("closed later", Some((312, Closed)), 2, REPLAY, true),
+        ("not closed", None, 2, REPLAY, true),
+        ("refused, not closed", Some((301, Refused)), 2, REPLAY, true),
+        ("of another viewing", Some((301, Closed)), 3, REPLAY, true),
+        ("paid", Some((301, Closed)), 2, TICKET, true),
+    ];
+    for (name, end, vw, package, counts) in cases {
+        let mut records = vec![
+            set_up(100, 1, 1, 0, package),
+            over(120, 1, 1, 0, Plays),
+            set_up(300, 5, 2, 1, package),
+            set_up(301, 6, vw, 0, package),
+        ];
+        records.extend(end.map(|(at, how)| over(at, 6, vw, 0, how)));
+        let mut terms = terms();
+        terms.packages.push(Package { once: false, ..terms.packages[TICKET].clone() });
+        let history = History { records, asked: vec![], managers: vec![process(&[])] };
+        let seats = &judge(&terms, &history)[4];
+        assert_eq!(!seats.broken.is_empty(), counts, "{name}: {:?}", seats.broken);
+    }
+}
+
 #[test]
 fn more_further_tune_ins_than_the_ration_are_found() {
     // One is free and each two viewings taken allow one more.
