Control between managers goes over a few neighbours, and paths are opened on demand

Change: crates/overlay works out each member's neighbours, six at most, from the list of names alone (three rings by hash), and passes over who is not heard; records go to neighbours and are passed on by who learns them; one digest a turn, answered. Paths are opened when something is to be said and closed after 16 quiet turns. A greeting carries a digest of the group, the text follows where it differs. Recall: three members at the start, then one each second turn, until all have told. A keeper tells with a claim only starts of that session's keepers: of others nobody counts a word. One member's cores are driven by one value free of I/O (crates/peers/src/cores.rs), so that managers without sockets run the same.

--- /dev/null
+++ b/crates/peers/src/cores.rs
@@ -0,0 +1,340 @@
+//! One member: its cores, and what they want done. Free of I/O and clock: who drives it hands over what came, what was
+//! written and what could not be reached, and takes out of [`Outbox`] what is to be done, after each call. Sockets
+//! and managers without any run on the same.
+
+use crate::frame::{self, Frame, start, who};
+use crate::store::{Note, Stored};
+use ivyward_overlay::Overlay;
+use ivyward_replica::{
+    Asker, Claim, ClaimNo, Common, Effects, Group, Held, Keeper, Log, Member, Record, Tells, Word,
+};
+use ivyward_session::{Birth, SessionId};
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::Range;
+use std::time::Duration;
+
+/// What is open is asked again so many times while a word is waited for.
+pub const AGAIN: u32 = 4;
+/// Turns without a word after which a path is closed: neighbours' stay open by their turns, a keeper's as long as it is
+/// asked every few seconds.
+pub const QUIET: u32 = 16;
+/// Members asked at a start, for what all know and, without memory, for what was kept: that many starts at once are borne by
+/// all. Later one each so many turns, so that what a loss of memory costs a second is the same in any group.
+const ASKED: usize = 3;
+const RECALLS: u64 = 2;
+/// Notes that may wait for the disk: with more, no claim is taken. So many go to disk in one sync.
+const BACKLOG: usize = 4 * NOTES;
+pub const NOTES: usize = 1024;
+
+/// What the cores want done.
+pub struct Outbox {
+    group: Group,
+    me: Member,
+    /// To members, in order; any of it may be lost.
+    pub frames: VecDeque<(Member, Frame)>,
+    /// To one that recalls, all of them in order, however many there are.
+    pub rows: Vec<(Member, Vec<Frame>)>,
+    telling: Vec<Frame>,
+    /// What is said to ourselves.
+    own: VecDeque<Frame>,
+    /// To disk, in order, and whether [`Cores::stored`] is to be told.
+    pub notes: VecDeque<(Note, bool)>,
+    /// What became of claims.
+    pub decided: Vec<(ClaimNo, Word)>,
+    /// Sessions that are revoked, and, with false, no longer.
+    pub revoked: Vec<(SessionId, bool)>,
+    pub counts: BTreeMap<&'static str, u64>,
+}
+
+impl Outbox {
+    pub(crate) fn count(&mut self, what: &'static str) {
+        let count = self.counts.entry(what).or_default();
+        *count = count.saturating_add(1);
+    }
+
+    fn say(&mut self, to: Member, frame: Frame) {
+        if to == self.me {
+            self.own.push_back(frame);
+        } else {
+            self.frames.push_back((to, frame));
+        }
+    }
+
+    fn about(&self, kind: u32, session: SessionId, claim: Claim) -> Frame {
+        let session = session.0.to_be_bytes().into();
+        Frame { kind, session, claim: Some(who(&self.group, claim)), ..Frame::default() }
+    }
+}
+
+impl Effects for Outbox {
+    fn claim(&mut self, to: Member, session: SessionId, claim: Claim) {
+        self.say(to, self.about(frame::CLAIM, session, claim));
+    }
+
+    fn kept(
+        &mut self, to: Member, session: SessionId, claim: Claim, birth: Birth, starts: &[(Member, Birth)],
+    ) {
+        let starts = starts.iter().map(|of| start(&self.group, *of)).collect();
+        let about = self.about(frame::KEPT, session, claim);
+        self.say(to, Frame { birth: birth.0, starts, ..about });
+    }
+
+    fn unkept(&mut self, to: Member, session: SessionId, claim: Claim, taken: bool) {
+        let about = self.about(frame::UNKEPT, session, claim);
+        self.say(to, Frame { taken, ..about });
+    }
+
+    fn take_back(&mut self, to: Member, session: SessionId, claim: Claim) {
+        self.say(to, self.about(frame::TAKE_BACK, session, claim));
+    }
+
+    fn taken_back(&mut self, to: Member, session: SessionId, claim: Claim) {
+        self.say(to, self.about(frame::TAKEN_BACK, session, claim));
+    }
+
+    fn recall(&mut self, to: Member, birth: Birth) {
+        self.say(to, Frame { kind: frame::RECALL, birth: birth.0, ..Frame::default() });
+    }
+
+    fn row(&mut self, _: Member, birth: Birth, session: SessionId, held: &Held) {
+        self.telling.push(Frame { birth: birth.0, ..frame::row(&self.group, session, held) });
+    }
+
+    fn rows(&mut self, to: Member, birth: Birth, count: u64) {
+        let mut rows = std::mem::take(&mut self.telling);
+        rows.push(Frame { kind: frame::ROWS, birth: birth.0, count, ..Frame::default() });
+        self.rows.push((to, rows));
+    }
+
+    fn store(&mut self, session: SessionId, held: &Held) {
+        self.notes.push_back((Note::held(&self.group, session, held), true));
+    }
+
+    fn store_start(&mut self, member: Member, birth: Birth) {
+        self.notes.push_back((Note::Start(self.group.name(member).into(), birth), true));
+    }
+
+    fn store_whole(&mut self) {
+        self.notes.push_back((Note::Whole, true));
+    }
+
+    fn forget(&mut self, session: SessionId) {
+        self.notes.push_back((Note::Forgotten(session), false));
+    }
+
+    fn decided(&mut self, no: ClaimNo, word: Word) {
+        self.count(match word {
+            Word::Granted => "granted",
+            Word::Taken => "taken",
+            Word::Alone => "no_majority",
+        });
+        self.decided.push((no, word));
+    }
+}
+
+impl Tells<SessionId> for Outbox {
+    fn digest(&mut self, to: Member, digest: u64) {
+        self.say(to, Frame { kind: frame::DIGEST, count: digest, ..Frame::default() });
+    }
+
+    fn same(&mut self, to: Member) {
+        self.say(to, Frame { kind: frame::SAME, ..Frame::default() });
+    }
+
+    fn heads(&mut self, to: Member, heads: &BTreeMap<Log, u64>, back: bool) {
+        let starts = heads.iter().map(|of| frame::head(&self.group, of)).collect();
+        self.say(to, Frame { kind: frame::HEADS, starts, back, ..Frame::default() });
+    }
+
+    fn records(&mut self, to: Member, log: Log, between: Range<u64>, records: &[Record<SessionId>]) {
+        let (claim, count) = (Some(frame::head(&self.group, (&log, &between.start))), between.end);
+        let records = records.iter().map(frame::told).collect();
+        self.say(to, Frame { kind: frame::RECORDS, claim, count, records, ..Frame::default() });
+    }
+
+    fn learned(&mut self, session: &SessionId) {
+        self.revoked.push((*session, true));
+    }
+
+    fn over(&mut self, session: &SessionId) {
+        self.revoked.push((*session, false));
+    }
+}
+
+/// One member's cores.
+pub struct Cores {
+    group: Group,
+    me: Member,
+    pub birth: Birth,
+    pub keeper: Keeper,
+    pub asker: Asker,
+    pub revoked: Common<SessionId>,
+    pub overlay: Overlay,
+    turns: u64,
+    /// When each member was heard last.
+    heard: BTreeMap<Member, Duration>,
+    pub out: Outbox,
+}
+
+impl Cores {
+    /// `birth`: this start, above all before. `word`: how often [`Cores::turn`] is called. `span`: how long what is told
+    /// is held. `stored`: what was on disk.
+    pub fn new(
+        group: Group, me: Member, birth: Birth, word: Duration, span: Duration, now: Duration, stored: Stored,
+    ) -> Cores {
+        let kept = (stored.sessions, stored.starts);
+        let out = Outbox {
+            group: group.clone(),
+            me,
+            frames: VecDeque::new(),
+            rows: vec![],
+            telling: vec![],
+            own: VecDeque::new(),
+            notes: VecDeque::new(),
+            decided: vec![],
+            revoked: vec![],
+            counts: BTreeMap::new(),
+        };
+        Cores {
+            keeper: Keeper::new(group.clone(), me, birth, span, now, stored.whole, kept),
+            asker: Asker::new(group.clone(), me, birth),
+            revoked: Common::new(me, birth, span),
+            overlay: Overlay::new(&group, me, word),
+            group,
+            me,
+            birth,
+            turns: 0,
+            heard: BTreeMap::new(),
+            out,
+        }
+    }
+
+    pub fn group(&self) -> &Group {
+        &self.group
+    }
+
+    pub fn me(&self) -> Member {
+        self.me
+    }
+
+    /// How long ago a member was heard.
+    pub fn heard(&self, now: Duration, member: Member) -> Option<Duration> {
+        self.heard.get(&member).map(|at| now.saturating_sub(*at))
+    }
+
+    /// At the start.
+    pub fn start(&mut self, now: Duration) {
+        let mut asked = self.overlay.neighbours();
+        asked.truncate(ASKED);
+        self.revoked.start(&mut self.out, &asked);
+        self.keeper.ask_again(&mut self.out, now, ASKED);
+        self.settle(now);
+    }
+
+    /// Every `word`.
+    pub fn turn(&mut self, now: Duration) {
+        if let Some(to) = self.overlay.turn(now) {
+            self.revoked.turn(&mut self.out, now, to);
+        }
+        self.turns += 1;
+        if self.turns.is_multiple_of(RECALLS) {
+            self.keeper.ask_again(&mut self.out, now, 1);
+        }
+        self.settle(now);
+    }
+
+    /// Whether claims wait for a word, or for being taken back: then [`Cores::again`] is called [`AGAIN`] times a `word`.
+    pub fn wakes(&self) -> bool {
+        self.asker.open() != (0, 0)
+    }
+
+    pub fn again(&mut self, now: Duration) {
+        self.asker.ask_again(&mut self.out, now);
+        self.settle(now);
+    }
+
+    /// A path to a member could not be opened, or broke.
+    pub fn unreached(&mut self, now: Duration, member: Member) {
+        self.overlay.unreached(now, member);
+    }
+
+    /// Another member wrote that; none where it makes no sense.
+    pub fn hears(&mut self, now: Duration, from: Member, frame: &Frame) -> Option<()> {
+        self.heard.insert(from, now);
+        self.overlay.heard(from);
+        let had = self.takes(now, from, frame);
+        self.settle(now);
+        had
+    }
+
+    /// So many counted notes more are on disk.
+    pub fn stored(&mut self, now: Duration, notes: usize) {
+        self.keeper.stored(&mut self.out, notes);
+        self.settle(now);
+    }
+
+    /// A session's tokens are taken no more, by no member, for a span.
+    pub fn revoke(&mut self, now: Duration, session: SessionId) {
+        let neighbours = self.overlay.neighbours();
+        self.revoked.add(&mut self.out, now, session, &neighbours);
+    }
+
+    /// A paid session is to be set up, if a majority of its keepers says so until then.
+    pub fn claim(&mut self, now: Duration, session: SessionId, until: Duration) -> ClaimNo {
+        let no = self.asker.ask(&mut self.out, session, until);
+        self.settle(now);
+        no
+    }
+
+    /// Nothing of a claim ran, and nothing will.
+    pub fn take_back(&mut self, now: Duration, session: SessionId, no: ClaimNo) {
+        self.asker.take_back(&mut self.out, session, no);
+        self.settle(now);
+    }
+
+    /// What is said to ourselves.
+    fn settle(&mut self, now: Duration) {
+        while let Some(frame) = self.out.own.pop_front() {
+            self.takes(now, self.me, &frame);
+        }
+    }
+
+    /// Each field goes straight into a call.
+    fn takes(&mut self, now: Duration, from: Member, frame: &Frame) -> Option<()> {
+        let (group, out) = (&self.group, &mut self.out);
+        let (session, birth) = (|| frame::session(&frame.session), Birth(frame.birth));
+        let claim = || frame::claim(group, frame.claim.as_ref()?);
+        match frame.kind {
+            // Guards against a disk that takes nothing, or less than is claimed.
+            frame::CLAIM if out.notes.len() >= BACKLOG => out.count("claims_left_out"),
+            frame::CLAIM => self.keeper.claimed(out, now, from, session()?, claim()?),
+            frame::KEPT => {
+                let starts = frame::starts(group, &frame.starts)?;
+                self.asker.kept(out, from, claim()?, birth, &starts);
+            }
+            frame::UNKEPT => self.asker.unkept(out, from, claim()?, frame.taken),
+            frame::TAKE_BACK => self.keeper.takes_back(out, now, from, session()?, claim()?),
+            frame::TAKEN_BACK => self.asker.taken_back(from, claim()?),
+            frame::RECALL => self.keeper.recalled(out, from, birth),
+            frame::ROW => {
+                let (session, held) = frame::held(group, frame)?;
+                self.keeper.row(out, now, from, birth, session, &held);
+            }
+            frame::ROWS => self.keeper.rows(out, from, birth, frame.count),
+            frame::DIGEST => self.revoked.compared(out, now, from, frame.count),
+            frame::HEADS => {
+                let heads = frame::heads(group, &frame.starts)?;
+                self.revoked.accounted(out, now, from, &heads, frame.back);
+            }
+            frame::RECORDS => {
+                let of = claim()?;
+                let (log, between) = (Log { of: of.by, birth: of.birth }, of.no.0..frame.count);
+                let (records, neighbours) = (frame::records(&frame.records)?, self.overlay.neighbours());
+                self.revoked.told(out, now, from, log, between, records, &neighbours);
+            }
+            // That it was heard is all there is to it; what a later revision says is left alone.
+            _ => {}
+        }
+        Some(())
+    }
+}
--- a/crates/peers/src/frame.rs
+++ b/crates/peers/src/frame.rs
@@ -6,8 +6,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// What managers of this build speak. One that speaks less leaves alone what it does not know: records in common, since 2.
-pub const REVISION: u32 = 2;
+/// What managers of this build speak: records in common since 2, a group told by its digest and digests that are answered
+/// since 3. Greetings of 2 can't be read by 3 nor the other way round; each says so.
+pub const REVISION: u32 = 3;
+
+/// Bytes before each frame: its length.
+pub const HEAD: usize = 4;
 
 pub const HELLO: u32 = 1;
 pub const CLAIM: u32 = 2;
@@ -21,6 +25,9 @@
 pub const DIGEST: u32 = 10;
 pub const HEADS: u32 = 11;
 pub const RECORDS: u32 = 12;
+/// In answer to a digest: the same here. To a greeting: the group as configured here, which is another.
+pub const SAME: u32 = 13;
+pub const DIFFERS: u32 = 14;
 
 /// Kinds of records in common.
 pub const REVOKED: u32 = 1;
@@ -45,9 +52,10 @@
     pub taken_back: Vec<Who>,
     #[prost(message, repeated, tag = "9")]
     pub starts: Vec<Who>,
-    /// Of who says hello, with the group as configured there.
+    /// Of who says hello.
     #[prost(string, tag = "10")]
     pub name: String,
+    /// The group as configured there, told only where it differs.
     #[prost(string, tag = "11")]
     pub group: String,
     #[prost(uint32, tag = "12")]
@@ -57,6 +65,9 @@
     pub back: bool,
     #[prost(message, repeated, tag = "14")]
     pub records: Vec<Told>,
+    /// Of the group as configured there.
+    #[prost(bytes = "vec", tag = "15")]
+    pub digest: Vec<u8>,
 }
 
 /// A record in common: its number, how long it is still to be held, and what it tells of.
@@ -147,3 +158,21 @@
     let held = Held { claims: claims(group, &frame.claims)?, taken_back: claims(group, &frame.taken_back)? };
     Some((session(&frame.session)?, held))
 }
+
+/// The longest text from outside in a line, in characters.
+const BRIEF: usize = 120;
+
+/// A text from outside as it may stand in a line.
+pub fn brief(text: &str) -> String {
+    text.chars().take(BRIEF).collect()
+}
+
+/// Where the texts of two groups part, some of each.
+pub fn difference(ours: &str, theirs: &str) -> String {
+    let same = ours.chars().zip(theirs.chars()).take_while(|(a, b)| a == b).count();
+    // From the start of the member on that they part in.
+    let begun = ours.char_indices().nth(same).map_or(ours.len(), |(at, _)| at);
+    let begun = ours[..begun].rfind(", ").map_or(0, |at| ours[..at].chars().count() + 2);
+    let from = |text: &str| text.chars().skip(begun).take(BRIEF / 2).collect::<String>();
+    format!("here {:?}, there {:?}", from(ours), from(theirs))
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,13 +1,18 @@
-//! Managers that speak with each other: sockets, clock and disk round `ivyward_replica`. One task holds the cores; what
-//! comes and what was written goes to it through one queue.
+//! Managers that speak with each other: sockets, clock and disk round `ivyward_replica` and `ivyward_overlay`. One task
+//! holds a member's [`Cores`]; what comes and what was written goes to it through one queue.
 
+mod cores;
+mod driver;
 mod frame;
-mod hands;
 mod link;
+mod path;
 mod store;
 
-pub use hands::{Claimed, Peers};
-pub use store::Store;
+pub use cores::{AGAIN, Cores, Outbox, QUIET};
+pub use driver::{Claimed, Peers};
+pub use frame::{Frame, HEAD};
+pub use link::{greets, hello};
+pub use store::{Note, Store, Stored};
 
 use ivyward_replica::Group;
 use std::net::SocketAddr;
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -1,17 +1,17 @@
-//! Connections between members: each speaks on one that it opens, and listens on those that others open.
+//! Connections that other members open: on them they speak, and this one listens.
 
+use crate::cores::QUIET;
+use crate::driver::Peers;
 use crate::frame::{self, Frame};
-use crate::hands::Peers;
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use ivyward_replica::{Group, Member};
 use ivyward_session::Birth;
 use prost::Message;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -21,56 +21,55 @@
 /// Connections from one member that may stand at once, those left over from before among them.
 const EACH: usize = 4;
 /// Whoever takes nothing, or says no hello, for so long is closed.
-const STALLED: Duration = Duration::from_secs(2);
+pub const STALLED: Duration = Duration::from_secs(2);
+/// A connection on which nothing came for so many times as long as its path may be quiet belongs to a machine that is gone.
+const GONE: u32 = 4;
 
-fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+pub fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
     stream.set_nodelay(true).ok();
     LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_framed(stream)
 }
 
-fn bytes(frame: &Frame) -> Bytes {
+pub fn bytes(frame: &Frame) -> Bytes {
     Bytes::from(frame.encode_to_vec())
 }
 
+/// What a member says first on each path.
 pub fn hello(group: &Group, me: Member, birth: Birth) -> Frame {
     Frame {
         kind: frame::HELLO,
         name: group.name(me).into(),
-        group: group.text(),
+        digest: group.digest().to_be_bytes().into(),
         revision: frame::REVISION,
         birth: birth.0,
         ..Frame::default()
     }
 }
 
-/// Speaks to one member for as long as the program runs, over as many connections as it takes.
-pub async fn speak(address: SocketAddr, hello: Frame, mut frames: mpsc::Receiver<Frame>, within: Duration) {
-    loop {
-        if let Ok(Ok(stream)) = timeout(within, TcpStream::connect(address)).await {
-            let mut out = framed(stream);
-            let mut next = Some(hello.clone());
-            while let Some(frame) = next {
-                if !matches!(timeout(STALLED, out.send(bytes(&frame))).await, Ok(Ok(()))) {
-                    break;
-                }
-                next = tokio::select! {
-                    frame = frames.recv() => match frame {
-                        Some(frame) => Some(frame),
-                        None => return,
-                    },
-                    // Nothing is said here: whatever comes, an end or a word, closes it.
-                    _ = out.next() => None,
-                };
-            }
-            tracing::debug!(%address, "a connection to a member is over");
-        }
-        sleep(within).await;
-    }
+/// What is said to one that is configured for another group: all of it, if it fits.
+fn differs(group: &Group, me: Member) -> Frame {
+    let text = Some(group.text()).filter(|text| text.len() < LONGEST / 2).unwrap_or_default();
+    Frame { kind: frame::DIFFERS, name: group.name(me).into(), group: text, ..Frame::default() }
 }
 
-pub async fn accept(listener: TcpListener, peers: Peers, group: Group) {
+/// Why a connection is not listened to.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    #[error("it says no hello: something else speaks to this port")]
+    NoHello,
+    #[error("{0:?} speaks revision {1}, here {here}: run the same build on both", here = frame::REVISION)]
+    Revision(String, u32),
+    /// Guards against majorities counted over different groups.
+    #[error("{0:?} is configured for another group: give both the same members and keepers")]
+    Group(String),
+    #[error("{0:?} is no member: name it in peers, or mend its manager.name")]
+    NoMember(String),
+}
+
+pub async fn accept(listener: TcpListener, peers: Peers, group: Group, me: Member) {
     // Guards against connections that are opened faster than they are found to be over.
     let room = Rc::new(Semaphore::new(group.members().count() * EACH));
+    let digest = group.digest();
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             sleep(Duration::from_millis(50)).await;
@@ -82,28 +81,37 @@
             let mut stream = framed(stream);
             let first = timeout(STALLED, stream.next()).await;
             let Ok(Some(Ok(first))) = first else { return };
-            match greets(&group, first) {
+            match greets(&group, digest, first) {
                 Ok(member) => listens(&mut stream, member, &peers).await,
-                Err(wrong) => tracing::warn!(%from, wrong, "a manager is not listened to"),
+                Err(wrong) => {
+                    peers.refuses(from, wrong.to_string());
+                    if matches!(wrong, Refused::Group(_)) {
+                        timeout(STALLED, stream.send(bytes(&differs(&group, me)))).await.ok();
+                    }
+                }
             }
         });
     }
 }
 
-fn greets(group: &Group, first: BytesMut) -> Result<Member, String> {
-    let hello = Frame::decode(first).map_err(|error| error.to_string())?;
-    if hello.kind != frame::HELLO || hello.revision == 0 {
-        return Err("says no hello".into());
+pub fn greets(group: &Group, digest: u128, first: BytesMut) -> Result<Member, Refused> {
+    let hello = Frame::decode(first).map_err(|_| Refused::NoHello)?;
+    let name = frame::brief(&hello.name);
+    if hello.kind != frame::HELLO {
+        return Err(Refused::NoHello);
+    }
+    if hello.revision != frame::REVISION {
+        return Err(Refused::Revision(name, hello.revision));
     }
-    // Guards against majorities counted over different groups.
-    if hello.group != group.text() {
-        return Err(format!("{:?} is configured for {}, here {}", hello.name, hello.group, group.text()));
+    if hello.digest != digest.to_be_bytes() {
+        return Err(Refused::Group(name));
     }
-    group.member(&hello.name).ok_or(format!("{:?} is no member", hello.name))
+    group.member(&hello.name).ok_or(Refused::NoMember(name))
 }
 
 async fn listens(stream: &mut Framed<TcpStream, LengthDelimitedCodec>, member: Member, peers: &Peers) {
-    while let Some(Ok(bytes)) = stream.next().await {
+    let gone = peers.word() * QUIET * GONE;
+    while let Ok(Some(Ok(bytes))) = timeout(gone, stream.next()).await {
         let Ok(frame) = Frame::decode(bytes) else { break };
         if !peers.heard(member, frame).await {
             break;
--- a/crates/replica/src/common.rs
+++ b/crates/replica/src/common.rs
@@ -7,7 +7,7 @@
 //! and on is over everywhere at last, and none comes back for longer than it had left and was
 //! on its way.
 
-use crate::{Group, Member};
+use crate::Member;
 use ivyward_session::Birth;
 use siphasher::sip::SipHasher13;
 use std::collections::BTreeMap;
@@ -18,9 +18,6 @@
 /// Records told in one message, and in answer to one account; what is behind by more asks again.
 const TOLD: usize = 256;
 const ANSWERED: usize = 16 * TOLD;
-/// Members that one asks at its start, so that many starts at once are borne by all.
-const ASKED: usize = 3;
-
 /// The records of one start of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Log {
@@ -40,6 +37,8 @@
 pub trait Tells<R> {
     /// All that is held here, in one number.
     fn digest(&mut self, to: Member, digest: u64);
+    /// In answer to such a number: the same is held here.
+    fn same(&mut self, to: Member);
     /// What is held here: of each log the number after the last. `back`: in answer to such an account.
     fn heads(&mut self, to: Member, heads: &BTreeMap<Log, u64>, back: bool);
     /// All that is held of a log between two numbers.
@@ -71,18 +70,15 @@
 /// One member's copy.
 #[derive(Clone, Debug)]
 pub struct Common<R> {
-    members: u16,
     own: Log,
     span: Duration,
     logs: BTreeMap<Log, Records<R>>,
-    turns: u64,
 }
 
 impl<R: Clone> Common<R> {
     /// `birth`: this start, above all before; `span`: how long a record is held at most.
-    pub fn new(group: &Group, me: Member, birth: Birth, span: Duration) -> Common<R> {
-        let members = group.members().count() as u16;
-        Common { members, own: Log { of: me, birth }, span, logs: BTreeMap::new(), turns: 0 }
+    pub fn new(me: Member, birth: Birth, span: Duration) -> Common<R> {
+        Common { own: Log { of: me, birth }, span, logs: BTreeMap::new() }
     }
 
     /// Records held.
@@ -112,19 +108,13 @@
         held.map(|(log, records)| (*log, records.head)).collect()
     }
 
-    /// A member `by` places after this one.
-    fn after(&self, by: u64) -> Member {
-        Member(((u64::from(self.own.of.0) + by) % u64::from(self.members)) as u16)
-    }
-
-    /// This start: asks a few others for what they hold.
-    pub fn start(&self, out: &mut impl Tells<R>) {
-        let others = (1..u64::from(self.members)).map(|by| self.after(by)).take(ASKED);
-        others.for_each(|to| out.heads(to, &self.heads(), false));
+    /// This start: asks others for what they hold.
+    pub fn start(&self, out: &mut impl Tells<R>, asked: &[Member]) {
+        asked.iter().for_each(|to| out.heads(*to, &self.heads(), false));
     }
 
     /// All are to know that.
-    pub fn add(&mut self, out: &mut impl Tells<R>, now: Duration, what: R) {
+    pub fn add(&mut self, out: &mut impl Tells<R>, now: Duration, what: R, neighbours: &[Member]) {
         self.forget_over(out, now);
         out.learned(&what);
         let until = now + self.span;
@@ -133,25 +123,22 @@
         log.held.insert(no, (until, what.clone()));
         log.head += 1;
         let record = [Record { no, left: self.span, what }];
-        (1..u64::from(self.members))
-            .for_each(|by| out.records(self.after(by), self.own, no..no + 1, &record));
+        neighbours.iter().for_each(|to| out.records(*to, self.own, no..no + 1, &record));
     }
 
-    /// A turn, as often as the driver likes: one other member, each when it is due, compares. What was lost on the way,
-    /// or told while nobody listened, is found out by it.
-    pub fn turn(&mut self, out: &mut impl Tells<R>, now: Duration) {
+    /// A turn, as often as the driver likes: compares with a neighbour, each when it is due. What was lost on the way, or
+    /// told while nobody listened, is found out by it.
+    pub fn turn(&mut self, out: &mut impl Tells<R>, now: Duration, to: Member) {
         self.forget_over(out, now);
-        if self.members > 1 {
-            let by = 1 + self.turns % u64::from(self.members - 1);
-            self.turns += 1;
-            out.digest(self.after(by), self.digest());
-        }
+        out.digest(to, self.digest());
     }
 
     /// Another's digest.
     pub fn compared(&mut self, out: &mut impl Tells<R>, now: Duration, from: Member, digest: u64) {
         self.forget_over(out, now);
-        if digest != self.digest() {
+        if digest == self.digest() {
+            out.same(from);
+        } else {
             out.heads(from, &self.heads(), false);
         }
     }
@@ -183,10 +170,10 @@
         }
     }
 
-    /// Of a log all that another holds between two numbers.
+    /// Of a log all that another holds between two numbers; what is new is passed on to the other neighbours.
     pub fn told(
         &mut self, out: &mut impl Tells<R>, now: Duration, from: Member, log: Log, between: Range<u64>,
-        records: Vec<Record<R>>,
+        records: Vec<Record<R>>, neighbours: &[Member],
     ) {
         self.forget_over(out, now);
         let head = self.logs.get(&log).map_or(0, |records| records.head);
@@ -206,6 +193,9 @@
             }
         }
         held.head = between.end;
+        let fresh = held.between(now, &(head..between.end));
+        let others = neighbours.iter().filter(|to| **to != from);
+        others.for_each(|to| out.records(*to, log, head..between.end, &fresh));
     }
 
     fn forget_over(&mut self, out: &mut impl Tells<R>, now: Duration) {
--- a/crates/replica/src/group.rs
+++ b/crates/replica/src/group.rs
@@ -22,7 +22,7 @@
         Group { members, keepers }
     }
 
-    pub fn members(&self) -> impl Iterator<Item = Member> + use<> {
+    pub fn members(&self) -> impl Iterator<Item = Member> + Clone + use<> {
         (0..self.members.len() as u16).map(Member)
     }
 
@@ -41,6 +41,11 @@
         format!("{} keepers of {}", self.keepers, members.join(", "))
     }
 
+    /// That text in one number: what members tell each other of it where it is the same.
+    pub fn digest(&self) -> u128 {
+        siphasher::sip128::SipHasher13::new().hash(self.text().as_bytes()).as_u128()
+    }
+
     /// A session's keepers: those of highest weight (rendezvous hashing: Thaler and Ravishankar, 1998), from zones apart
     /// as far as there are so many.
     pub fn keepers(&self, session: SessionId) -> BTreeSet<Member> {
--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -50,6 +50,8 @@
     /// Rows that came of each, and who has told all.
     rows: BTreeMap<Member, BTreeSet<SessionId>>,
     told: BTreeSet<Member>,
+    /// Behind whom the next is asked.
+    asked: Option<Member>,
     /// When all that may have been forgotten is over.
     until: Duration,
 }
@@ -174,7 +176,10 @@
     }
 
     fn says_kept(&self, out: &mut impl Effects, session: SessionId, claim: Claim) {
-        let starts: Vec<_> = self.starts.iter().map(|(member, birth)| (*member, *birth)).collect();
+        // Of others nobody who claims this session counts a word.
+        let keepers = self.group.keepers(session);
+        let of = |member: &Member| Some((*member, *self.starts.get(member)?));
+        let starts: Vec<_> = keepers.iter().filter_map(of).collect();
         out.kept(claim.by, session, claim, self.birth, &starts);
     }
 
@@ -217,7 +222,9 @@
         held: &Held,
     ) {
         let Some(recalls) = self.recalls.as_mut().filter(|_| birth == self.birth) else { return };
-        recalls.rows.entry(from).or_default().insert(session);
+        if !recalls.told.contains(&from) {
+            recalls.rows.entry(from).or_default().insert(session);
+        }
         let mut joined = self.held(session).cloned().unwrap_or_default();
         joined.join(held);
         if self.held(session) != Some(&joined) {
@@ -237,14 +244,18 @@
         self.noted(Some(Then::Told(from)));
     }
 
-    /// Asks those that have not told theirs. How often is for the driver.
-    pub fn ask_again(&mut self, out: &mut impl Effects, now: Duration) {
+    /// Asks so many of those that have not told theirs, each in its turn. How often is for the driver: nobody waits for it,
+    /// since the other keepers of each session are a majority as long as they stand.
+    pub fn ask_again(&mut self, out: &mut impl Effects, now: Duration, most: usize) {
         self.forget_over(out, now);
-        let Some(recalls) = &self.recalls else { return };
-        let others = self.group.members().filter(|member| *member != self.me);
-        others
-            .filter(|member| !recalls.told.contains(member))
-            .for_each(|member| out.recall(member, self.birth));
+        let Some(recalls) = &mut self.recalls else { return };
+        let behind = recalls.asked.map_or(0, |asked| usize::from(asked.0) + 1);
+        let all = self.group.members().count();
+        let due = self.group.members().cycle().skip(behind).take(all);
+        let due = due.filter(|member| *member != self.me && !recalls.told.contains(member)).take(most);
+        let due: Vec<_> = due.collect();
+        recalls.asked = due.last().copied().or(recalls.asked);
+        due.into_iter().for_each(|member| out.recall(member, self.birth));
     }
 
     /// So many more notes are on disk.
@@ -273,6 +284,7 @@
     fn told(&mut self, out: &mut impl Effects, from: Member) {
         let Some(recalls) = &mut self.recalls else { return };
         recalls.told.insert(from);
+        recalls.rows.remove(&from);
         if recalls.told.len() + 1 == self.group.members().count() {
             self.remembers_all(out);
         }
--- a/crates/replica/src/tests.rs
+++ b/crates/replica/src/tests.rs
@@ -229,7 +229,7 @@
         self.nodes[usize::from(at.0)] = node(at, members, birth, disk);
         // What it was granted and had not sent goes with it.
         self.granted.retain(|claim| claim.by != at);
-        self.at(at, defect, |node, out| node.keeper.ask_again(out, NOW));
+        self.at(at, defect, |node, out| node.keeper.ask_again(out, NOW, usize::MAX));
     }
 
     /// All that may happen next.
@@ -443,6 +443,7 @@
 #[derive(Clone)]
 enum Told {
     Digest(u64),
+    Same,
     Heads(BTreeMap<Log, u64>, bool),
     Records(Log, Range<u64>, Vec<Record<u32>>),
 }
@@ -452,6 +453,10 @@
         self.wire.push((to, Told::Digest(digest)));
     }
 
+    fn same(&mut self, to: Member) {
+        self.wire.push((to, Told::Same));
+    }
+
     fn heads(&mut self, to: Member, heads: &BTreeMap<Log, u64>, back: bool) {
         self.wire.push((to, Told::Heads(heads.clone(), back)));
     }
@@ -475,22 +480,22 @@
 
 /// Copies in virtual time, a turn of each a step; what is said comes in the same step, or is lost, doubled, or late.
 struct Copies {
-    group: Group,
     copies: Vec<(Common<u32>, Said)>,
     now: Duration,
     late: Vec<(Member, Member, Told)>,
     chance: Pcg64Mcg,
     /// Messages, and records in them.
     sent: [usize; 2],
+    turns: usize,
 }
 
 impl Copies {
     fn new(members: u16, seed: u64) -> Copies {
         let group = Group::new((0..members).map(|i| (format!("m{i:03}"), 0)).collect(), 3);
-        let copy = |of| (Common::new(&group, of, Birth(1), SPAN), Said::default());
+        let copy = |of| (Common::new(of, Birth(1), SPAN), Said::default());
         let copies = group.members().map(copy).collect();
         let (late, chance) = (vec![], Pcg64Mcg::seed_from_u64(seed));
-        Copies { group, copies, now: NOW, late, chance, sent: [0; 2] }
+        Copies { copies, now: NOW, late, chance, sent: [0; 2], turns: 0 }
     }
 
     fn of(&mut self, at: usize, act: impl FnOnce(&mut Common<u32>, &mut Said, Duration)) {
@@ -498,11 +503,24 @@
         act(copy, said, self.now);
     }
 
+    /// All others, from the next on: each is everybody's neighbour.
+    fn others(&self, at: usize) -> Vec<Member> {
+        let all = self.copies.len();
+        (1..all).map(|by| Member(((at + by) % all) as u16)).collect()
+    }
+
+    fn add(&mut self, at: usize, what: u32) {
+        let others = self.others(at);
+        self.of(at, |copy, said, now| copy.add(said, now, what, &others));
+    }
+
     /// Forgets all, and starts anew.
     fn restart(&mut self, at: usize, birth: u64) {
-        let fresh = Common::new(&self.group, Member(at as u16), Birth(birth), SPAN);
+        let fresh = Common::new(Member(at as u16), Birth(birth), SPAN);
         self.copies[at] = (fresh, Said::default());
-        self.of(at, |copy, said, _| copy.start(said));
+        let mut asked = self.others(at);
+        asked.truncate(3);
+        self.of(at, |copy, said, _| copy.start(said, &asked));
     }
 
     /// Carries what was said until nothing is under way; `lost`: of a hundred; `cut`: whether two can't speak.
@@ -532,16 +550,20 @@
     fn comes(&mut self, from: Member, to: Member, told: Told) {
         self.of(to.0.into(), |copy, said, now| match told {
             Told::Digest(digest) => copy.compared(said, now, from, digest),
+            Told::Same => {}
             Told::Heads(heads, back) => copy.accounted(said, now, from, &heads, back),
-            Told::Records(log, between, records) => copy.told(said, now, from, log, between, records),
+            Told::Records(log, between, records) => copy.told(said, now, from, log, between, records, &[]),
         });
     }
 
     fn turn(&mut self, lost: u32, cut: impl Fn(usize, usize) -> bool) {
         self.now += Duration::from_millis(500);
         for at in 0..self.copies.len() {
-            self.of(at, |copy, said, now| copy.turn(said, now));
+            let others = self.others(at);
+            let to = others[self.turns % others.len()];
+            self.of(at, |copy, said, now| copy.turn(said, now, to));
         }
+        self.turns += 1;
         self.carry(lost, cut);
     }
 
@@ -564,7 +586,7 @@
             for step in 0..20 {
                 for _ in 0..3 {
                     let at = all.chance.random_range(0..usize::from(members));
-                    all.of(at, |copy, said, now| copy.add(said, now, next));
+                    all.add(at, next);
                     next += 1;
                 }
                 if all.chance.random_ratio(1, 3) {
@@ -601,7 +623,7 @@
     for (held, lacks) in [(1_000, 3), (100_000, 3), (100_000, 600)] {
         let mut all = Copies::new(2, 1);
         for what in 0..held + lacks {
-            all.of(0, |copy, said, now| copy.add(said, now, what));
+            all.add(0, what);
             all.carry(0, |_, _| what >= held);
         }
         assert!(!all.equal());
@@ -619,7 +641,7 @@
 fn what_is_over_stays_over() {
     // Told on before it is over to one that starts anew, again and again, it lives no longer for that.
     let mut all = Copies::new(3, 1);
-    all.of(0, |copy, said, now| copy.add(said, now, 7));
+    all.add(0, 7);
     all.carry(0, |_, to| to == 2);
     let mut births = 1;
     while all.now < NOW + SPAN - Duration::from_secs(1) {
