What is owed to members away is asked again in turns; frames that make no sense are named

A zone that is away had up to 4,096 take-backs asked again eight times a second by each; 64 at once now, the others in their turn.

--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -8,6 +8,7 @@
 use ivyward_replica::{Group, Member};
 use ivyward_session::Birth;
 use prost::Message;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -64,6 +65,10 @@
     Group(String),
     #[error("{0:?} is no member: name it in peers, or mend its manager.name")]
     NoMember(String),
+    #[error(
+        "{0:?} wrote a frame that can't be read or makes no sense: its build differs, or its memory is bad"
+    )]
+    Frame(String),
 }
 
 pub async fn accept(listener: TcpListener, peers: Peers, group: Group, me: Member) {
@@ -82,7 +87,11 @@
             let first = timeout(STALLED, stream.next()).await;
             let Ok(Some(Ok(first))) = first else { return };
             match greets(&group, digest, first) {
-                Ok(member) => listens(&mut stream, member, &peers).await,
+                Ok(member) => {
+                    if !listens(&mut stream, member, &peers).await {
+                        peers.refuses(from, Refused::Frame(group.name(member).into()).to_string());
+                    }
+                }
                 Err(wrong) => {
                     peers.refuses(from, wrong.to_string());
                     if matches!(wrong, Refused::Group(_)) {
@@ -109,13 +118,24 @@
     group.member(&hello.name).ok_or(Refused::NoMember(name))
 }
 
-async fn listens(stream: &mut Framed<TcpStream, LengthDelimitedCodec>, member: Member, peers: &Peers) {
+/// Until the connection is over; false where what came on it could not be used.
+async fn listens(
+    stream: &mut Framed<TcpStream, LengthDelimitedCodec>, member: Member, peers: &Peers,
+) -> bool {
     let gone = peers.word() * QUIET * GONE;
-    while let Ok(Some(Ok(bytes))) = timeout(gone, stream.next()).await {
-        let Ok(frame) = Frame::decode(bytes) else { break };
-        if !peers.heard(member, frame).await {
-            break;
+    loop {
+        match timeout(gone, stream.next()).await {
+            Ok(Some(Ok(bytes))) => {
+                let Ok(frame) = Frame::decode(bytes) else { return false };
+                if !peers.heard(member, frame).await {
+                    return false;
+                }
+            }
+            // Longer than a frame may be.
+            Ok(Some(Err(error))) if error.kind() == ErrorKind::InvalidData => return false,
+            _ => break,
         }
     }
     tracing::debug!(member = member.0, "a connection of a member is over");
+    true
 }
--- a/crates/peers/src/tests.rs
+++ b/crates/peers/src/tests.rs
@@ -1,14 +1,19 @@
+use crate::frame::{self, Who};
+use crate::link::Refused;
 use crate::store::Note;
-use crate::{Config, Peers, Store};
+use crate::{Config, Frame, HEAD, Peers, Store, greets, hello};
 use futures_util::future::join_all;
 use ivyward_replica::{Claim, ClaimNo, Group, Held, Member, Word};
 use ivyward_session::{Birth, SessionId};
+use prost::Message;
 use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 fn group(names: &[&str]) -> Group {
     Group::new(names.iter().map(|name| (name.to_string(), 0)).collect(), 3)
@@ -109,3 +114,101 @@
     });
     fs::remove_dir_all(&dir).ok();
 }
+
+/// A member by hand: what it writes on one connection, and what it is told there until that is closed, two seconds at most.
+async fn says(to: SocketAddr, bytes: &[u8]) -> Option<Frame> {
+    let mut stream = TcpStream::connect(to).await.expect("a connection");
+    stream.write_all(bytes).await.ok();
+    let mut came = vec![];
+    timeout(Duration::from_secs(2), stream.read_to_end(&mut came)).await.ok();
+    came.get(HEAD..).and_then(|frame| Frame::decode(frame).ok()).filter(|_| came.len() > HEAD)
+}
+
+fn written(frames: &[Frame]) -> Vec<u8> {
+    let framed = |frame: &Frame| {
+        let bytes = frame.encode_to_vec();
+        [(bytes.len() as u32).to_be_bytes().to_vec(), bytes].concat()
+    };
+    frames.iter().flat_map(framed).collect()
+}
+
+#[test]
+fn whoever_says_what_makes_no_sense_is_named_and_others_are_served() {
+    let dir = std::env::temp_dir().join(format!("ivyward-odd-{}", std::process::id()));
+    let names = ["a", "b", "c"];
+    let at = |i: usize| SocketAddr::from(([127, 61, (std::process::id() % 250) as u8, i as u8 + 1], 9001));
+    let config = |i: usize| Config {
+        group: group(&names),
+        name: names[i].into(),
+        listen: at(i),
+        others: (0..3).map(|other| (names[other].to_string(), at(other))).collect(),
+        word: Duration::from_millis(500),
+        span: Duration::from_secs(600),
+        connect: Duration::from_millis(250),
+        state_dir: dir.join(names[i]).to_string_lossy().into_owned(),
+    };
+    let (ours, c) = (group(&names), Member(2));
+    let good = hello(&ours, c, Birth(3));
+    // What each is refused for; and whether it is told the group as it is here.
+    let other = group(&["a", "b", "d"]);
+    let cases = [
+        ("another list", hello(&other, Member(0), Birth(1)), Refused::Group("a".into())),
+        ("another digest", Frame { digest: vec![1, 2, 3], ..good.clone() }, Refused::Group("c".into())),
+        ("an older revision", Frame { revision: 2, ..good.clone() }, Refused::Revision("c".into(), 2)),
+        ("no member", Frame { name: "zed".into(), ..good.clone() }, Refused::NoMember("zed".into())),
+        ("no hello", Frame { kind: frame::DIGEST, ..good.clone() }, Refused::NoHello),
+    ];
+    for (what, first, refused) in &cases {
+        let greeted = greets(&ours, ours.digest(), first.encode_to_vec().as_slice().into());
+        assert_eq!(greeted.as_ref().err(), Some(refused), "{what}");
+    }
+    assert_eq!(greets(&ours, ours.digest(), good.encode_to_vec().as_slice().into()), Ok(c));
+    let what = frame::difference(&ours.text(), &other.text());
+    assert_eq!(what, "here \"\\\"c\\\" zone 0\", there \"\\\"d\\\" zone 0\"");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let mut peers = vec![];
+        for i in 0..2 {
+            let config = config(i);
+            Store::begin(&config.state_dir, &config.group).expect("begun");
+            peers.push(Peers::start(config, Birth(1)).await.expect("a member"));
+        }
+        for (what, first, refused) in &cases {
+            let told = says(at(0), &written(std::slice::from_ref(first))).await;
+            let differs = told.filter(|told| told.kind == frame::DIFFERS).map(|told| told.group);
+            assert_eq!(differs, matches!(refused, Refused::Group(_)).then(|| ours.text()), "{what}");
+        }
+        // Beside a member that floods with all that makes no sense, in frames and out of them, others are served.
+        let odd = [
+            written(&[good.clone(), Frame { kind: frame::CLAIM, ..Frame::default() }]),
+            written(&[
+                good.clone(),
+                Frame { kind: frame::HEADS, starts: vec![Who::default()], ..Frame::default() },
+            ]),
+            [written(std::slice::from_ref(&good)), vec![0xff; 100_000]].concat(),
+            [written(std::slice::from_ref(&good)), vec![0, 0, 0, 3, 0xff, 0xff, 0xff]].concat(),
+            written(&std::iter::once(good.clone()).chain((0..5000).map(lies)).collect::<Vec<_>>()),
+        ];
+        let floods = odd.iter().cycle().take(40).map(|bytes| says(at(0), bytes));
+        let claims = (1..=50).map(|session| {
+            let peers = peers[1].clone();
+            async move { peers.claim(SessionId(session), Duration::from_secs(5)).await.1 }
+        });
+        let (_, words) = tokio::join!(join_all(floods), join_all(claims));
+        assert!(words.iter().all(|word| *word == Word::Granted), "{words:?}");
+        // What is told in common still comes from one to the other.
+        peers[0].revoke(SessionId(7));
+        let end = Instant::now() + Duration::from_secs(5);
+        while !peers[1].is_revoked(SessionId(7)) {
+            assert!(Instant::now() < end, "{}", peers[1].page().await);
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+    fs::remove_dir_all(&dir).ok();
+}
+
+/// Digests of nothing, and rows that nobody asked for.
+fn lies(i: u64) -> Frame {
+    let kind = if i.is_multiple_of(2) { frame::DIGEST } else { frame::ROWS };
+    Frame { kind, count: i, birth: u64::MAX, ..Frame::default() }
+}
--- a/crates/replica/src/asker.rs
+++ b/crates/replica/src/asker.rs
@@ -3,11 +3,14 @@
 use crate::{Claim, ClaimNo, Effects, Group, Member};
 use ivyward_session::{Birth, SessionId};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound::{Excluded, Unbounded};
 use std::time::Duration;
 
 /// Claims to be taken back that a member has not confirmed; of more the oldest are left to their span. Guards against
 /// memory that a member away for long would take.
 const OWED: usize = 4096;
+/// Of those so many are asked again at once, the others in their turn: what a zone that is away costs is bounded.
+const OWED_AGAIN: usize = 64;
 
 /// What became of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -40,6 +43,8 @@
     /// Starts without memory, as keepers tell of each other.
     starts: BTreeMap<Member, Birth>,
     owed: BTreeMap<(Member, ClaimNo), SessionId>,
+    /// Behind which those owed are asked again.
+    owed_asked: Option<(Member, ClaimNo)>,
     last: u64,
 }
 
@@ -47,7 +52,7 @@
     /// `birth`: this start, above all before.
     pub fn new(group: Group, me: Member, birth: Birth) -> Asker {
         let (asks, starts, owed) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        Asker { group, me, birth, asks, starts, owed, last: 0 }
+        Asker { group, me, birth, asks, starts, owed, owed_asked: None, last: 0 }
     }
 
     /// Claims that wait for their word, and those that members have still to take back.
@@ -149,8 +154,12 @@
             let silent = ask.keepers.iter().filter(|keeper| !self.stands(ask, keeper));
             silent.for_each(|keeper| out.claim(*keeper, ask.session, self.claim(*no)));
         }
-        for ((member, no), session) in &self.owed {
+        let behind = self.owed_asked.map_or(Unbounded, Excluded);
+        let due =
+            self.owed.range((behind, Unbounded)).chain(&self.owed).take(OWED_AGAIN.min(self.owed.len()));
+        for ((member, no), session) in due {
             out.take_back(*member, *session, self.claim(*no));
+            self.owed_asked = Some((*member, *no));
         }
     }
 }
