--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -21,11 +21,18 @@
         _ => "whole",
     };
     text += &format!("memory              {memory}\n");
+    let neighbours = page["neighbours"].as_array().into_iter().flatten().filter_map(Value::as_str);
+    text += &format!("neighbours          {}\n", neighbours.collect::<Vec<_>>().join(", "));
     for (label, name) in [
         ("sessions kept", "sessions_kept"),
         ("claims asking", "asking"),
         ("to be taken back", "to_take_back"),
         ("notes to disk", "notes_to_disk"),
+        ("passed over", "passed_over"),
+        ("paths open", "paths"),
+        ("paths opened", "paths_opened"),
+        ("frames sent", "frames_sent"),
+        ("bytes sent", "bytes_sent"),
         ("revoked, told of", "revoked"),
     ] {
         text += &format!("{label:<20}{}\n", whole(name));
