What is over is not passed on round and round; heads of earlier starts are kept a span longer

At fault: Common::told, which passed on an empty list for a log that its members had dropped as over (forget_over), dropped it again, and was told it by them. Now only what is still held is passed on, and a copy keeps the number behind an earlier start's records a span longer, so that one that is over here and not yet at others isn't learned anew. Test: what_is_over_is_not_passed_on_round_and_round; with both taken out it fails ('what is said grows without end'); not run with one of them taken out alone.

--- a/crates/replica/src/common.rs
+++ b/crates/replica/src/common.rs
@@ -54,6 +54,8 @@
     head: u64,
     /// When each is over.
     held: BTreeMap<u64, (Duration, R)>,
+    /// Since when nothing is held.
+    empty: Duration,
 }
 
 impl<R: Clone> Records<R> {
@@ -118,7 +120,7 @@
         self.forget_over(out, now);
         out.learned(&what);
         let until = now + self.span;
-        let log = self.logs.entry(self.own).or_insert(Records { head: 0, held: BTreeMap::new() });
+        let log = self.logs.entry(self.own).or_insert(Records { head: 0, held: BTreeMap::new(), empty: now });
         let no = log.head;
         log.held.insert(no, (until, what.clone()));
         log.head += 1;
@@ -185,7 +187,7 @@
         if between.start > head {
             return out.heads(from, &self.heads(), false);
         }
-        let held = self.logs.entry(log).or_insert(Records { head, held: BTreeMap::new() });
+        let held = self.logs.entry(log).or_insert(Records { head, held: BTreeMap::new(), empty: now });
         for Record { no, left, what } in records {
             if (head..between.end).contains(&no) && !left.is_zero() {
                 out.learned(&what);
@@ -194,7 +196,8 @@
         }
         held.head = between.end;
         let fresh = held.between(now, &(head..between.end));
-        let others = neighbours.iter().filter(|to| **to != from);
+        // Guards against what is over being passed on round and round: that there was something is for turns to find out.
+        let others = neighbours.iter().filter(|to| **to != from && !fresh.is_empty());
         others.for_each(|to| out.records(*to, log, head..between.end, &fresh));
     }
 
@@ -202,10 +205,13 @@
         for log in self.logs.values_mut() {
             while let Some(first) = log.held.first_entry().filter(|first| first.get().0 <= now) {
                 out.over(&first.remove().1);
+                log.empty = now;
             }
         }
-        // Of starts before a member's last nothing new comes: what is empty is left out for good.
+        // Of starts before a member's last nothing new comes: what is empty is left out for good, a span later. Guards
+        // against a record that is over here, not yet at others, and is learned again from them, and again from here.
         let last: BTreeMap<_, _> = self.logs.keys().map(|log| (log.of, log.birth)).collect();
-        self.logs.retain(|log, records| !records.held.is_empty() || last[&log.of] == log.birth);
+        let (span, is_last) = (self.span, |log: &Log| last[&log.of] == log.birth);
+        self.logs.retain(|log, held| !held.held.is_empty() || is_last(log) || now < held.empty + span);
     }
 }
--- a/crates/replica/src/tests.rs
+++ b/crates/replica/src/tests.rs
@@ -487,6 +487,8 @@
     /// Messages, and records in them.
     sent: [usize; 2],
     turns: usize,
+    /// Whether all others are neighbours that a record is passed on to.
+    passes_on: bool,
 }
 
 impl Copies {
@@ -495,7 +497,7 @@
         let copy = |of| (Common::new(of, Birth(1), SPAN), Said::default());
         let copies = group.members().map(copy).collect();
         let (late, chance) = (vec![], Pcg64Mcg::seed_from_u64(seed));
-        Copies { copies, now: NOW, late, chance, sent: [0; 2], turns: 0 }
+        Copies { copies, now: NOW, late, chance, sent: [0; 2], turns: 0, passes_on: false }
     }
 
     fn of(&mut self, at: usize, act: impl FnOnce(&mut Common<u32>, &mut Said, Duration)) {
@@ -525,7 +527,8 @@
 
     /// Carries what was said until nothing is under way; `lost`: of a hundred; `cut`: whether two can't speak.
     fn carry(&mut self, lost: u32, cut: impl Fn(usize, usize) -> bool) {
-        loop {
+        for rounds in 0.. {
+            assert!(rounds < 1000, "what is said never comes to an end");
             let mut wire = vec![];
             for (from, (_, said)) in self.copies.iter_mut().enumerate() {
                 wire.extend(said.wire.drain(..).map(|(to, told)| (Member(from as u16), to, told)));
@@ -533,6 +536,7 @@
             if wire.is_empty() {
                 return;
             }
+            assert!(wire.len() < 1_000_000, "what is said grows without end");
             for (from, to, told) in wire {
                 self.sent[0] += 1;
                 self.sent[1] += if let Told::Records(_, _, records) = &told { records.len() } else { 0 };
@@ -548,11 +552,14 @@
     }
 
     fn comes(&mut self, from: Member, to: Member, told: Told) {
+        let others = if self.passes_on { self.others(to.0.into()) } else { vec![] };
         self.of(to.0.into(), |copy, said, now| match told {
             Told::Digest(digest) => copy.compared(said, now, from, digest),
             Told::Same => {}
             Told::Heads(heads, back) => copy.accounted(said, now, from, &heads, back),
-            Told::Records(log, between, records) => copy.told(said, now, from, log, between, records, &[]),
+            Told::Records(log, between, records) => {
+                copy.told(said, now, from, log, between, records, &others)
+            }
         });
     }
 
@@ -660,3 +667,41 @@
     // Nor are the logs of starts that are over held on to.
     assert!(all.copies.iter().all(|(copy, _)| copy.logs() <= 3));
 }
+
+#[test]
+fn what_is_over_is_not_passed_on_round_and_round() {
+    // What comes once all is over of a start before the last: nothing but a number, a record that is over, and one that was
+    // long on the way; and where it is learned.
+    let record = |left| vec![Record { no: 0, left, what: 7 }];
+    let cases = [
+        ("a number", vec![], [0, 0]),
+        ("over", record(Duration::ZERO), [0, 0]),
+        // To one that knows it is over, and to one that never heard of it.
+        ("late", record(Duration::from_millis(5)), [0, 1]),
+    ];
+    for (what, records, learned) in cases {
+        for heard in [true, false] {
+            let mut all = Copies::new(5, 1);
+            all.passes_on = true;
+            all.add(0, 7);
+            all.carry(0, |_, to| to == 4 && !heard);
+            let log = Log { of: Member(0), birth: Birth(1) };
+            all.restart(0, 2);
+            all.add(0, 8);
+            all.carry(0, |_, to| to == 4 && !heard);
+            all.now += SPAN + Duration::from_millis(1);
+            all.turn(0, |_, to| to == 4 && !heard);
+            assert!(all.copies.iter().all(|(copy, _)| copy.is_empty()), "{what}");
+            all.sent = [0; 2];
+            all.comes(Member(1), Member(4), Told::Records(log, 0..1, records.clone()));
+            all.carry(0, |_, _| false);
+            let knows = all.copies.iter().filter(|(_, said)| said.known.contains_key(&7)).count();
+            assert_eq!(knows, learned[usize::from(!heard)], "{what}, heard {heard}");
+            assert!(all.sent[0] <= 4, "{what}, heard {heard}: {} messages", all.sent[0]);
+            // And nothing of it is left.
+            all.now += 2 * SPAN;
+            all.turn(0, |_, _| false);
+            assert!(all.copies.iter().all(|(copy, _)| copy.is_empty() && copy.logs() <= 1), "{what}");
+        }
+    }
+}
