--- a/crates/replica/src/group.rs
+++ b/crates/replica/src/group.rs
@@ -22,7 +22,7 @@
         Group { members, keepers }
     }
 
-    pub fn members(&self) -> impl Iterator<Item = Member> + use<> {
+    pub fn members(&self) -> impl Iterator<Item = Member> + Clone + use<> {
         (0..self.members.len() as u16).map(Member)
     }
 
@@ -34,6 +34,10 @@
         self.members.get(usize::from(member.0)).map_or("", |(name, _)| name)
     }
 
+    pub fn zone(&self, member: Member) -> u8 {
+        self.members.get(usize::from(member.0)).map_or(0, |(_, zone)| *zone)
+    }
+
     /// The text by which members know that they are configured alike.
     pub fn text(&self) -> String {
         let member = |(name, zone): &(String, u8)| format!("{name:?} zone {zone}");
@@ -41,6 +45,11 @@
         format!("{} keepers of {}", self.keepers, members.join(", "))
     }
 
+    /// That text in one number: what members tell each other of it where it is the same.
+    pub fn digest(&self) -> u128 {
+        siphasher::sip128::SipHasher13::new().hash(self.text().as_bytes()).as_u128()
+    }
+
     /// A session's keepers: those of highest weight (rendezvous hashing: Thaler and Ravishankar, 1998), from zones apart
     /// as far as there are so many.
     pub fn keepers(&self, session: SessionId) -> BTreeSet<Member> {
