A session's keepers are sorted by keys worked out once; stores outlive a change of what members speak

At fault: Group::keepers sorted by a key that hashes the name at each comparison. Seen by reading: Store::open refused what revision 2 had written, since it took the revision of the frames for that of the disk.

--- a/crates/peers/src/store.rs
+++ b/crates/peers/src/store.rs
@@ -17,6 +17,8 @@
 const WHOLE: &str = "whole";
 const GROUP: &str = "group";
 const REVISION: &str = "revision";
+/// Of what is written here, not of what members speak: a store outlives a change of that.
+const WRITTEN_AS: u32 = 2;
 
 /// One change, to be written with others in one sync.
 pub enum Note {
@@ -63,7 +65,7 @@
         let change = database.begin_write().map_err(told(&file))?;
         let stored = {
             let mut about = change.open_table(ABOUT).map_err(told(&file))?;
-            for (name, wanted) in [(GROUP, group.text()), (REVISION, frame::REVISION.to_string())] {
+            for (name, wanted) in [(GROUP, group.text()), (REVISION, WRITTEN_AS.to_string())] {
                 let found = about.get(name).map_err(told(&file))?.map(|text| text.value().to_string());
                 if let Some(found) = found.as_ref().filter(|found| **found != wanted) {
                     let what = format!("{name} is {found}, the settings say {wanted}");
--- a/crates/replica/src/group.rs
+++ b/crates/replica/src/group.rs
@@ -60,7 +60,8 @@
             hasher.finish()
         };
         let mut order: Vec<_> = self.members().collect();
-        order.sort_by_key(|member| (std::cmp::Reverse(weight(member)), *member));
+        // Each name is hashed once: sorting asks for its key at each comparison.
+        order.sort_by_cached_key(|member| (std::cmp::Reverse(weight(member)), *member));
         let mut zones = BTreeSet::new();
         let (apart, beside): (Vec<_>, Vec<_>) =
             order.into_iter().partition(|member| zones.insert(self.members[usize::from(member.0)].1));
--- a/crates/replica/src/keeper.rs
+++ b/crates/replica/src/keeper.rs
@@ -249,7 +249,8 @@
     pub fn ask_again(&mut self, out: &mut impl Effects, now: Duration, most: usize) {
         self.forget_over(out, now);
         let Some(recalls) = &mut self.recalls else { return };
-        let behind = recalls.asked.map_or(0, |asked| usize::from(asked.0) + 1);
+        // Each begins behind itself: guards against all that start without memory at once asking the same one.
+        let behind = usize::from(recalls.asked.unwrap_or(self.me).0) + 1;
         let all = self.group.members().count();
         let due = self.group.members().cycle().skip(behind).take(all);
         let due = due.filter(|member| *member != self.me && !recalls.told.contains(member)).take(most);
