Frames that wait together go out with one flush

Seen by the hollow managers: an answer to one that starts is a frame a log; each flushed alone cost a segment and its acknowledgement (104 bytes of headers), some 40 kB for 250 logs, three answers a start. At fault: Path::carries, which flushed after each frame.

--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -26,7 +26,10 @@
 /// A connection on which nothing came for so many times as long as its path may be quiet belongs to a machine that is gone.
 const GONE: u32 = 4;
 
-pub fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+/// Frames on a connection, either way.
+pub type Connection = Framed<TcpStream, LengthDelimitedCodec>;
+
+pub fn framed(stream: TcpStream) -> Connection {
     stream.set_nodelay(true).ok();
     LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_framed(stream)
 }
--- a/crates/peers/src/path.rs
+++ b/crates/peers/src/path.rs
@@ -3,7 +3,8 @@
 
 use crate::driver::Peers;
 use crate::frame::{self, Frame};
-use crate::link::{STALLED, bytes, framed};
+use crate::link::{Connection, STALLED, bytes, framed};
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use ivyward_replica::{Group, Member};
 use prost::Message;
@@ -19,6 +20,8 @@
 
 /// Frames that may wait for one member; what finds more before it is left out, and asked again by whoever needs it.
 pub const FRAMES: usize = 1024;
+/// So many go out with one flush. Guards against a path that is always written to being taken for one that stalls.
+const TOGETHER: usize = 64;
 /// A path that failed is tried again after as long as a connection may take, then after twice that, up to so many times:
 /// what a whole zone that is away costs whoever owes it something is bounded.
 const PAUSES: u32 = 8;
@@ -152,10 +155,16 @@
 
     async fn carries(&mut self, stream: TcpStream, first: Frame) -> End {
         let mut out = framed(stream);
-        let mut next = [Some(self.terms.hello.clone()), Some(first)].into_iter();
+        let hello = bytes(&self.terms.hello);
+        more(&self.terms.sent.frames, 1);
+        more(&self.terms.sent.bytes, hello.len() + frame::HEAD);
+        if !matches!(timeout(STALLED, out.feed(hello)).await, Ok(Ok(()))) {
+            return End::Broken;
+        }
+        let mut first = Some(first);
         loop {
-            let frame = match next.next() {
-                Some(frame) => frame,
+            let frame = match first.take() {
+                Some(frame) => Some(frame),
                 None => tokio::select! {
                     frame = self.next() => frame,
                     // All that is said here is what the group is there, where it differs: then it is over.
@@ -168,14 +177,25 @@
                 },
             };
             let Some(frame) = frame else { return End::Quiet };
-            let bytes = bytes(&frame);
-            let length = bytes.len();
-            if !matches!(timeout(STALLED, out.send(bytes)).await, Ok(Ok(()))) {
+            if !matches!(timeout(STALLED, self.writes(&mut out, frame)).await, Ok(Ok(()))) {
                 return End::Broken;
             }
+        }
+    }
+
+    /// Writes a frame and those that wait behind it, with one flush: an account of many logs is many frames, and each
+    /// flushed alone would cost a segment and its acknowledgement.
+    async fn writes(&mut self, out: &mut Connection, first: Frame) -> std::io::Result<()> {
+        let mut next = Some(first);
+        for left in (0..TOGETHER).rev() {
+            let Some(frame) = next.take() else { break };
+            let bytes = bytes(&frame);
             more(&self.terms.sent.frames, 1);
-            more(&self.terms.sent.bytes, length + frame::HEAD);
+            more(&self.terms.sent.bytes, bytes.len() + frame::HEAD);
+            out.feed(bytes).await?;
+            next = if left > 0 { self.frames.try_recv().ok() } else { None };
         }
+        SinkExt::<Bytes>::flush(out).await
     }
 }
 
