--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -173,8 +173,7 @@
             let stream = match connect(address, within).await {
                 Ok(stream) => stream,
                 Err(error) => {
-                    let refused = error.kind() == io::ErrorKind::ConnectionRefused;
-                    return queue.tell(move |front, hands, now| hands.unreached(front, now, id, refused));
+                    return queue.tell(move |front, hands, now| hands.unreached(front, now, id, &error));
                 }
             };
             keeps_little(&stream);
@@ -299,9 +298,17 @@
 
     /// A connection didn't come about: nothing that waited for it ran. Refused, the process there is dead, and what
     /// played there is over.
-    fn unreached(&mut self, front: &mut Front, now: Duration, id: u64, refused: bool) {
+    fn unreached(&mut self, front: &mut Front, now: Duration, id: u64, error: &io::Error) {
         let Some(link) = self.servers.links.remove(&id) else { return };
-        let server = link.server;
+        let (server, refused) = (link.server, error.kind() == io::ErrorKind::ConnectionRefused);
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let address = self.list.row(server).map(|row| row.address);
+            let refs = link.waiting.iter().filter_map(|key| self.servers.attempts.get(key));
+            let waited: Vec<_> = refs.map(|attempt| format!("{:016x}", attempt.of.0)).collect();
+            let standing = self.list.standing(server);
+            let server = self.word(server);
+            tracing::debug!(server, ?address, ?standing, %error, ?waited, "a connection doesn't come about");
+        }
         for key in link.waiting {
             if self.servers.attempts.remove(&key).is_some() {
                 front.happened(self, now, key.0, key.1, Happened::NotConnected, Load::default());
