Tests: servers that all failed and serve again are tried at once, and nine in ten play in a warm-up

What holds requests back after that is the pace to cold servers for one warm-up (a refused server may have started anew unseen), and with hundreds of managers until each has found each server out for itself. No line of the module or the network code is at fault; none changed. New: src/tests/outage.rs, in virtual time: 8 loads (1 to 300 managers) by 9 outages (refused 1, 5, 30 s, warm before or just started, one by one, silent, reset). Stand-ins: a server may refuse, fall silent or reset; each has an address of its own, as has the program in these tests. Cause: a port of 127.0.0.1 that was closed for a while was taken by others; two programs of two tests got the same one, and a test counted the other's 12 set-ups.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -3,7 +3,7 @@
 use ivyward_fleet::{Cold, Key, ManagerNo, ServerNo};
 use ivyward_rules::{Asked, Came, History, Life, Package, Record, Terms, What, gone, judge, table};
 use ivyward_signal::{Field, Kind, Ref, line};
-use ivyward_standin::platform::{Bus, Does, Server, Viewer, answer};
+use ivyward_standin::platform::{Bus, Does, Server, Viewer, answer, own_address};
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
@@ -20,6 +20,8 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+#[path = "node/outage.rs"]
+mod outage;
 #[path = "node/races.rs"]
 mod races;
 
@@ -82,7 +84,7 @@
             servers.push(Server::start(&format!("s-{i:08x}"), does).await.expect("a server"));
         }
         let bus = Bus::start().await.expect("a bus");
-        let free = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        let free = TcpListener::bind(own_address()).await.expect("a socket");
         let address = free.local_addr().expect("its address");
         drop(free);
         let members: Vec<_> =
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -9,15 +9,20 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+/// Connections that may wait to be accepted.
+const QUEUE: u32 = 1024;
+
 /// What a server does with a set-up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Does {
@@ -40,6 +45,18 @@
     Bare,
 }
 
+/// What a server does with connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepts {
+    All,
+    /// Nobody listens, and what stood is reset.
+    Refuses,
+    /// What stood is read no more, and new ones never come up.
+    Silent,
+    /// What stood is reset, and so is each new one as soon as it is accepted.
+    Resets,
+}
+
 /// What reached a server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seen {
@@ -78,6 +95,31 @@
     /// Set-ups without an end, and the connections that they came on.
     open: RefCell<BTreeSet<(usize, Ref)>>,
     connections: RefCell<Vec<Out>>,
+    accepts: watch::Sender<Accepts>,
+}
+
+/// An address of loopback that is nobody else's, of any port. Guards against one that closes its socket and finds the port
+/// taken when it opens it again: by another test, or by a connection, whose own end is at 127.0.0.1.
+pub fn own_address() -> SocketAddr {
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    let [_, _, high, low] = LAST.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = 2 + process::id() % 250;
+    SocketAddr::from((Ipv4Addr::new(127, process as u8, high, low), 0))
+}
+
+/// A socket that listens where one did before. Guards against the one before, which may not have let go of it yet.
+async fn listen(address: SocketAddr, queue: u32) -> TcpListener {
+    loop {
+        let socket = TcpSocket::new_v4().and_then(|socket| {
+            socket.set_reuseaddr(true)?;
+            socket.bind(address)?;
+            socket.listen(queue)
+        });
+        match socket {
+            Ok(listener) => return listener,
+            Err(_) => sleep(Duration::from_millis(5)).await,
+        }
+    }
 }
 
 /// The description that a server answers with: longer than the one it got, and with bytes that JSON has to escape.
@@ -89,7 +131,7 @@
     /// # Errors
     /// No socket is to be had.
     pub async fn start(word: &str, does: Does) -> io::Result<Rc<Server>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind(own_address()).await?;
         let server = Rc::new(Server {
             word: word.into(),
             address: listener.local_addr()?,
@@ -100,34 +142,82 @@
             wrote: Cell::new(0),
             open: RefCell::default(),
             connections: RefCell::default(),
+            accepts: watch::Sender::new(Accepts::All),
         });
-        let accepts = server.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (out, written) = mpsc::unbounded_channel();
-                let number = accepts.connections.borrow().len();
-                accepts.connections.borrow_mut().push(out);
-                let serves = accepts.clone();
-                spawn_local(async move {
-                    serves.serve(stream, number, written).await;
-                    let open = std::mem::take(&mut *serves.open.borrow_mut());
-                    let (lost, others) = open.into_iter().partition(|(connection, _)| *connection == number);
-                    *serves.open.borrow_mut() = others;
-                    let lost: BTreeSet<(usize, Ref)> = lost;
-                    lost.into_iter()
-                        .for_each(|(connection, of)| serves.ended(connection, of, SetUpEnd::Closed));
-                });
+        spawn_local(server.clone().serve_all(listener));
+        Ok(server)
+    }
+
+    async fn serve_all(self: Rc<Self>, mut listener: TcpListener) {
+        let mut turned = self.accepts.subscribe();
+        loop {
+            let how = *turned.borrow_and_update();
+            if matches!(how, Accepts::Refuses | Accepts::Resets) {
+                (0..self.connections()).for_each(|number| self.reset(number));
+            }
+            match how {
+                Accepts::All | Accepts::Resets => loop {
+                    tokio::select! {
+                        changed = turned.changed() => if changed.is_ok() { break } else { return },
+                        Ok((stream, _)) = listener.accept() => match how {
+                            Accepts::All => self.accepted(stream),
+                            _ => drop(stream.set_zero_linger()),
+                        },
+                    }
+                },
+                Accepts::Refuses => {
+                    drop(listener);
+                    turned.changed().await.ok();
+                    listener = listen(self.address, QUEUE).await;
+                }
+                Accepts::Silent => {
+                    // A queue that is full takes no connection.
+                    drop(listener);
+                    let full = listen(self.address, 1).await;
+                    let (mut queued, soon) = (vec![], Duration::from_millis(20));
+                    while let Ok(Ok(stream)) = timeout(soon, TcpStream::connect(self.address)).await {
+                        queued.push(stream);
+                    }
+                    turned.changed().await.ok();
+                    drop((full, queued));
+                    listener = listen(self.address, QUEUE).await;
+                }
             }
+        }
+    }
+
+    fn accepted(self: &Rc<Self>, stream: TcpStream) {
+        let (out, written) = mpsc::unbounded_channel();
+        let number = self.connections.borrow().len();
+        self.connections.borrow_mut().push(out);
+        let serves = self.clone();
+        spawn_local(async move {
+            serves.serve(stream, number, written).await;
+            let open = std::mem::take(&mut *serves.open.borrow_mut());
+            let (lost, others) = open.into_iter().partition(|(connection, _)| *connection == number);
+            *serves.open.borrow_mut() = others;
+            let lost: BTreeSet<(usize, Ref)> = lost;
+            lost.into_iter().for_each(|(connection, of)| serves.ended(connection, of, SetUpEnd::Closed));
         });
-        Ok(server)
+    }
+
+    /// What it does with connections from now on.
+    pub fn accepts(&self, how: Accepts) {
+        self.accepts.send_replace(how);
     }
 
     async fn serve(
         &self, mut stream: TcpStream, number: usize, mut written: mpsc::UnboundedReceiver<Option<Vec<u8>>>,
     ) {
         let (mut messages, mut piece) = (Messages::default(), [0; 4096]);
+        let mut turned = self.accepts.subscribe();
         loop {
+            if turned.wait_for(|how| *how != Accepts::Silent).await.is_err() {
+                return;
+            }
             tokio::select! {
+                // Silent may be what it has turned to.
+                Ok(()) = turned.changed() => {}
                 out = written.recv() => match out {
                     Some(Some(bytes)) if stream.write_all(&bytes).await.is_ok() => {
                         self.wrote.set(self.wrote.get() + bytes.len());
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -6,6 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+mod outage;
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
