ivyward-lab scale: what control costs a manager, real processes and hollow ones, with budgets

Need: the fleet ahead has 580 managers; what control costs each was known from one table by hand, to 200, and nothing held it.

Real processes of `ivyward run` with peers (200 at most, half of the machine's memory at most, 285 s at most, ends its own children on error, SIGTERM and SIGINT): bytes and segments by the kernel's count of each connection (`ss`; the loopback's own count holds all that others send), processor, memory, descriptors, a change's time to half, 99 in 100 and all, a tenth without memory, a zone away and back, all without memory; another build in turns. Hollow managers: the same Cores in virtual time with paths, handshakes, idle closing, disk, 6 zones, 2 regions; also an hour's split with 31 changes, a rack, 50 times the changes, members stopped, a tenth restarted each 5 s, 1 and 10 in 100 messages lost. Exponent and budget beside each figure, what was not run, last line the verdict, exit 1 where a budget is passed.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -105,7 +105,7 @@
 }
 
 /// A folder for the managers' files, gone with the day.
-struct Folder(PathBuf);
+pub(crate) struct Folder(pub PathBuf);
 
 impl Drop for Folder {
     fn drop(&mut self) {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `ivyward-lab`: the session front's laboratory.
 
 use clap::{Parser, Subcommand};
+use ivyward_lab::scale::Ask;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -81,6 +82,26 @@
         #[arg(long)]
         against: Option<PathBuf>,
     },
+    /// Measure what control costs a manager as the fleet grows; exits with 1 where a budget is passed
+    Scale {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Sizes of fleets of real processes of the `ivyward` beside this program, 200 at most; without a number none
+        #[arg(long, num_args = 0.., default_values_t = [10, 30, 100, 200])]
+        managers: Vec<usize>,
+        /// Sizes of fleets of hollow managers: the same cores without sockets, in virtual time; without a number none
+        #[arg(long, num_args = 0.., default_values_t = [100, 300, 580, 1160])]
+        hollow: Vec<usize>,
+        /// Another build of `ivyward`, measured in turns with this one
+        #[arg(long)]
+        against: Option<PathBuf>,
+        /// Hollow managers for a shorter while, without the rarer troubles
+        #[arg(long)]
+        small: bool,
+        /// A defect put in on purpose, to see it found: hollow managers tell all what is told to neighbours
+        #[arg(long)]
+        all_by_all: bool,
+    },
     /// What is named for faults planted in worlds of sessions
     Quality {
         /// Worlds of each kind
@@ -226,6 +247,11 @@
             }
             Ok(true)
         }
+        What::Scale { seed, managers, hollow, against, small, all_by_all } => {
+            let (managers, hollow) = (&managers[..], &hollow[..]);
+            let against = against.as_deref();
+            ivyward_lab::scale::run(&Ask { seed, managers, hollow, against, small, all_by_all })
+        }
         What::Bare => bare().map(|()| true),
         What::Measure { script, rounds, viewings, connections } => {
             measure(&script, rounds, viewings, connections).map(|()| true)
--- a/crates/lab/src/managers.rs
+++ b/crates/lab/src/managers.rs
@@ -77,7 +77,7 @@
     begun: Instant,
 }
 
-async fn signal(id: u32, name: &str) -> bool {
+pub(crate) async fn signal(id: u32, name: &str) -> bool {
     let told = Command::new("kill").arg(format!("-{name}")).arg(id.to_string()).status().await;
     told.is_ok_and(|told| told.success())
 }
