--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -9,7 +9,7 @@
 //!   what is said is lost and the path seems to stand.
 //! - What is kept goes to a disk that takes some ms. Members keep no claims: nobody comes to them.
 
-use ivyward_peers::{Cores, Frame, HEAD, Note, QUIET, Stored, hello};
+use ivyward_peers::{Cores, Frame, HEAD, Note, QUIET, Stored, TOGETHER, hello};
 use ivyward_replica::{Group, Member};
 use ivyward_session::{Birth, SessionId};
 use prost::Message;
@@ -110,6 +110,8 @@
     life: u64,
     /// Since when it has been cut.
     cut: Option<Duration>,
+    /// What goes out with one flush: which, its frames and bytes.
+    together: (u64, usize, usize),
 }
 
 enum Event {
@@ -157,6 +159,8 @@
     queue: BTreeMap<(Duration, u64), Event>,
     events: u64,
     paths: u64,
+    /// How often what members wanted to say was taken.
+    flushes: u64,
     pub members: Vec<Hollow>,
     /// Regions are cut off from each other since then.
     cut: Option<Duration>,
@@ -192,6 +196,7 @@
             queue: BTreeMap::new(),
             events: 0,
             paths: 0,
+            flushes: 0,
             members: (0..terms.members).map(hollow).collect(),
             cut: None,
             told: vec![],
@@ -438,6 +443,7 @@
 
     /// Does what a member's cores want done.
     fn delivers(&mut self, member: usize) {
+        self.flushes += 1;
         let hollow = &mut self.members[member];
         let Some(cores) = &mut hollow.cores else { return };
         let out = &mut cores.out;
@@ -502,6 +508,7 @@
                 arrives: now,
                 life: 0,
                 cut: None,
+                together: (0, 0, 0),
             };
             self.members[from].paths.insert(to, path);
             return self.tries(from, to);
@@ -547,6 +554,7 @@
         sent.segments(HANDSHAKE[0] - 1);
         sent.paths += 1;
         self.members[to].sent.segments(HANDSHAKE[1]);
+        self.flushes += 1;
         let Some(cores) = &self.members[from].cores else { return };
         let greeting = hello(&self.group, Member(from as u16), cores.birth);
         self.costs(from, to, &greeting);
@@ -554,10 +562,15 @@
         self.due(now + WORD * QUIET, Event::Quiet(from, to, no));
     }
 
-    /// What a frame costs who sends it, and its receiver for saying that it came.
+    /// What a frame costs who sends it, and its receiver for saying that it came. What is said together goes out with one
+    /// flush, as a manager does it.
     fn costs(&mut self, from: usize, to: usize, frame: &Frame) {
-        let length = frame.encoded_len() + HEAD;
-        let segments = length.div_ceil(CARRIES) as u64;
+        let (length, flush) = (frame.encoded_len() + HEAD, self.flushes);
+        let Some(path) = self.members[from].paths.get_mut(&to) else { return };
+        let (with, frames, before) = path.together;
+        let before = if with == flush && frames < TOGETHER { before } else { 0 };
+        let segments = ((before + length).div_ceil(CARRIES) - before.div_ceil(CARRIES)) as u64;
+        path.together = (flush, if before == 0 { 1 } else { frames + 1 }, before + length);
         let sent = &mut self.members[from].sent;
         sent.frames += 1;
         sent.bytes += length as u64;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -12,6 +12,7 @@
 pub use driver::{Claimed, Peers};
 pub use frame::{Frame, HEAD};
 pub use link::{greets, hello};
+pub use path::TOGETHER;
 pub use store::{Note, Store, Stored};
 
 use ivyward_replica::Group;
--- a/crates/peers/src/path.rs
+++ b/crates/peers/src/path.rs
@@ -21,7 +21,7 @@
 /// Frames that may wait for one member; what finds more before it is left out, and asked again by whoever needs it.
 pub const FRAMES: usize = 1024;
 /// So many go out with one flush. Guards against a path that is always written to being taken for one that stalls.
-const TOGETHER: usize = 64;
+pub const TOGETHER: usize = 64;
 /// A path that failed is tried again after as long as a connection may take, then after twice that, up to so many times:
 /// what a whole zone that is away costs whoever owes it something is bounded.
 const PAUSES: u32 = 8;
