ivyward-lab slopes: what connections, viewings, answers, servers, claims and members cost

Change: a command that measures each thing at growing sizes over several runs with real manager processes (or the cores alone) and prints slope, spread, exponent and largest size.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod managers;
 pub mod measure;
 pub mod quality;
+pub mod slopes;
 pub mod trouble;
 pub mod verdict;
 pub mod viewers;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -81,6 +81,32 @@
         #[arg(long)]
         against: Option<PathBuf>,
     },
+    /// Measure what connections, viewings, servers, paid viewings and members cost as there are more of them
+    Slopes {
+        /// connection, viewing, answer, list, claim or cores; may be given several times, all if left out
+        #[arg(long)]
+        only: Vec<String>,
+        #[arg(long, default_value_t = 3)]
+        runs: usize,
+        /// Connections and live viewings at most, connections as far as descriptors allow
+        #[arg(long, default_value_t = 20_000)]
+        most: usize,
+        /// Manifests asked for a second at most
+        #[arg(long, default_value_t = 8000)]
+        rate: usize,
+        /// Servers listed at most
+        #[arg(long, default_value_t = 2000)]
+        servers: usize,
+        /// Paid viewings at most
+        #[arg(long, default_value_t = 2000)]
+        paid: usize,
+        /// Members of the group at most, in the cores
+        #[arg(long, default_value_t = 1160)]
+        members: usize,
+    },
+    /// Kilobytes of memory that each of so many sessions kept, or records in common, takes
+    #[command(hide = true)]
+    Weigh { what: String, count: usize },
     /// What is named for faults planted in worlds of sessions
     Quality {
         /// Worlds of each kind
@@ -198,6 +224,22 @@
     Ok(rules.iter().all(|rule| rule.broken.is_empty()))
 }
 
+fn slopes(only: &[String], sizes: &ivyward_lab::slopes::Sizes) -> Result<(), String> {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    print!("{}", ivyward_lab::slopes::table(&program, only, sizes)?);
+    Ok(())
+}
+
+fn weigh(what: &str, count: usize) -> Result<(), String> {
+    let weighed = match what {
+        "sessions" => ivyward_lab::slopes::Weighed::Sessions,
+        "records" => ivyward_lab::slopes::Weighed::Records,
+        _ => return Err(format!("{what}: is neither sessions nor records")),
+    };
+    println!("{}", ivyward_lab::slopes::weigh(weighed, count));
+    Ok(())
+}
+
 fn bare() -> Result<(), String> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
@@ -226,6 +268,11 @@
             }
             Ok(true)
         }
+        What::Slopes { only, runs, most, rate, servers, paid, members } => {
+            let sizes = ivyward_lab::slopes::Sizes { runs, most, rate, servers, paid, members };
+            slopes(&only, &sizes).map(|()| true)
+        }
+        What::Weigh { what, count } => weigh(&what, count).map(|()| true),
         What::Bare => bare().map(|()| true),
         What::Measure { script, rounds, viewings, connections } => {
             measure(&script, rounds, viewings, connections).map(|()| true)
