--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -226,8 +226,7 @@
 
 fn slopes(only: &[String], sizes: &ivyward_lab::slopes::Sizes) -> Result<(), String> {
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
-    print!("{}", ivyward_lab::slopes::table(&program, only, sizes)?);
-    Ok(())
+    ivyward_lab::slopes::table(&program, only, sizes, |text| print!("{text}"))
 }
 
 fn weigh(what: &str, count: usize) -> Result<(), String> {
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -51,16 +51,18 @@
     wanted.min(process::descriptors_allowed().saturating_sub(KEPT_BACK))
 }
 
-/// Measures what is named, or all, and tells of it as a table.
+/// Measures what is named, or all, and tells of each thing as soon as it is measured.
 ///
 /// # Errors
 /// A thing that is not known, a process that didn't come up, or more failed than may.
-pub fn table(program: &Path, only: &[String], sizes: &Sizes) -> Result<String, String> {
+pub fn table(
+    program: &Path, only: &[String], sizes: &Sizes, mut tell: impl FnMut(&str),
+) -> Result<(), String> {
     if let Some(unknown) = only.iter().find(|name| !THINGS.contains(&name.as_str())) {
         return Err(format!("--only {unknown}: is none of {}", THINGS.join(", ")));
     }
     let sizes = Sizes { runs: sizes.runs.max(1), ..sizes.clone() };
-    let mut text = format!("{} runs of each; beside it: load {}\n", sizes.runs, process::load());
+    tell(&format!("{} runs of each; beside it: load {}\n", sizes.runs, process::load()));
     for thing in THINGS.iter().filter(|thing| only.is_empty() || only.iter().any(|name| name == *thing)) {
         let measured = match *thing {
             "cores" => cores::measure(program, &sizes),
@@ -79,10 +81,11 @@
             }
         };
         for series in measured.map_err(|error| format!("{thing}: {error}"))? {
-            text += &series.told(thing);
+            tell(&series.told(thing));
         }
     }
-    Ok(text + &format!("at the end: load {}\n", process::load()))
+    tell(&format!("at the end: load {}\n", process::load()));
+    Ok(())
 }
 
 #[cfg(test)]
