--- a/crates/lab/src/slopes/claim.rs
+++ b/crates/lab/src/slopes/claim.rs
@@ -41,23 +41,29 @@
         sleep(SETTLED).await;
         let (asker, keeper) = (ids[0], ids[1]);
         let store = folder.0.join("m2").join("keeper.redb");
-        let (mut kept, mut rows, mut used) = (0, [(); 5].map(|()| vec![]), [0.0; 3]);
+        let (mut kept, mut rows) = (0, [(); 5].map(|()| vec![]));
+        let (mut keeping, mut asking, mut freely) = (0.0, 0.0, 0.0);
         for size in &at {
             let new = size - kept;
             kept = *size;
-            for (package, row) in [("ticket", 3), ("clip", 3)] {
-                let before = ids.iter().map(|id| process::ran_in_all_us(*id)).collect::<Vec<_>>();
+            for package in ["ticket", "clip"] {
+                let before = [asker, keeper].map(process::ran_in_all_us);
                 let came = process::ask(players.come(managers[0].address, new, package)?).await;
                 if came.failed > 0 {
                     return Err(format!("{} of {new} viewings of {package} got no manifest", came.failed));
                 }
                 sleep(SETTLED / 3).await;
-                used[row - 2] += process::ran_in_all_us(asker) - before[0];
+                let after = [asker, keeper].map(process::ran_in_all_us);
                 if package == "ticket" {
-                    used[0] += process::ran_in_all_us(keeper) - before[1];
+                    keeping += after[1] - before[1];
+                    asking += after[0] - before[0];
+                } else {
+                    freely += after[0] - before[0];
                 }
             }
-            (2..).zip(used).for_each(|(row, used)| rows[row].push(used));
+            rows[2].push(keeping);
+            rows[3].push(asking);
+            rows[4].push(freely);
             rows[0].push(process::memory_kb(&keeper.to_string()));
             rows[1].push(fs::metadata(&store).map_or(0.0, |about| about.len() as f64 / 1000.0));
         }
