--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -103,6 +103,9 @@
         /// Members of the group at most, in the cores
         #[arg(long, default_value_t = 1160)]
         members: usize,
+        /// Seconds after which what was asked is settled; answers are asked for over three times that
+        #[arg(long, default_value_t = 1.0)]
+        settle: f64,
     },
     /// Kilobytes of memory that each of so many sessions kept, or records in common, takes
     #[command(hide = true)]
@@ -267,8 +270,9 @@
             }
             Ok(true)
         }
-        What::Slopes { only, runs, most, rate, servers, paid, members } => {
-            let sizes = ivyward_lab::slopes::Sizes { runs, most, rate, servers, paid, members };
+        What::Slopes { only, runs, most, rate, servers, paid, members, settle } => {
+            let settle = std::time::Duration::from_secs_f64(settle.clamp(0.01, 60.0));
+            let sizes = ivyward_lab::slopes::Sizes { runs, most, rate, servers, paid, members, settle };
             slopes(&only, &sizes).map(|()| true)
         }
         What::Weigh { what, count } => weigh(&what, count).map(|()| true),
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -17,6 +17,7 @@
 pub use fit::{Fit, Kind, Series};
 
 use std::path::Path;
+use std::time::Duration;
 use tokio::task::LocalSet;
 
 /// What can be measured, in the order of the table.
@@ -39,6 +40,8 @@
     pub paid: usize,
     /// Members of the group.
     pub members: usize,
+    /// A manager has its list after this, and what was asked is settled; what takes little is watched twice as long.
+    pub settle: Duration,
 }
 
 /// So many sizes, each twice the last, up to one.
--- a/crates/lab/src/slopes/connection.rs
+++ b/crates/lab/src/slopes/connection.rs
@@ -51,7 +51,7 @@
     for run in 0..sizes.runs {
         process::room()?;
         let (folder, standins) = (Folder::new(&format!("c{run}"))?, process::standins(&script)?);
-        let (manager, id) = process::manager(&script, &standins, &folder.0, program).await?;
+        let (manager, id) = process::manager(&script, &standins, &folder.0, program, sizes.settle).await?;
         let (mut open_now, mut rows) = (vec![], [vec![], vec![], vec![]]);
         for size in &at {
             let (before, already) = (process::ran_us(id), open_now.len());
--- a/crates/lab/src/slopes/tests.rs
+++ b/crates/lab/src/slopes/tests.rs
@@ -80,7 +80,15 @@
 
 #[test]
 fn a_thing_that_is_not_known_is_named() {
-    let sizes = super::Sizes { runs: 1, most: 1, rate: 1, servers: 1, paid: 1, members: 3 };
+    let sizes = super::Sizes {
+        runs: 1,
+        most: 1,
+        rate: 1,
+        servers: 1,
+        paid: 1,
+        members: 3,
+        settle: std::time::Duration::ZERO,
+    };
     let error = super::table(std::path::Path::new("/nowhere"), &["weather".into()], &sizes, |_| ()).err();
     let error = error.unwrap_or_default();
     assert!(
