--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod measure;
 pub mod quality;
 pub mod scale;
+pub mod slopes;
 pub mod trouble;
 pub mod verdict;
 pub mod viewers;
