At its start a member asks one neighbour for what all know, not three and a turn

Seen by the hollow managers: each of three neighbours, and the one of the first turn, told a member that starts all of it.

--- a/crates/lab/src/scale/hollow.rs
+++ b/crates/lab/src/scale/hollow.rs
@@ -249,7 +249,7 @@
         cores.start(self.now);
         hollow.cores = Some(cores);
         let life = hollow.life;
-        self.due(self.now, Event::Turn(member, life));
+        self.due(self.now + WORD, Event::Turn(member, life));
         self.due(self.now, Event::Anew(member, life));
         self.delivers(member);
     }
--- a/crates/peers/src/cores.rs
+++ b/crates/peers/src/cores.rs
@@ -18,8 +18,8 @@
 /// Turns without a word after which a path is closed: neighbours' stay open by their turns, a keeper's as long as it is
 /// asked every few seconds.
 pub const QUIET: u32 = 16;
-/// Members asked at a start, for what all know and, without memory, for what was kept: that many starts at once are borne by
-/// all. Later one each so many turns, so that what a loss of memory costs a second is the same in any group.
+/// Members asked at a start without memory for what was kept: that many starts at once are borne by all. Later one each so
+/// many turns, so that what a loss of memory costs a second is the same in any group.
 const ASKED: usize = 3;
 const RECALLS: u64 = 2;
 /// Notes that may wait for the disk: with more, no claim is taken. So many go to disk in one sync.
@@ -222,16 +222,16 @@
         self.heard.get(&member).map(|at| now.saturating_sub(*at))
     }
 
-    /// At the start.
+    /// At the start. What all know is asked of one neighbour, since each would tell all of it; should that be away, the
+    /// first turn finds out.
     pub fn start(&mut self, now: Duration) {
-        let mut asked = self.overlay.neighbours();
-        asked.truncate(ASKED);
-        self.revoked.start(&mut self.out, &asked);
+        let asked = self.overlay.turn(now);
+        self.revoked.start(&mut self.out, asked.as_slice());
         self.keeper.ask_again(&mut self.out, now, ASKED);
         self.settle(now);
     }
 
-    /// Every `word`.
+    /// Every `word`, for the first time a `word` after the start.
     pub fn turn(&mut self, now: Duration) {
         if let Some(to) = self.overlay.turn(now) {
             self.revoked.turn(&mut self.out, now, to);
--- a/crates/peers/src/driver.rs
+++ b/crates/peers/src/driver.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_blocking, spawn_local};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep, sleep_until};
 
 /// A store that could not be written is tried again after so long.
 const FULL: Duration = Duration::from_secs(1);
@@ -320,7 +320,8 @@
 async fn run(peers: Peers, mut desk: Desk, store: Store, mut jobs: mpsc::UnboundedReceiver<Job>) {
     let again = (peers.word / AGAIN).max(Duration::from_millis(1));
     let mut next = peers.begun + again;
-    let mut turn = interval(peers.word.max(Duration::from_millis(1)));
+    let word = peers.word.max(Duration::from_millis(1));
+    let mut turn = interval_at(peers.begun + word, word);
     // Guards against all that was missed in a stall being compared at once.
     turn.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
