What all settings tell is told by few; a claim ends a path's pause

Test: what_is_told_already_for_long_enough_is_not_told_anew. Seen: a_minority_blocks_paid_viewings failed with it, four times of four ('Resets: blocked: nothing plays it now', 503 for 502). At fault: path.rs, whose pauses after a failure double up to 2 s, four times the word that a claim waits for; it had passed since the turn at the start came sooner. A claim, and a member that is heard, now end the pause.

--- a/crates/peers/src/cores.rs
+++ b/crates/peers/src/cores.rs
@@ -22,6 +22,8 @@
 /// many turns, so that what a loss of memory costs a second is the same in any group.
 const ASKED: usize = 3;
 const RECALLS: u64 = 2;
+/// Turns after a start in which what the settings tell waits for what others tell: mostly they know it.
+const EARLY: u64 = 4;
 /// Notes that may wait for the disk: with more, no claim is taken. So many go to disk in one sync.
 const BACKLOG: usize = 4 * NOTES;
 pub const NOTES: usize = 1024;
@@ -171,6 +173,9 @@
     pub revoked: Common<SessionId>,
     pub overlay: Overlay,
     turns: u64,
+    span: Duration,
+    /// What is to be told, until another says that it holds the same.
+    early: Option<Vec<SessionId>>,
     /// When each member was heard last.
     heard: BTreeMap<Member, Duration>,
     pub out: Outbox,
@@ -204,6 +209,8 @@
             me,
             birth,
             turns: 0,
+            span,
+            early: Some(vec![]),
             heard: BTreeMap::new(),
             out,
         }
@@ -237,6 +244,9 @@
             self.revoked.turn(&mut self.out, now, to);
         }
         self.turns += 1;
+        if self.turns == EARLY {
+            self.tells_early(now);
+        }
         if self.turns.is_multiple_of(RECALLS) {
             self.keeper.ask_again(&mut self.out, now, 1);
         }
@@ -273,10 +283,25 @@
         self.settle(now);
     }
 
-    /// A session's tokens are taken no more, by no member, for a span.
+    /// A session's tokens are taken no more, by no member, for a span. Whose settings say so says it again each half span.
     pub fn revoke(&mut self, now: Duration, session: SessionId) {
-        let neighbours = self.overlay.neighbours();
-        self.revoked.add(&mut self.out, now, session, &neighbours);
+        match &mut self.early {
+            Some(early) => early.push(session),
+            None => self.tells(now, session),
+        }
+    }
+
+    fn tells_early(&mut self, now: Duration) {
+        self.early.take().into_iter().flatten().for_each(|session| self.tells(now, session));
+    }
+
+    fn tells(&mut self, now: Duration, session: SessionId) {
+        // Guards against a record of each member's for what stands in the settings of all: what is told already, and for
+        // much longer than until it would be said again, is not told anew.
+        if self.revoked.left(now, &session).is_none_or(|left| left <= self.span * 3 / 4) {
+            let neighbours = self.overlay.neighbours();
+            self.revoked.add(&mut self.out, now, session, &neighbours);
+        }
     }
 
     /// A paid session is to be set up, if a majority of its keepers says so until then.
@@ -321,6 +346,7 @@
                 self.keeper.row(out, now, from, birth, session, &held);
             }
             frame::ROWS => self.keeper.rows(out, from, birth, frame.count),
+            frame::SAME => self.tells_early(now),
             frame::DIGEST => self.revoked.compared(out, now, from, frame.count),
             frame::HEADS => {
                 let heads = frame::heads(group, &frame.starts)?;
--- a/crates/peers/src/driver.rs
+++ b/crates/peers/src/driver.rs
@@ -1,7 +1,7 @@
 //! The one task that holds a member's cores, and does what they want done.
 
 use crate::cores::{AGAIN, Cores, NOTES, QUIET};
-use crate::frame::Frame;
+use crate::frame::{self, Frame};
 use crate::path::{Paths, Sent, Terms};
 use crate::store::{Note, Store};
 use crate::{Config, link};
@@ -46,7 +46,12 @@
     /// Does what the cores want done.
     fn delivers(&mut self, peers: &Peers, store: &Store) {
         while let Some((to, frame)) = self.cores.out.frames.pop_front() {
+            let is_claim = frame.kind == frame::CLAIM;
             let said = self.paths.to(to).is_some_and(|path| path.try_send(frame).is_ok());
+            if is_claim {
+                // A viewer waits, for a `word` at most: less than a pause may last.
+                self.paths.hurries(to);
+            }
             if !said {
                 self.cores.out.count("frames_left_out");
             }
@@ -207,7 +212,7 @@
     pub(crate) async fn heard(&self, from: Member, frame: Frame) -> bool {
         let (had, turn) = oneshot::channel();
         self.tell(move |desk, now| {
-            desk.paths.heard(from);
+            desk.paths.hurries(from);
             had.send(desk.cores.hears(now, from, &frame).is_some()).ok();
         });
         turn.await.unwrap_or(false)
--- a/crates/peers/src/path.rs
+++ b/crates/peers/src/path.rs
@@ -50,8 +50,8 @@
 
 struct Open {
     frames: mpsc::Sender<Frame>,
-    /// That member was heard: a pause after a failure is over.
-    heard: Rc<Notify>,
+    /// A pause after a failure is over.
+    hurries: Rc<Notify>,
 }
 
 /// All paths of a member.
@@ -81,9 +81,10 @@
         self.open.retain(|_, open| !open.frames.is_closed());
     }
 
-    pub fn heard(&self, member: Member) {
+    /// A pause after a failure is over at once: that member was heard, or somebody waits for its word.
+    pub fn hurries(&self, member: Member) {
         if let Some(open) = self.open.get(&member) {
-            open.heard.notify_waiters();
+            open.hurries.notify_waiters();
         }
     }
 
@@ -94,10 +95,10 @@
         }
         let address = *self.addresses.get(&to)?;
         let (frames, taken) = mpsc::channel(FRAMES);
-        let heard = Rc::new(Notify::new());
+        let hurries = Rc::new(Notify::new());
         let path = Path { to, address, frames: taken, terms: self.terms.clone(), peers: self.peers.clone() };
-        spawn_local(path.speaks(heard.clone()));
-        self.open.insert(to, Open { frames: frames.clone(), heard });
+        spawn_local(path.speaks(hurries.clone()));
+        self.open.insert(to, Open { frames: frames.clone(), hurries });
         Some(frames)
     }
 }
@@ -130,7 +131,7 @@
         }
     }
 
-    async fn speaks(mut self, heard: Rc<Notify>) {
+    async fn speaks(mut self, hurries: Rc<Notify>) {
         let (connect, longest) = (self.terms.connect, self.terms.connect * PAUSES);
         let mut pause = connect;
         while let Some(first) = self.next().await {
@@ -148,7 +149,7 @@
             self.peers.unreached(self.to);
             // Guards against what has waited so long that it was asked anew meanwhile.
             while self.frames.try_recv().is_ok() {}
-            timeout(pause, heard.notified()).await.ok();
+            timeout(pause, hurries.notified()).await.ok();
             pause = (pause * 2).min(longest);
         }
     }
--- a/crates/peers/src/tests.rs
+++ b/crates/peers/src/tests.rs
@@ -1,7 +1,7 @@
-use crate::frame::{self, Who};
+use crate::frame::{self, Told, Who};
 use crate::link::Refused;
 use crate::store::Note;
-use crate::{Config, Frame, HEAD, Peers, Store, greets, hello};
+use crate::{Config, Cores, Frame, HEAD, Peers, Store, Stored, greets, hello};
 use futures_util::future::join_all;
 use ivyward_replica::{Claim, ClaimNo, Group, Held, Member, Word};
 use ivyward_session::{Birth, SessionId};
@@ -212,3 +212,58 @@
     let kind = if i.is_multiple_of(2) { frame::DIGEST } else { frame::ROWS };
     Frame { kind, count: i, birth: u64::MAX, ..Frame::default() }
 }
+
+/// A member's cores on their own, and what another tells it.
+#[test]
+fn what_is_told_already_for_long_enough_is_not_told_anew() {
+    let (span, word) = (Duration::from_secs(100), Duration::from_millis(500));
+    let group = group(&["a", "b", "c"]);
+    // What another told, how long it was to be held then, whether it is told here at once, and half a span later.
+    let cases = [
+        (None, true, true),
+        (Some(Duration::from_secs(100)), false, true),
+        (Some(Duration::from_secs(80)), false, true),
+        (Some(Duration::from_secs(60)), true, true),
+    ];
+    for (heard, at_once, later) in cases {
+        let mut now = Duration::from_secs(1);
+        let mut cores = Cores::new(group.clone(), Member(0), Birth(2), word, span, now, Stored::default());
+        cores.start(now);
+        cores.out.frames.clear();
+        let tells = |cores: &mut Cores, now| {
+            cores.revoke(now, SessionId(7));
+            let frames: Vec<_> = cores.out.frames.drain(..).collect();
+            frames.iter().filter(|(_, frame)| frame.kind == frame::RECORDS).count()
+        };
+        // Nothing is told before it is known what others know.
+        assert_eq!(tells(&mut cores, now), 0, "{heard:?}");
+        if let Some(left) = heard {
+            let claim = Some(Who { name: "b".into(), birth: 1, no: 0 });
+            let left_ms = left.as_millis() as u64;
+            let told = Told { no: 0, left_ms, kind: frame::REVOKED, session: 7_u128.to_be_bytes().into() };
+            let records =
+                Frame { kind: frame::RECORDS, claim, count: 1, records: vec![told], ..Frame::default() };
+            cores.hears(now, Member(1), &records).expect("it makes sense");
+            cores.out.frames.clear();
+        }
+        cores.hears(now, Member(1), &Frame { kind: frame::SAME, ..Frame::default() });
+        let told = cores.out.frames.drain(..).filter(|(_, frame)| frame.kind == frame::RECORDS).count();
+        assert_eq!(told > 0, at_once, "{heard:?}");
+        // Said again at once it isn't told twice.
+        assert_eq!(tells(&mut cores, now), 0, "{heard:?}");
+        now += span / 2;
+        assert_eq!(tells(&mut cores, now) > 0, later, "{heard:?}, half a span later");
+        // At no moment it is over here.
+        assert!(cores.revoked.left(now, &SessionId(7)).is_some_and(|left| left == span), "{heard:?}");
+    }
+    // Nobody answers: it is told all the same, after some turns.
+    let mut now = Duration::ZERO;
+    let mut cores = Cores::new(group, Member(0), Birth(1), word, span, now, Stored::default());
+    cores.start(now);
+    cores.revoke(now, SessionId(7));
+    (0..4).for_each(|_| {
+        now += word;
+        cores.turn(now);
+    });
+    assert_eq!(cores.revoked.len(), 1);
+}
--- a/crates/replica/src/common.rs
+++ b/crates/replica/src/common.rs
@@ -77,7 +77,14 @@
     logs: BTreeMap<Log, Records<R>>,
 }
 
-impl<R: Clone> Common<R> {
+impl<R: Clone + PartialEq> Common<R> {
+    /// How long that is still held at most; none if nobody told it.
+    pub fn left(&self, now: Duration, what: &R) -> Option<Duration> {
+        let held = self.logs.values().flat_map(|log| log.held.values());
+        let until = held.filter(|(until, held)| held == what && *until > now).map(|(until, _)| *until).max();
+        until.map(|until| until - now)
+    }
+
     /// `birth`: this start, above all before; `span`: how long a record is held at most.
     pub fn new(me: Member, birth: Birth, span: Duration) -> Common<R> {
         Common { own: Log { of: me, birth }, span, logs: BTreeMap::new() }
