--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod managers;
 pub mod measure;
 pub mod quality;
+pub mod scale;
+pub mod slopes;
 pub mod trouble;
 pub mod verdict;
 pub mod viewers;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! `ivyward-lab`: the session front's laboratory.
 
 use clap::{Parser, Subcommand};
+use ivyward_lab::scale::Ask;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -81,6 +82,55 @@
         #[arg(long)]
         against: Option<PathBuf>,
     },
+    /// Measure what control costs a manager as the fleet grows; exits with 1 where a budget is passed
+    Scale {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Sizes of fleets of real processes of the `ivyward` beside this program, 200 at most; without a number none
+        #[arg(long, num_args = 0.., default_values_t = [10, 30, 100, 200])]
+        managers: Vec<usize>,
+        /// Sizes of fleets of hollow managers: the same cores without sockets, in virtual time; without a number none
+        #[arg(long, num_args = 0.., default_values_t = [100, 300, 580, 1160])]
+        hollow: Vec<usize>,
+        /// Another build of `ivyward`, measured in turns with this one
+        #[arg(long)]
+        against: Option<PathBuf>,
+        /// Hollow managers for a shorter while, without the rarer troubles
+        #[arg(long)]
+        small: bool,
+        /// A defect put in on purpose, to see it found: hollow managers tell all what is told to neighbours
+        #[arg(long)]
+        all_by_all: bool,
+    },
+    /// Measure what connections, viewings, servers, paid viewings and members cost as there are more of them
+    Slopes {
+        /// connection, viewing, answer, list, claim or cores; may be given several times, all if left out
+        #[arg(long)]
+        only: Vec<String>,
+        #[arg(long, default_value_t = 3)]
+        runs: usize,
+        /// Connections and live viewings at most, connections as far as descriptors allow
+        #[arg(long, default_value_t = 20_000)]
+        most: usize,
+        /// Manifests asked for a second at most
+        #[arg(long, default_value_t = 12_000)]
+        rate: usize,
+        /// Servers listed at most
+        #[arg(long, default_value_t = 2000)]
+        servers: usize,
+        /// Paid viewings at most
+        #[arg(long, default_value_t = 2000)]
+        paid: usize,
+        /// Members of the group at most, in the cores
+        #[arg(long, default_value_t = 1160)]
+        members: usize,
+        /// Seconds after which what was asked is settled; answers are asked for over three times that
+        #[arg(long, default_value_t = 1.0)]
+        settle: f64,
+    },
+    /// Kilobytes of memory that each of so many sessions kept, or records in common, takes
+    #[command(hide = true)]
+    Weigh { what: String, count: usize },
     /// What is named for faults planted in worlds of sessions
     Quality {
         /// Worlds of each kind
@@ -198,6 +248,21 @@
     Ok(rules.iter().all(|rule| rule.broken.is_empty()))
 }
 
+fn slopes(only: &[String], sizes: &ivyward_lab::slopes::Sizes) -> Result<(), String> {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    ivyward_lab::slopes::table(&program, only, sizes, |text| print!("{text}"))
+}
+
+fn weigh(what: &str, count: usize) -> Result<(), String> {
+    let weighed = match what {
+        "sessions" => ivyward_lab::slopes::Weighed::Sessions,
+        "records" => ivyward_lab::slopes::Weighed::Records,
+        _ => return Err(format!("{what}: is neither sessions nor records")),
+    };
+    println!("{}", ivyward_lab::slopes::weigh(weighed, count));
+    Ok(())
+}
+
 fn bare() -> Result<(), String> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
@@ -226,6 +291,17 @@
             }
             Ok(true)
         }
+        What::Scale { seed, managers, hollow, against, small, all_by_all } => {
+            let (managers, hollow) = (&managers[..], &hollow[..]);
+            let against = against.as_deref();
+            ivyward_lab::scale::run(&Ask { seed, managers, hollow, against, small, all_by_all })
+        }
+        What::Slopes { only, runs, most, rate, servers, paid, members, settle } => {
+            let settle = std::time::Duration::from_secs_f64(settle.clamp(0.01, 60.0));
+            let sizes = ivyward_lab::slopes::Sizes { runs, most, rate, servers, paid, members, settle };
+            slopes(&only, &sizes).map(|()| true)
+        }
+        What::Weigh { what, count } => weigh(&what, count).map(|()| true),
         What::Bare => bare().map(|()| true),
         What::Measure { script, rounds, viewings, connections } => {
             measure(&script, rounds, viewings, connections).map(|()| true)
--- a/crates/peers/src/cores.rs
+++ b/crates/peers/src/cores.rs
@@ -18,10 +18,12 @@
 /// Turns without a word after which a path is closed: neighbours' stay open by their turns, a keeper's as long as it is
 /// asked every few seconds.
 pub const QUIET: u32 = 16;
-/// Members asked at a start, for what all know and, without memory, for what was kept: that many starts at once are borne by
-/// all. Later one each so many turns, so that what a loss of memory costs a second is the same in any group.
+/// Members asked at a start without memory for what was kept: that many starts at once are borne by all. Later one each so
+/// many turns, so that what a loss of memory costs a second is the same in any group.
 const ASKED: usize = 3;
 const RECALLS: u64 = 2;
+/// Turns after a start in which what the settings tell waits for what others tell: mostly they know it.
+const EARLY: u64 = 4;
 /// Notes that may wait for the disk: with more, no claim is taken. So many go to disk in one sync.
 const BACKLOG: usize = 4 * NOTES;
 pub const NOTES: usize = 1024;
@@ -171,6 +173,9 @@
     pub revoked: Common<SessionId>,
     pub overlay: Overlay,
     turns: u64,
+    span: Duration,
+    /// What is to be told, until another says that it holds the same.
+    early: Option<Vec<SessionId>>,
     /// When each member was heard last.
     heard: BTreeMap<Member, Duration>,
     pub out: Outbox,
@@ -204,6 +209,8 @@
             me,
             birth,
             turns: 0,
+            span,
+            early: Some(vec![]),
             heard: BTreeMap::new(),
             out,
         }
@@ -222,21 +229,24 @@
         self.heard.get(&member).map(|at| now.saturating_sub(*at))
     }
 
-    /// At the start.
+    /// At the start. What all know is asked of one neighbour, since each would tell all of it; should that be away, the
+    /// first turn finds out.
     pub fn start(&mut self, now: Duration) {
-        let mut asked = self.overlay.neighbours();
-        asked.truncate(ASKED);
-        self.revoked.start(&mut self.out, &asked);
+        let asked = self.overlay.turn(now);
+        self.revoked.start(&mut self.out, asked.as_slice());
         self.keeper.ask_again(&mut self.out, now, ASKED);
         self.settle(now);
     }
 
-    /// Every `word`.
+    /// Every `word`, for the first time a `word` after the start.
     pub fn turn(&mut self, now: Duration) {
         if let Some(to) = self.overlay.turn(now) {
             self.revoked.turn(&mut self.out, now, to);
         }
         self.turns += 1;
+        if self.turns == EARLY {
+            self.tells_early(now);
+        }
         if self.turns.is_multiple_of(RECALLS) {
             self.keeper.ask_again(&mut self.out, now, 1);
         }
@@ -273,10 +283,25 @@
         self.settle(now);
     }
 
-    /// A session's tokens are taken no more, by no member, for a span.
+    /// A session's tokens are taken no more, by no member, for a span. Whose settings say so says it again each half span.
     pub fn revoke(&mut self, now: Duration, session: SessionId) {
-        let neighbours = self.overlay.neighbours();
-        self.revoked.add(&mut self.out, now, session, &neighbours);
+        match &mut self.early {
+            Some(early) => early.push(session),
+            None => self.tells(now, session),
+        }
+    }
+
+    fn tells_early(&mut self, now: Duration) {
+        self.early.take().into_iter().flatten().for_each(|session| self.tells(now, session));
+    }
+
+    fn tells(&mut self, now: Duration, session: SessionId) {
+        // Guards against a record of each member's for what stands in the settings of all: what is told already, and for
+        // much longer than until it would be said again, is not told anew.
+        if self.revoked.left(now, &session).is_none_or(|left| left <= self.span * 3 / 4) {
+            let neighbours = self.overlay.neighbours();
+            self.revoked.add(&mut self.out, now, session, &neighbours);
+        }
     }
 
     /// A paid session is to be set up, if a majority of its keepers says so until then.
@@ -321,6 +346,7 @@
                 self.keeper.row(out, now, from, birth, session, &held);
             }
             frame::ROWS => self.keeper.rows(out, from, birth, frame.count),
+            frame::SAME => self.tells_early(now),
             frame::DIGEST => self.revoked.compared(out, now, from, frame.count),
             frame::HEADS => {
                 let heads = frame::heads(group, &frame.starts)?;
