--- a/review/kit/platform_kit.py
+++ b/review/kit/platform_kit.py
@@ -312,6 +312,58 @@
         self.writer.close()
 
 
+class Path:
+    """The network path to a video server. When it vanishes, open connections stay open and silent, and new ones
+    never come up, as the listener's queue is full."""
+
+    def __init__(self, record, server):
+        self.record, self.server, self.gone, self.fill = record, server, False, []
+
+    async def start(self):
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(1)
+        self.sock.setblocking(False)
+        self.port = self.sock.getsockname()[1]
+        self.task = asyncio.ensure_future(self.accept())
+        return self
+
+    def row(self):
+        return dict(self.server.row(), host_port=f"127.0.0.1:{self.port}")
+
+    async def accept(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(self.sock)
+            near = await asyncio.open_connection(sock=connection)
+            far = await asyncio.open_connection("127.0.0.1", self.server.port)
+            asyncio.ensure_future(self.pump(near[0], far[1]))
+            asyncio.ensure_future(self.pump(far[0], near[1]))
+
+    async def pump(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                while self.gone:
+                    await asyncio.sleep(1)
+                writer.write(data)
+        except ConnectionError:
+            pass
+        while self.gone:
+            await asyncio.sleep(1)
+        writer.close()
+
+    async def vanish(self):
+        self.record(f"{self.server.name} goes silent: no reset, no answer, no new connection")
+        self.gone = True
+        self.task.cancel()
+        await asyncio.sleep(0)
+        for _ in range(4):
+            probe = socket.socket()
+            probe.setblocking(False)
+            probe.connect_ex(("127.0.0.1", self.port))
+            self.fill.append(probe)
+
+
 def new_ref():
     return f"{random.getrandbits(64):016x}"
 
