--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,7 +28,7 @@
         until = time.time() + seconds
         while time.time() < until:
             viewers.set_up(left=4000, home=0, copies=1)  # every title lies in cell 0
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(0.125)
 
     await traffic(8)  # the servers are warm, and a response of the bus has had its time
     drained = servers[0]
--- a/review/kit/platform_kit.py
+++ b/review/kit/platform_kit.py
@@ -484,9 +484,15 @@
     record, stops = Record(folder), []
 
     async def bounded():
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        task = asyncio.ensure_future(case(record, stops))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(case(record, stops), limit), None
+            return await asyncio.wait_for(task, limit), None
+        except asyncio.CancelledError:
+            return None, "the case was stopped by a signal"
         except (CannotRun, asyncio.TimeoutError, OSError) as error:
             return None, f"the case could not run: {type(error).__name__} {error}"
         except Exception as error:  # a fault of the case is no fault of the program
