Logs: why a discovery connection ended, and needs that find no place at the limit

Nothing was logged that would tell apart why set-ups go on reaching a draining server (no connection, no response, silence, an unreadable event), nor that a connection to a server was not opened because the limit of connections was reached.

Now the debug line on the end of a connection to the discovery service says why and after how long, and an info line a second names a server for which no connection could be opened, with the number of connections and of the sessions there.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -54,6 +54,25 @@
     unreadable: (u64, u32),
 }
 
+/// Why a connection to the discovery service ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndReason {
+    /// It could not be established.
+    NotConnected,
+    /// It was not established in time.
+    ConnectTimedOut,
+    /// It ended before the response began.
+    NoResponse,
+    /// The response did not begin in time.
+    ResponseTimedOut,
+    /// The service answered with an error.
+    Refused,
+    /// The service closed it, no complete line arrived in time, or an event was too long.
+    StreamEnded,
+    /// An event could not be read.
+    UnreadableEvent,
+}
+
 /// Follows the event stream at the latest address, from the event after `last_number` on.
 pub async fn follow(
     sender: EventSender<NodeHost>, mut addresses: watch::Receiver<SocketAddr>, last_number: u64, seed: u64,
@@ -63,8 +82,8 @@
     loop {
         let address = *addresses.borrow_and_update();
         let (number_before, started_at) = (position.last_number, Instant::now());
-        tokio::select! {
-            () = read_stream(&sender, address, &mut position) => {}
+        let reason = tokio::select! {
+            reason = read_stream(&sender, address, &mut position) => reason,
             changed = addresses.changed() => {
                 if changed.is_err() {
                     return;
@@ -73,14 +92,20 @@
                 pause = Duration::ZERO;
                 continue;
             }
-        }
+        };
         // Reconnects at once after the first break. A service that answers and closes at once, or that
         // sends unreadable events, is contacted less and less often: the pause is only reset if
         // events arrived or the connection lasted.
         if position.last_number > number_before || started_at.elapsed() >= SILENCE_TIMEOUT {
             pause = Duration::ZERO;
         }
-        tracing::debug!(at = %address, last = position.last_number, "connection to the discovery service ended");
+        tracing::debug!(
+            at = %address,
+            last = position.last_number,
+            why = ?reason,
+            after = ?started_at.elapsed(),
+            "connection to the discovery service ended"
+        );
         tokio::select! {
             () = sleep(pause.mul_f64(0.5 + 0.5 * rng.random::<f64>())) => {}
             changed = addresses.changed() => if changed.is_err() { return },
@@ -99,21 +124,32 @@
 }
 
 /// Reads one connection until it ends.
-async fn read_stream(sender: &EventSender<NodeHost>, address: SocketAddr, position: &mut StreamPosition) {
-    let Ok(Ok(stream)) = timeout(SILENCE_TIMEOUT, TcpStream::connect(address)).await else { return };
-    let Ok((mut request_sender, connection)) = handshake(TokioIo::new(stream)).await else { return };
+async fn read_stream(
+    sender: &EventSender<NodeHost>, address: SocketAddr, position: &mut StreamPosition,
+) -> EndReason {
+    let stream = match timeout(SILENCE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) => return EndReason::NotConnected,
+        Err(_) => return EndReason::ConnectTimedOut,
+    };
+    let Ok((mut request_sender, connection)) = handshake(TokioIo::new(stream)).await else {
+        return EndReason::NoResponse;
+    };
     let _abort_guard = AbortOnDrop(spawn_local(async move { drop(connection.await) }));
     let request = Request::get("/bus/read")
         .header("host", address.to_string())
         .header("accept", "text/event-stream")
         .header("last-event-id", position.last_number.to_string())
         .body(Empty::<Bytes>::new());
-    let Ok(request) = request else { return };
-    let Ok(Ok(response)) = timeout(SILENCE_TIMEOUT, request_sender.send_request(request)).await else {
-        return;
+    let Ok(request) = request else { return EndReason::NoResponse };
+    let response = match timeout(SILENCE_TIMEOUT, request_sender.send_request(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(_)) => return EndReason::NoResponse,
+        Err(_) => return EndReason::ResponseTimedOut,
     };
     if !response.status().is_success() {
-        return tracing::warn!(status = %response.status(), "discovery service refused the request");
+        tracing::warn!(status = %response.status(), "discovery service refused the request");
+        return EndReason::Refused;
     }
     // Limits the bytes since the last complete event, against an event without end. Requires complete
     // lines in time, against a connection that only delivers a byte now and then.
@@ -140,7 +176,7 @@
         let number = match (event.id.parse().ok().or(offset), &parsed) {
             (Some(number), _) => number,
             (None, Ok(_)) => continue,
-            (None, Err(_)) => return,
+            (None, Err(_)) => return EndReason::UnreadableEvent,
         };
         if number <= position.last_number {
             continue;
@@ -149,11 +185,12 @@
             let failed_reads = if position.unreadable.0 == number { position.unreadable.1 } else { 0 };
             position.unreadable = (number, failed_reads + 1);
             if failed_reads + 1 < MAX_READ_ATTEMPTS {
-                return;
+                return EndReason::UnreadableEvent;
             }
             // Without this, an event that stays unreadable would hide all drains and ends after it.
             tracing::error!(number, "unreadable discovery event is skipped");
         }
         position.last_number = number;
     }
+    EndReason::StreamEnded
 }
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -48,7 +48,10 @@
             let evicted = idle.min_by_key(|(link_id, link)| {
                 (link.upstream.last_received_at.max(link.upstream.last_sent_at), **link_id)
             });
-            let evicted = evicted.map(|(link_id, _)| *link_id)?;
+            let Some(evicted) = evicted.map(|(link_id, _)| *link_id) else {
+                self.log_limit_reached(now, server);
+                return None;
+            };
             self.on_link_lost(core, now, evicted, "closed");
         }
         self.open_link(now, server)
@@ -57,6 +60,7 @@
     /// Opens a connection to a server if the limit permits it.
     pub(super) fn open_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
         if self.servers.links.len() >= self.servers.max_links {
+            self.log_limit_reached(now, server);
             return None;
         }
         let address = self.server_list.row(server)?.address;
@@ -109,6 +113,18 @@
         Some(link_id)
     }
 
+    /// Logs that no connection to a server can be opened because of the limit.
+    fn log_limit_reached(&mut self, now: Duration, server: ServerId) {
+        let Some(left_out) = self.log_limiter.check(now, "the limit of connections") else { return };
+        tracing::info!(
+            server = self.server_name(server),
+            connections = self.servers.links.len(),
+            sessions = self.sessions.at_server(server).len(),
+            left_out,
+            "no connection to a server can be opened: the limit is reached"
+        );
+    }
+
     /// A connection is established: sends what waited for it.
     pub(super) fn on_link_established(
         &mut self, core: &mut SessionCore, now: Duration, link_id: u64, stream: SharedStream,
