Discovery: a slow response is waited for while another request is sent

Cause: `read_stream` ended a connection on which nothing had come for 2.2 s and began anew with the same limit, so a response that takes longer was thrown away each time. The limit stands for two missing comments, which are owed only after the response has begun. The limit on a complete line did the same to an event whose text takes longer to arrive.

Why this works: a silent connection keeps waiting, and another is opened beside it after 2.2 s, so a dead connection is still found as soon as before. The first to bring an event stays. Three connections at most; then the newest gives way to a fresh one, as a service may have lost earlier requests. The oldest gives way after 8.8 s, and each next one gets twice as long, so any delay up to 282 s is waited out. Which connections are opened and closed is decided without I/O in `DiscoveryConnections`. The three connections fit in the 20 descriptors that the process reserves for itself.

The stand-in of the event bus can begin responses late and write slowly.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -24,6 +24,8 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
 
+#[path = "node/discovery.rs"]
+mod discovery;
 #[path = "node/outage.rs"]
 mod outage;
 #[path = "node/races.rs"]
--- /dev/null
+++ b/crates/daemon/tests/node/discovery.rs
@@ -0,0 +1,71 @@
+//! The discovery service is slow: drains still apply, and its requests stay few.
+
+use super::*;
+use std::thread;
+
+/// How slow the discovery service is.
+struct SlowCase {
+    /// From a request to the begin of its response.
+    response_delay: Duration,
+    /// How long the text of an event takes to arrive.
+    write_duration: Duration,
+    /// How long the connections that are open at first stay silent before they break.
+    silent_for: Duration,
+    /// The drain applies this long after it was published.
+    applied_after: Duration,
+    /// The most requests until then.
+    max_requests: usize,
+}
+
+/// Publishes a drain while the discovery service is slow, and checks that no set-up goes to the draining servers
+/// once it must have been read.
+async fn check_drain(harness: Harness, case: &SlowCase) {
+    wait_until("the first request to the bus", || !harness.bus.requested_after.borrow().is_empty()).await;
+    harness.bus.response_delay.set(case.response_delay);
+    harness.bus.write_duration.set(case.write_duration);
+    harness.bus.sends_comments.set(case.write_duration.is_zero() && case.silent_for.is_zero());
+    sleep(case.silent_for).await;
+    harness.bus.disconnect_all();
+    let published_at = Instant::now();
+    let drains = [member(&harness.servers[0], 0, "draining"), member(&harness.servers[1], 1, "draining")];
+    harness.bus.publish(2, &event(2, false, &drains), 0);
+    sleep(case.applied_after).await;
+    let requests = harness.bus.requested_after.borrow().len();
+    let mut viewer = harness.viewer().await;
+    for i in 0..8 {
+        assert!(viewer.write(&set_up_bytes(SessionRef(0x700 + i), "clip", 3000, "")).await);
+        let reply = viewer.receive(ms(2500)).await.map(|reply| reply.kind);
+        assert_eq!(reply, Some(Kind::Answer), "{:?}", published_at.elapsed());
+    }
+    assert_eq!(harness.servers[2].received(Kind::SetUp).len(), 8, "all set-ups go where nothing drains");
+    assert!(requests <= case.max_requests, "{requests} requests to the bus");
+}
+
+// Fails if the wait for a slow response or a slow event is dropped and begun anew, so that it never ends.
+#[test]
+fn a_drain_applies_although_discovery_answers_or_writes_slowly() {
+    let case = |response_s: u64, write_s: u64, silent_for, applied_after_s: u64, max_requests| SlowCase {
+        response_delay: ms(response_s * 1000),
+        write_duration: ms(write_s * 1000),
+        silent_for: ms(silent_for),
+        applied_after: ms(applied_after_s * 1000),
+        max_requests,
+    };
+    // A drain counts as notified 4 s after the connection broke. Slower responses are read when they come.
+    let cases = [
+        case(3, 0, 0, 4, 3),
+        case(0, 3, 0, 4, 4),
+        case(7, 0, 0, 8, 6),
+        case(0, 7, 0, 8, 6),
+        case(20, 0, 0, 30, 16),
+        case(3, 0, 1000, 4, 3),
+    ];
+    // The cases run in parallel: each has its own process and mostly waits.
+    let runs = cases.map(|case| {
+        thread::spawn(move || {
+            with_harness(Behavior::Plays, |harness| async move { check_drain(harness, &case).await })
+        })
+    });
+    let failed = runs.into_iter().map(thread::JoinHandle::join).filter(Result::is_err).count();
+    assert_eq!(failed, 0, "cases failed");
+}
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -15,8 +15,8 @@
 /// The fraction that viewer connections may use for a moment, while some of them are being closed.
 const VIEWER_PEAK_FRACTION: f64 = 0.45;
 /// The file descriptors that the process needs besides connections of viewers and to servers: three
-/// standard streams, six of the runtime and its signals, the listener, the discovery connection and its
-/// successor, and a file; and as many again that are just being closed.
+/// standard streams, six of the runtime and its signals, the listener, three connections to the discovery
+/// service, and a file; and six that are just being closed.
 const OWN_DESCRIPTOR_COUNT: usize = 20;
 /// A new connection may not be evicted for this time, so that it can send its first message.
 const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -78,8 +78,8 @@
         }
     }
 
-    /// The maximum number of connections to servers. It leaves enough file descriptors for the discovery
-    /// connection, its successor and the configuration file, whatever viewers use.
+    /// The maximum number of connections to servers. It leaves enough file descriptors for the connections
+    /// to the discovery service and the configuration file, whatever viewers use.
     pub fn server_connection_limit(&self) -> usize {
         self.descriptors.saturating_sub(self.connection_limit + OWN_DESCRIPTOR_COUNT).max(1)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,7 +6,7 @@
 //! - When players fetch their manifests again: [`RefreshSchedule`].
 //! - Which repeated log lines are written: [`LogRateLimiter`].
 //! - Which connections of viewers are kept: [`ClientLimits`]; which connections to servers are used:
-//!   [`UpstreamPolicy`].
+//!   [`UpstreamPolicy`]; which ones to the discovery service are open: [`DiscoveryConnections`].
 //!
 //! Who is served, and by which server, is decided by the policy in `ivyward`. Nothing here has sockets,
 //! clocks or tasks: the caller passes the current time, as the span since the start.
@@ -15,6 +15,7 @@
 mod client;
 mod clock_consensus;
 mod connection_limits;
+mod discovery_connections;
 mod log_rate_limiter;
 mod overload_gate;
 mod refresh;
@@ -24,6 +25,7 @@
 pub use client::{ClientLimits, ClientState};
 pub use clock_consensus::ClockConsensus;
 pub use connection_limits::{Admission, ConnectionLimits, Purpose, WaiterId};
+pub use discovery_connections::{DiscoveryAction, DiscoveryConnectionId, DiscoveryConnections};
 pub use log_rate_limiter::{LogRateLimiter, truncate_for_log};
 pub use overload_gate::OverloadGate;
 pub use refresh::RefreshSchedule;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,49 +1,54 @@
 //! The discovery service's event stream: numbered server-sent events, read from the last known number on.
 //!
-//! Events that arrive twice are skipped, and truncated ones are ignored. Silence counts as a broken
-//! connection. An event that can't be read is requested again, with pauses.
+//! Events that arrive twice are skipped, and truncated ones are ignored. While a connection is silent,
+//! another one is opened beside it. An event that can't be read is requested again, with pauses.
+
+mod stream;
 
 use crate::host::NodeHost;
-use bytes::Bytes;
-use eventsource_stream::Eventsource;
-use futures_util::StreamExt;
-use futures_util::stream::unfold;
-use http_body_util::{BodyExt, Empty};
-use hyper::Request;
-use hyper::client::conn::http1::handshake;
-use hyper_util::rt::TokioIo;
+use eventsource_stream::Event;
+use ivyward_edge::{DiscoveryAction, DiscoveryConnectionId, DiscoveryConnections};
 use ivyward_event_loop::EventSender;
-use rand::RngExt;
-use rand_pcg::Pcg64Mcg;
-use rand_pcg::rand_core::SeedableRng;
 use serde_json::Value;
-use std::convert::Infallible;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::sync::{oneshot, watch};
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
-
-/// Silence that counts as the end of the connection. The service sends a comment every second; this
-/// allows for two missing ones.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(2200);
-/// The pause after a second failure in a row, and the longest pause.
-const RETRY_INTERVALS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
-/// The maximum length of an event. A longer one breaks the connection.
-const MAX_EVENT_BYTES: usize = 4 << 20;
+use stream::{AbortOnDrop, EndReason, ProgressSender, read_stream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until};
+
 /// After this many failed attempts, an unreadable event is skipped, because the events after it arrive
 /// regardless.
 const MAX_READ_ATTEMPTS: u32 = 3;
+/// The number of updates that may wait for the follower. More input stays in the sockets.
+const UPDATE_QUEUE_LENGTH: usize = 4;
 
-/// Aborts a task when dropped, which closes the task's connection.
-struct AbortOnDrop(JoinHandle<()>);
+/// What happened on a connection to the discovery service.
+enum Progress {
+    /// The response began, or a complete line arrived.
+    Line,
+    /// A complete event arrived.
+    Event(Event),
+    /// The connection has ended.
+    Ended(EndReason),
+}
 
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+/// The progress of one connection.
+struct Update {
+    id: DiscoveryConnectionId,
+    progress: Progress,
+}
+
+/// What became of an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EventResult {
+    /// It is new, and was applied or skipped for good.
+    Consumed,
+    /// It is known already or carries nothing.
+    Ignored,
+    /// It can't be read and is to be requested again.
+    Unreadable,
 }
 
 /// The position in the event stream.
@@ -54,143 +59,146 @@
     unreadable: (u64, u32),
 }
 
-/// Why a connection to the discovery service ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum EndReason {
-    /// It could not be established.
-    NotConnected,
-    /// It was not established in time.
-    ConnectTimedOut,
-    /// It ended before the response began.
-    NoResponse,
-    /// The response did not begin in time.
-    ResponseTimedOut,
-    /// The service answered with an error.
-    Refused,
-    /// The service closed it, no complete line arrived in time, or an event was too long.
-    StreamEnded,
-    /// An event could not be read.
-    UnreadableEvent,
+/// Reads the event stream on one or more connections.
+struct Follower {
+    sender: EventSender<NodeHost>,
+    position: StreamPosition,
+    connections: DiscoveryConnections,
+    /// The open connections, with the times at which they were opened.
+    tasks: BTreeMap<DiscoveryConnectionId, (AbortOnDrop, Instant)>,
+    updates: mpsc::Sender<Update>,
+    started_at: Instant,
 }
 
 /// Follows the event stream at the latest address, from the event after `last_number` on.
 pub async fn follow(
     sender: EventSender<NodeHost>, mut addresses: watch::Receiver<SocketAddr>, last_number: u64, seed: u64,
 ) {
-    let (mut pause, mut rng) = (Duration::ZERO, Pcg64Mcg::seed_from_u64(seed));
-    let mut position = StreamPosition { last_number, unreadable: (0, 0) };
+    let (updates, mut update_receiver) = mpsc::channel(UPDATE_QUEUE_LENGTH);
+    let mut follower = Follower {
+        sender,
+        position: StreamPosition { last_number, unreadable: (0, 0) },
+        connections: DiscoveryConnections::new(seed),
+        tasks: BTreeMap::new(),
+        updates,
+        started_at: Instant::now(),
+    };
     loop {
         let address = *addresses.borrow_and_update();
-        let (number_before, started_at) = (position.last_number, Instant::now());
-        let reason = tokio::select! {
-            reason = read_stream(&sender, address, &mut position) => reason,
+        let wake_at = follower.maintain_connections(address);
+        tokio::select! {
+            () = sleep_until(wake_at) => {}
+            Some(update) = update_receiver.recv() => follower.on_update(update).await,
             changed = addresses.changed() => {
                 if changed.is_err() {
                     return;
                 }
                 tracing::info!("discovery service has a new address");
-                pause = Duration::ZERO;
-                continue;
+                follower.tasks.clear();
+                follower.connections.reset();
             }
-        };
-        // Reconnects at once after the first break. A service that answers and closes at once, or that
-        // sends unreadable events, is contacted less and less often: the pause is only reset if
-        // events arrived or the connection lasted.
-        if position.last_number > number_before || started_at.elapsed() >= SILENCE_TIMEOUT {
-            pause = Duration::ZERO;
         }
+    }
+}
+
+impl Follower {
+    /// The time since the start.
+    fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    /// Opens and closes connections as needed. Returns when that has to be checked again.
+    fn maintain_connections(&mut self, address: SocketAddr) -> Instant {
+        loop {
+            match self.connections.next_action(self.now()) {
+                DiscoveryAction::Open(id) => self.open(id, address),
+                DiscoveryAction::Close(id) => self.close(id, "no longer needed, or silent for too long"),
+                DiscoveryAction::WaitUntil(at) => return self.started_at + at,
+            }
+        }
+    }
+
+    /// Opens a connection.
+    fn open(&mut self, id: DiscoveryConnectionId, address: SocketAddr) {
+        let last = self.position.last_number;
         tracing::debug!(
+            connection = id,
             at = %address,
-            last = position.last_number,
-            why = ?reason,
-            after = ?started_at.elapsed(),
+            last,
+            silent = self.tasks.len(),
+            "connecting to the discovery service"
+        );
+        let progress = ProgressSender { id, updates: self.updates.clone() };
+        let task = AbortOnDrop(spawn_local(read_stream(address, last, progress)));
+        self.tasks.insert(id, (task, Instant::now()));
+    }
+
+    /// Closes a connection and logs the reason.
+    fn close(&mut self, id: DiscoveryConnectionId, reason: &str) {
+        let Some((_, opened_at)) = self.tasks.remove(&id) else { return };
+        tracing::debug!(
+            connection = id,
+            last = self.position.last_number,
+            why = reason,
+            after = ?opened_at.elapsed(),
             "connection to the discovery service ended"
         );
-        tokio::select! {
-            () = sleep(pause.mul_f64(0.5 + 0.5 * rng.random::<f64>())) => {}
-            changed = addresses.changed() => if changed.is_err() { return },
-        }
-        pause = (pause * 2).clamp(RETRY_INTERVALS.0, RETRY_INTERVALS.1);
     }
-}
 
-/// Passes an event to the server list. Returns whether the event was readable.
-async fn apply_event(sender: &EventSender<NodeHost>, event: Value) -> bool {
-    let (reply, applied) = oneshot::channel();
-    sender.send(move |core, host, now| {
-        reply.send(host.apply_event(core, now, &event)).ok();
-    });
-    applied.await.unwrap_or_default()
-}
+    /// Handles what happened on a connection. A connection that was closed meanwhile is ignored.
+    async fn on_update(&mut self, Update { id, progress }: Update) {
+        if !self.tasks.contains_key(&id) {
+            return;
+        }
+        match progress {
+            Progress::Line => self.connections.record_line(self.now(), id),
+            Progress::Event(event) => match self.consume_event(&event).await {
+                EventResult::Consumed => self.connections.record_event(id),
+                EventResult::Ignored => {}
+                EventResult::Unreadable => self.on_end(id, "unreadable event"),
+            },
+            Progress::Ended(reason) => self.on_end(id, &format!("{reason:?}")),
+        }
+    }
 
-/// Reads one connection until it ends.
-async fn read_stream(
-    sender: &EventSender<NodeHost>, address: SocketAddr, position: &mut StreamPosition,
-) -> EndReason {
-    let stream = match timeout(SILENCE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) => return EndReason::NotConnected,
-        Err(_) => return EndReason::ConnectTimedOut,
-    };
-    let Ok((mut request_sender, connection)) = handshake(TokioIo::new(stream)).await else {
-        return EndReason::NoResponse;
-    };
-    let _abort_guard = AbortOnDrop(spawn_local(async move { drop(connection.await) }));
-    let request = Request::get("/bus/read")
-        .header("host", address.to_string())
-        .header("accept", "text/event-stream")
-        .header("last-event-id", position.last_number.to_string())
-        .body(Empty::<Bytes>::new());
-    let Ok(request) = request else { return EndReason::NoResponse };
-    let response = match timeout(SILENCE_TIMEOUT, request_sender.send_request(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(_)) => return EndReason::NoResponse,
-        Err(_) => return EndReason::ResponseTimedOut,
-    };
-    if !response.status().is_success() {
-        tracing::warn!(status = %response.status(), "discovery service refused the request");
-        return EndReason::Refused;
+    /// A connection failed.
+    fn on_end(&mut self, id: DiscoveryConnectionId, reason: &str) {
+        self.close(id, reason);
+        self.connections.record_end(self.now(), id);
     }
-    // Limits the bytes since the last complete event, against an event without end. Requires complete
-    // lines in time, against a connection that only delivers a byte now and then.
-    let line_deadline = Instant::now() + SILENCE_TIMEOUT;
-    let chunks = unfold(
-        (response.into_body(), 0, line_deadline),
-        |(mut body, mut event_bytes, mut line_deadline)| async move {
-            loop {
-                let Ok(Some(Ok(frame))) = timeout_at(line_deadline, body.frame()).await else { return None };
-                let Ok(data) = frame.into_data() else { continue };
-                event_bytes = if data.ends_with(b"\n\n") { 0 } else { event_bytes + data.len() };
-                if data.contains(&b'\n') {
-                    line_deadline = Instant::now() + SILENCE_TIMEOUT;
-                }
-                return (event_bytes < MAX_EVENT_BYTES)
-                    .then_some((Ok::<_, Infallible>(data), (body, event_bytes, line_deadline)));
-            }
-        },
-    );
-    let mut events = pin!(chunks.eventsource());
-    while let Some(Ok(event)) = events.next().await {
+
+    /// Applies an event if it is new.
+    async fn consume_event(&mut self, event: &Event) -> EventResult {
         let parsed = serde_json::from_str::<Value>(&event.data);
         let offset = parsed.as_ref().ok().and_then(|parsed| parsed["offset"].as_u64());
         let number = match (event.id.parse().ok().or(offset), &parsed) {
             (Some(number), _) => number,
-            (None, Ok(_)) => continue,
-            (None, Err(_)) => return EndReason::UnreadableEvent,
+            (None, Ok(_)) => return EventResult::Ignored,
+            (None, Err(_)) => return EventResult::Unreadable,
         };
+        let position = &mut self.position;
         if number <= position.last_number {
-            continue;
+            return EventResult::Ignored;
         }
-        if !apply_event(sender, parsed.unwrap_or_default()).await {
+        if !apply_event(&self.sender, parsed.unwrap_or_default()).await {
             let failed_reads = if position.unreadable.0 == number { position.unreadable.1 } else { 0 };
             position.unreadable = (number, failed_reads + 1);
             if failed_reads + 1 < MAX_READ_ATTEMPTS {
-                return EndReason::UnreadableEvent;
+                return EventResult::Unreadable;
             }
             // Without this, an event that stays unreadable would hide all drains and ends after it.
             tracing::error!(number, "unreadable discovery event is skipped");
         }
         position.last_number = number;
+        EventResult::Consumed
     }
-    EndReason::StreamEnded
+}
+
+/// Passes an event to the server list. Returns whether the event was readable.
+async fn apply_event(sender: &EventSender<NodeHost>, event: Value) -> bool {
+    let (reply, applied) = oneshot::channel();
+    sender.send(move |core, host, now| {
+        reply.send(host.apply_event(core, now, &event)).ok();
+    });
+    applied.await.unwrap_or_default()
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -24,6 +24,9 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG_CONNECTION_COUNT: u32 = 1024;
 
+/// The number of pieces in which the event bus writes a text slowly.
+const SLOW_PIECES: usize = 20;
+
 /// Behavior of a server on a set-up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behavior {
@@ -410,6 +413,10 @@
     pub requested_after: RefCell<Vec<u64>>,
     /// Whether readers receive a comment every second.
     pub sends_comments: Cell<bool>,
+    /// The time from a request to the begin of its response.
+    pub response_delay: Cell<Duration>,
+    /// How long it takes to write one text to a reader.
+    pub write_duration: Cell<Duration>,
     /// Stored events with their numbers.
     events: RefCell<Vec<(u64, String)>>,
     readers: RefCell<Vec<ConnectionWriter>>,
@@ -433,6 +440,8 @@
             address: listener.local_addr()?,
             requested_after: RefCell::default(),
             sends_comments: Cell::new(true),
+            response_delay: Cell::default(),
+            write_duration: Cell::default(),
             events: RefCell::default(),
             readers: RefCell::default(),
         });
@@ -466,15 +475,27 @@
             head.lines().find_map(|line| line.strip_prefix("last-event-id:")?.trim().parse().ok());
         let last_event_id: u64 = last_event_id.unwrap_or_default();
         self.requested_after.borrow_mut().push(last_event_id);
+        sleep(self.response_delay.get()).await;
+        let response_head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+        if stream.write_all(response_head).await.is_err() {
+            return;
+        }
         let (out, mut written) = mpsc::unbounded_channel();
-        out.send(Some(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n".to_vec())).ok();
         for (number, event) in self.events.borrow().iter().filter(|(number, _)| *number > last_event_id) {
             out.send(Some(sse_text(*number, event).into_bytes())).ok();
         }
         self.readers.borrow_mut().push(out);
         while let Some(Some(bytes)) = written.recv().await {
-            if stream.write_all(&bytes).await.is_err() {
-                return;
+            let (write_duration, mut bytes) = (self.write_duration.get(), bytes.as_slice());
+            let piece_length =
+                if write_duration.is_zero() { bytes.len() } else { bytes.len() / SLOW_PIECES + 1 };
+            while !bytes.is_empty() {
+                let (piece, rest) = bytes.split_at(piece_length.min(bytes.len()));
+                if stream.write_all(piece).await.is_err() {
+                    return;
+                }
+                bytes = rest;
+                sleep(write_duration / SLOW_PIECES as u32).await;
             }
         }
     }
