Silent servers are found lost at the limit of connections, too

Cause: a silent server is found lost by attempts to connect that fail. `sweep_server` asks for them, but `open_link` opened nothing at the limit; only set-ups and probes made room, and only by closing connections to servers without sessions. The silent connections held their places.

Why this works: for sessions and releases at a server that can't be reached otherwise, a connection gives way: to a server without sessions, then one that may be dead (at first the silent one itself), then a spare one. A server whose sessions wait for a connection keeps its place between two attempts, so set-ups that go on meanwhile, and can go elsewhere, don't take it. A connection that was closed so counts as one that may have carried an end: another is opened, on which the server reports it again. The same applies to the other needs of sessions: a server with none, and one that lost a connection.

--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,6 +1,7 @@
 //! The servers' side: connections, the set-ups that are open on them, and what provably happened to each.
 
 mod attempts;
+mod capacity;
 mod connections;
 mod messages;
 mod sessions;
@@ -75,6 +76,11 @@
     /// Sessions to be released at servers that could not be reached, with the times of the requests.
     pending_releases: BTreeMap<ServerId, BTreeMap<SessionRef, Duration>>,
     unreachable: BTreeMap<ServerId, Unreachable>,
+    /// Servers with sessions or pending releases that wait for a connection, and since when.
+    waiting_for_link: BTreeMap<ServerId, Duration>,
+    /// Servers that may have reported the end of a session on a connection that is closed. They report it
+    /// again on the next connection that is opened, even if others exist.
+    reconnect_required: BTreeSet<ServerId>,
     policy: UpstreamPolicy,
     connect_timeout: Duration,
     /// The maximum number of connections.
@@ -95,6 +101,8 @@
             attempts: BTreeMap::new(),
             pending_releases: BTreeMap::new(),
             unreachable: BTreeMap::new(),
+            waiting_for_link: BTreeMap::new(),
+            reconnect_required: BTreeSet::new(),
             policy,
             connect_timeout,
             max_links,
--- a/crates/node/src/servers/attempts.rs
+++ b/crates/node/src/servers/attempts.rs
@@ -18,7 +18,7 @@
         let Some(attempt) = self.servers.attempts.get(&key) else { return };
         let (server, session_ref) = (attempt.server, attempt.session_ref);
         let existing_link = self.servers.usable_link(server, Some(session_ref));
-        let Some(link_id) = existing_link.or_else(|| self.new_link(core, now, server)) else {
+        let Some(link_id) = existing_link.or_else(|| self.new_link(now, server)) else {
             self.servers.attempts.remove(&key);
             // If the server is listed, the attempt failed only because no connection was available here,
             // so it does not count against the server.
--- /dev/null
+++ b/crates/node/src/servers/capacity.rs
@@ -0,0 +1,140 @@
+//! The limit on connections to servers: which server gets one, and which connection gives way.
+
+use super::ServerLink;
+use crate::host::NodeHost;
+use ivyward::interface::ServerId;
+use ivyward_edge::{EvictionReason, LinkNeed, LinkUsage, link_to_evict};
+use std::time::Duration;
+
+impl NodeHost {
+    /// Opens a connection to a server for a set-up or a probe. At the limit, it closes the connection
+    /// that was unused for longest. Returns `None` if the server is not listed or no connection can be
+    /// closed.
+    pub(super) fn new_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
+        let occupied = self.servers.links.len() + self.reserved_link_count(server);
+        let max_links = self.servers.max_links;
+        if occupied < max_links || occupied == max_links && self.evict_link(now, LinkNeed::SetUp) {
+            return self.open_link(now, server);
+        }
+        self.log_limit_reached(now, server);
+        None
+    }
+
+    /// Opens a connection to a server with sessions or pending releases that needs one. At the limit,
+    /// another connection gives way; if none can, the server waits for a place.
+    pub(super) fn recover_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
+        self.servers.waiting_for_link.entry(server).or_insert(now);
+        let has_room = self.servers.links.len() < self.servers.max_links;
+        if has_room || self.evict_link(now, LinkNeed::Sessions) {
+            return self.open_link(now, server);
+        }
+        self.log_limit_reached(now, server);
+        None
+    }
+
+    /// The number of places that are reserved for servers other than this one: those with sessions that
+    /// wait for a connection. New set-ups can go elsewhere, but these sessions can't.
+    fn reserved_link_count(&self, server: ServerId) -> usize {
+        let waiting = self.servers.waiting_for_link.keys();
+        waiting.filter(|other| **other != server && self.sessions.any_at_server(**other)).count()
+    }
+
+    /// Closes the connection that is missed least. Returns whether there was one.
+    fn evict_link(&mut self, now: Duration, need: LinkNeed) -> bool {
+        let established = self.servers.links.iter().filter(|(_, link)| link.established);
+        let usages = established.map(|(link_id, link)| (*link_id, self.link_usage(*link_id, link)));
+        let Some((link_id, reason)) = link_to_evict(need, usages) else { return false };
+        self.close_evicted_link(now, link_id, reason);
+        true
+    }
+
+    /// How a connection is used.
+    fn link_usage(&self, link_id: u64, link: &ServerLink) -> LinkUsage {
+        let is_alternative =
+            |(other, sibling): (u64, &ServerLink)| other != link_id && sibling.retiring_since.is_none();
+        LinkUsage {
+            last_used_at: link.upstream.last_received_at.max(link.upstream.last_sent_at),
+            busy: !(link.open_set_ups.is_empty() && link.pending_probes.is_empty() && link.queued.is_empty()),
+            suspect: link.upstream.is_suspect(),
+            server_has_sessions: self.sessions.any_at_server(link.server),
+            reports_ends: self.sessions.any_on_link(link.server, link_id),
+            has_alternative: self.servers.links_to(link.server).any(is_alternative),
+        }
+    }
+
+    /// Closes a connection that gives way. No set-up or probe is open on it.
+    fn close_evicted_link(&mut self, now: Duration, link_id: u64, reason: EvictionReason) {
+        let Some(link) = self.servers.links.remove(&link_id) else { return };
+        link.task.abort();
+        let server = link.server;
+        tracing::debug!(server = self.server_name(server), connection = link_id, why = ?reason, "connection evicted");
+        if self.sessions.any_on_link(server, link_id) {
+            self.servers.reconnect_required.insert(server);
+        }
+        if self.needs_link(now, server) {
+            self.servers.waiting_for_link.entry(server).or_insert(now);
+        }
+    }
+
+    /// Whether a server with sessions or pending releases needs a connection: it has none, it may have
+    /// reported an end on one that was closed here, or it is silent on all.
+    fn needs_link(&self, now: Duration, server: ServerId) -> bool {
+        let has_work =
+            self.sessions.any_at_server(server) || self.servers.pending_releases.contains_key(&server);
+        let has_link = self.servers.links_to(server).any(|(_, link)| link.retiring_since.is_none());
+        let is_needed = !has_link
+            || self.servers.reconnect_required.contains(&server)
+            || self.is_server_silent(now, server);
+        has_work && is_needed && self.server_list.row(server).is_some()
+    }
+
+    /// Whether a server with sessions sends nothing on any connection, and none is being established.
+    pub(super) fn is_server_silent(&self, now: Duration, server: ServerId) -> bool {
+        let links = || self.servers.links_to(server).map(|(_, link)| link);
+        let last_received_at = links().map(|link| link.upstream.last_received_at).max().unwrap_or(now);
+        self.sessions.any_at_server(server)
+            && links().all(|link| link.established)
+            && self.servers.policy.is_server_silent(now, last_received_at)
+    }
+
+    /// Opens a connection to a server that needs one, or lets the server wait for it.
+    pub fn ensure_link(&mut self, server: ServerId) {
+        let now = self.events.now();
+        if !self.needs_link(now, server) {
+            return;
+        }
+        let tried = self.servers.unreachable.get(&server).map(|unreachable| unreachable.last_tried_at);
+        if tried.is_none_or(|last| now >= last + self.servers.connect_timeout) {
+            self.recover_link(now, server);
+        } else {
+            self.servers.waiting_for_link.entry(server).or_insert(now);
+        }
+    }
+
+    /// Opens connections to all servers that need one, first to those that have waited longest.
+    pub(super) fn ensure_links(&mut self, now: Duration) {
+        let mut waiting_for_link = std::mem::take(&mut self.servers.waiting_for_link);
+        waiting_for_link.retain(|server, _| self.needs_link(now, *server));
+        self.servers.reconnect_required.retain(|server| self.sessions.any_at_server(*server));
+        let with_releases = self.servers.pending_releases.keys().copied();
+        let mut servers: Vec<_> = self.sessions.servers().chain(with_releases).collect();
+        servers
+            .sort_unstable_by_key(|server| (waiting_for_link.get(server).copied().unwrap_or(now), *server));
+        servers.dedup();
+        self.servers.waiting_for_link = waiting_for_link;
+        servers.into_iter().for_each(|server| self.ensure_link(server));
+    }
+
+    /// Logs that no connection to a server can be opened because of the limit.
+    fn log_limit_reached(&mut self, now: Duration, server: ServerId) {
+        let Some(left_out) = self.log_limiter.check(now, "the limit of connections") else { return };
+        tracing::info!(
+            server = self.server_name(server),
+            connections = self.servers.links.len(),
+            waiting = self.servers.waiting_for_link.len(),
+            sessions = self.sessions.at_server(server).len(),
+            left_out,
+            "no connection to a server can be opened: the limit is reached"
+        );
+    }
+}
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -33,37 +33,12 @@
 }
 
 impl NodeHost {
-    /// Opens a connection to a server. At the limit, it closes the connection that was unused for
-    /// longest. Returns `None` if the server is not listed or no connection can be closed.
-    pub(super) fn new_link(
-        &mut self, core: &mut SessionCore, now: Duration, server: ServerId,
-    ) -> Option<u64> {
-        if self.servers.links.len() >= self.servers.max_links {
-            let idle = |link: &ServerLink| {
-                let unused =
-                    link.open_set_ups.is_empty() && link.pending_probes.is_empty() && link.queued.is_empty();
-                link.established && unused && !self.sessions.any_at_server(link.server)
-            };
-            let idle = self.servers.links.iter().filter(|(_, link)| idle(link));
-            let evicted = idle.min_by_key(|(link_id, link)| {
-                (link.upstream.last_received_at.max(link.upstream.last_sent_at), **link_id)
-            });
-            let Some(evicted) = evicted.map(|(link_id, _)| *link_id) else {
-                self.log_limit_reached(now, server);
-                return None;
-            };
-            self.on_link_lost(core, now, evicted, "closed");
-        }
-        self.open_link(now, server)
-    }
-
-    /// Opens a connection to a server if the limit permits it.
+    /// Opens a connection to a server. The caller has made sure that the limit permits it. Returns `None`
+    /// if the server is not listed.
     pub(super) fn open_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
-        if self.servers.links.len() >= self.servers.max_links {
-            self.log_limit_reached(now, server);
-            return None;
-        }
         let address = self.server_list.row(server)?.address;
+        self.servers.waiting_for_link.remove(&server);
+        self.servers.reconnect_required.remove(&server);
         self.servers.last_link_id += 1;
         let (link_id, (writer, write_queue)) = (self.servers.last_link_id, new_writer());
         let (events, connect_timeout) = (self.events.clone(), self.servers.connect_timeout);
@@ -113,18 +88,6 @@
         Some(link_id)
     }
 
-    /// Logs that no connection to a server can be opened because of the limit.
-    fn log_limit_reached(&mut self, now: Duration, server: ServerId) {
-        let Some(left_out) = self.log_limiter.check(now, "the limit of connections") else { return };
-        tracing::info!(
-            server = self.server_name(server),
-            connections = self.servers.links.len(),
-            sessions = self.sessions.at_server(server).len(),
-            left_out,
-            "no connection to a server can be opened: the limit is reached"
-        );
-    }
-
     /// A connection is established: sends what waited for it.
     pub(super) fn on_link_established(
         &mut self, core: &mut SessionCore, now: Duration, link_id: u64, stream: SharedStream,
@@ -233,6 +196,7 @@
             self.servers.unreachable.remove(&server);
             self.lose_all_sessions(core, now, server);
         }
+        self.ensure_link(server);
     }
 
     /// A connection is lost. The set-ups that were open on it may have run.
@@ -276,7 +240,7 @@
         if link.established && self.sessions.any_on_link(server, link_id) {
             // The server may have reported an end on the lost connection. It reports it again on the next
             // connection that is opened, even if others exist.
-            self.open_link(now, server);
+            self.servers.reconnect_required.insert(server);
         }
         self.ensure_link(server);
     }
@@ -293,19 +257,6 @@
         tracing::debug!(server = self.server_name(server), connection = link_id, "connection retired");
     }
 
-    /// Opens a connection to a server that has sessions or pending releases, unless there is one.
-    pub fn ensure_link(&mut self, server: ServerId) {
-        let wanted =
-            self.sessions.any_at_server(server) || self.servers.pending_releases.contains_key(&server);
-        let tried = self.servers.unreachable.get(&server).map(|unreachable| unreachable.last_tried_at);
-        let now = self.events.now();
-        let may_retry = tried.is_none_or(|last| now >= last + self.servers.connect_timeout);
-        let live = |(_, link): (u64, &ServerLink)| link.retiring_since.is_none();
-        if wanted && may_retry && !self.servers.links_to(server).any(live) {
-            self.open_link(now, server);
-        }
-    }
-
     /// Maintains the connections to servers.
     pub fn sweep_servers(&mut self, core: &mut SessionCore, now: Duration) {
         self.drop_expired_releases(now);
@@ -318,9 +269,7 @@
             server_list.row(*server).is_some()
                 && policy.is_recent_failure(now, (unreachable.since, unreachable.last_tried_at))
         });
-        let with_releases = self.servers.pending_releases.keys().copied();
-        let servers: BTreeSet<_> = self.sessions.servers().chain(with_releases).collect();
-        servers.into_iter().for_each(|server| self.ensure_link(server));
+        self.ensure_links(now);
     }
 
     /// Drops releases that were pending for too long.
@@ -334,7 +283,6 @@
 
     /// Maintains the connections to one server, and declares it lost if it is silent.
     fn sweep_server(&mut self, core: &mut SessionCore, now: Duration, server: ServerId) {
-        let has_sessions = self.sessions.any_at_server(server);
         let links: Vec<_> = self
             .servers
             .links_to(server)
@@ -351,11 +299,10 @@
         for link_id in links {
             self.sweep_link(core, now, (link_id, server), last_received_at, &mut live_links);
         }
-        let all_up = self.servers.links_to(server).all(|(_, link)| link.established);
-        if has_sessions && all_up && self.servers.policy.is_server_silent(now, last_received_at) {
+        if self.is_server_silent(now, server) {
             // If a machine has vanished, its established connections stay silent and new ones can't be
             // established. A new attempt detects this.
-            self.open_link(now, server);
+            self.recover_link(now, server);
         }
     }
 
--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -28,7 +28,7 @@
     pub fn probe_server(&mut self, core: &mut SessionCore, now: Duration, server: ServerId) {
         let session_ref = SessionRef(self.servers.rng.random());
         let existing_link = self.servers.usable_link(server, None);
-        let Some(link_id) = existing_link.or_else(|| self.new_link(core, now, server)) else {
+        let Some(link_id) = existing_link.or_else(|| self.new_link(now, server)) else {
             return core.on_probe_result(self, now, server, None);
         };
         let Some(link) = self.servers.links.get_mut(&link_id) else { return };
