Servers take turns where sessions stand at more of them than connections

What callers saw: where a manager is handed sessions (`at`) at more servers than it may hold connections to, the ends of those at the servers left over are never released towards their viewers, and a silent server among them is never found lost.

Cause: `ensure_link` opened no connection at the limit.

A server counts as waiting until a connection is established, so attempts at one that doesn't answer follow each other closely enough to find it lost.

Tests: `link_limit::ends_at_more_servers_than_connections_are_released_in_ time` and `link_limit::silent_servers_are_found_lost_among_more_servers_ than_connections` failed before and pass now.

--- a/crates/daemon/tests/node/link_limit.rs
+++ b/crates/daemon/tests/node/link_limit.rs
@@ -66,3 +66,75 @@
             .await;
     });
 }
+
+/// Runs a test on a program to which a session at each of six servers was handed over.
+fn with_adopted_sessions<F: Future<Output = ()>>(test: impl FnOnce(Harness, Viewer) -> F) {
+    const SERVER_TOTAL: usize = 6;
+    let tweak = |config: &mut Value| config["limits"]["sockets"] = DESCRIPTORS.into();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let harness = Harness::new(Behavior::Plays, SERVER_TOTAL, tweak).await;
+        let mut viewer = harness.viewer().await;
+        for (server_index, server) in harness.servers.iter().enumerate() {
+            let at = format!(";at:{}", server.server_id);
+            assert!(viewer.write(&set_up_at(adopted_session(server_index), server_index, &at)).await);
+        }
+        sleep(ms(300)).await;
+        let connected = harness.servers.iter().filter(|server| server.open_connection().is_some()).count();
+        assert_eq!(connected, 2, "servers with a connection");
+        test(harness, viewer).await;
+    });
+}
+
+/// The session that was handed over at a server.
+fn adopted_session(server_index: usize) -> SessionRef {
+    SessionRef(0x900 + server_index as u64)
+}
+
+/// Checks that exactly these sessions are released towards their viewer in time.
+async fn check_released(viewer: &mut Viewer, mut expected: Vec<SessionRef>) {
+    let deadline = Instant::now() + RELEASE_DEADLINE;
+    let mut released = vec![];
+    while let Some(signal) = viewer.receive(deadline.saturating_duration_since(Instant::now())).await {
+        assert_eq!(signal.kind, Kind::Release);
+        released.push(signal.session);
+    }
+    released.sort_unstable_by_key(|session_ref| session_ref.0);
+    expected.sort_unstable_by_key(|session_ref| session_ref.0);
+    assert_eq!(released, expected);
+}
+
+// Fails if a server's sessions stay unreachable because sessions at other servers use all connections.
+#[test]
+fn ends_at_more_servers_than_connections_are_released_in_time() {
+    with_adopted_sessions(|harness, mut viewer| async move {
+        // The sessions at the servers without a connection end. The others play on.
+        let mut ended = vec![];
+        for (server_index, server) in harness.servers.iter().enumerate() {
+            if server.open_connection().is_some() {
+                continue;
+            }
+            let (server, session_ref) = (server.clone(), adopted_session(server_index));
+            ended.push(session_ref);
+            spawn_local(async move {
+                while server.open_connection().is_none() {
+                    sleep(ms(5)).await;
+                }
+                server.release(server.open_connection().expect("it is open"), session_ref, 16);
+            });
+        }
+        check_released(&mut viewer, ended).await;
+    });
+}
+
+// Fails if the attempts that find a server lost come too seldom because sessions elsewhere need connections.
+#[test]
+fn silent_servers_are_found_lost_among_more_servers_than_connections() {
+    with_adopted_sessions(|harness, mut viewer| async move {
+        let silent = [0, 5];
+        silent
+            .iter()
+            .for_each(|server_index| harness.servers[*server_index].set_accept_mode(AcceptMode::Silent));
+        check_released(&mut viewer, silent.map(adopted_session).to_vec()).await;
+    });
+}
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -45,6 +45,8 @@
     messages: Messages,
     /// Whether the connection is established. Until then, set-ups and probes wait for it.
     established: bool,
+    /// When it was established; until then, when it was opened.
+    established_at: Duration,
     /// Since when nothing more is written on it. What still arrives is read until the server closes it.
     retiring_since: Option<Duration>,
     /// Attempts that wait until the connection is established.
@@ -76,7 +78,8 @@
     /// Sessions to be released at servers that could not be reached, with the times of the requests.
     pending_releases: BTreeMap<ServerId, BTreeMap<SessionRef, Duration>>,
     unreachable: BTreeMap<ServerId, Unreachable>,
-    /// Servers with sessions or pending releases that wait for a connection, and since when.
+    /// Servers with sessions or pending releases that wait for a connection to be established, and since
+    /// when.
     waiting_for_link: BTreeMap<ServerId, Duration>,
     /// Servers that may have reported the end of a session on a connection that is closed. They report it
     /// again on the next connection that is opened, even if others exist.
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -23,9 +23,9 @@
     /// Opens a connection to a server with sessions or pending releases that needs one. At the limit,
     /// another connection gives way; if none can, the server waits for a place.
     pub(super) fn recover_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
-        self.servers.waiting_for_link.entry(server).or_insert(now);
+        let since = *self.servers.waiting_for_link.entry(server).or_insert(now);
         let has_room = self.servers.links.len() < self.servers.max_links;
-        if has_room || self.evict_link(now, LinkNeed::Sessions) {
+        if has_room || self.evict_link(now, LinkNeed::Sessions { since }) {
             return self.open_link(now, server);
         }
         self.log_limit_reached(now, server);
@@ -35,15 +35,22 @@
     /// The number of places that are reserved for servers other than this one: those with sessions that
     /// wait for a connection. New set-ups can go elsewhere, but these sessions can't.
     fn reserved_link_count(&self, server: ServerId) -> usize {
-        let waiting = self.servers.waiting_for_link.keys();
-        waiting.filter(|other| **other != server && self.sessions.any_at_server(**other)).count()
+        let needs_place = |other: &&ServerId| {
+            **other != server && self.sessions.any_at_server(**other) && !self.is_connecting(**other)
+        };
+        self.servers.waiting_for_link.keys().filter(needs_place).count()
+    }
+
+    /// Whether a connection to a server is being established.
+    fn is_connecting(&self, server: ServerId) -> bool {
+        self.servers.links_to(server).any(|(_, link)| !link.established)
     }
 
     /// Closes the connection that is missed least. Returns whether there was one.
     fn evict_link(&mut self, now: Duration, need: LinkNeed) -> bool {
         let established = self.servers.links.iter().filter(|(_, link)| link.established);
         let usages = established.map(|(link_id, link)| (*link_id, self.link_usage(*link_id, link)));
-        let Some((link_id, reason)) = link_to_evict(need, usages) else { return false };
+        let Some((link_id, reason)) = link_to_evict(now, need, usages) else { return false };
         self.close_evicted_link(now, link_id, reason);
         true
     }
@@ -53,6 +60,7 @@
         let is_alternative =
             |(other, sibling): (u64, &ServerLink)| other != link_id && sibling.retiring_since.is_none();
         LinkUsage {
+            established_at: link.established_at,
             last_used_at: link.upstream.last_received_at.max(link.upstream.last_sent_at),
             busy: !(link.open_set_ups.is_empty() && link.pending_probes.is_empty() && link.queued.is_empty()),
             suspect: link.upstream.is_suspect(),
@@ -90,10 +98,10 @@
 
     /// Whether a server with sessions sends nothing on any connection, and none is being established.
     pub(super) fn is_server_silent(&self, now: Duration, server: ServerId) -> bool {
-        let links = || self.servers.links_to(server).map(|(_, link)| link);
-        let last_received_at = links().map(|link| link.upstream.last_received_at).max().unwrap_or(now);
+        let received_at = self.servers.links_to(server).map(|(_, link)| link.upstream.last_received_at);
+        let last_received_at = received_at.max().unwrap_or(now);
         self.sessions.any_at_server(server)
-            && links().all(|link| link.established)
+            && !self.is_connecting(server)
             && self.servers.policy.is_server_silent(now, last_received_at)
     }
 
@@ -114,7 +122,7 @@
     /// Opens connections to all servers that need one, first to those that have waited longest.
     pub(super) fn ensure_links(&mut self, now: Duration) {
         let mut waiting_for_link = std::mem::take(&mut self.servers.waiting_for_link);
-        waiting_for_link.retain(|server, _| self.needs_link(now, *server));
+        waiting_for_link.retain(|server, _| self.needs_link(now, *server) || self.is_connecting(*server));
         self.servers.reconnect_required.retain(|server| self.sessions.any_at_server(*server));
         let with_releases = self.servers.pending_releases.keys().copied();
         let mut servers: Vec<_> = self.sessions.servers().chain(with_releases).collect();
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -37,7 +37,6 @@
     /// if the server is not listed.
     pub(super) fn open_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
         let address = self.server_list.row(server)?.address;
-        self.servers.waiting_for_link.remove(&server);
         self.servers.reconnect_required.remove(&server);
         self.servers.last_link_id += 1;
         let (link_id, (writer, write_queue)) = (self.servers.last_link_id, new_writer());
@@ -77,6 +76,7 @@
             task: task.abort_handle(),
             messages: Messages::default(),
             established: false,
+            established_at: now,
             retiring_since: None,
             queued: vec![],
             open_set_ups: BTreeMap::new(),
@@ -94,8 +94,9 @@
     ) {
         let Some(link) = self.servers.links.get_mut(&link_id) else { return };
         let server = link.server;
+        self.servers.waiting_for_link.remove(&server);
         let (set_ups, probes) = (link.queued.len(), link.pending_probes.len());
-        (link.established, link.upstream.last_received_at) = (true, now);
+        (link.established, link.established_at, link.upstream.last_received_at) = (true, now, now);
         link.writer.attach(&stream);
         link.stream = Some(stream);
         let queued = std::mem::take(&mut link.queued);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -398,6 +398,11 @@
         self.connections.borrow().len()
     }
 
+    /// Returns the number of the newest connection that is still open.
+    pub fn open_connection(&self) -> Option<usize> {
+        self.connections.borrow().iter().rposition(|out| !out.is_closed())
+    }
+
     /// Returns the received messages of a kind.
     pub fn received(&self, kind: Kind) -> Vec<ReceivedSignal> {
         self.signals.borrow().iter().filter(|received_signal| received_signal.kind == kind).cloned().collect()
