SIGHUP with an unchanged discovery address keeps its open requests

What callers saw: where discovery is slow to respond and the configuration is read again at shorter intervals than its responses take, set-ups go on reaching draining servers.

Cause: each SIGHUP sent the address on, changed or not, and `follow` ended all connections and began anew.

Evidence: the new test, with responses after 1.5 s and a SIGHUP each second: two of eight set-ups went where nothing drains.

Why this works: only another address is sent on. A dead connection to the same address is found by its silence, as without a SIGHUP.

--- a/crates/daemon/tests/node/discovery.rs
+++ b/crates/daemon/tests/node/discovery.rs
@@ -69,3 +69,25 @@
     let failed = runs.into_iter().map(thread::JoinHandle::join).filter(Result::is_err).count();
     assert_eq!(failed, 0, "cases failed");
 }
+
+// Fails if reading an unchanged configuration again drops the request that a slow discovery service still answers.
+#[test]
+fn a_drain_applies_although_the_configuration_is_read_again_and_again() {
+    with_harness(Behavior::Plays, |harness| async move {
+        wait_until("the first request to the bus", || !harness.bus.requested_after.borrow().is_empty()).await;
+        harness.bus.response_delay.set(ms(1500));
+        harness.bus.disconnect_all();
+        let drains = [member(&harness.servers[0], 0, "draining"), member(&harness.servers[1], 1, "draining")];
+        harness.bus.publish(2, &event(2, false, &drains), 0);
+        for _ in 0..4 {
+            sleep(ms(1000)).await;
+            harness.send_unix_signal("-HUP");
+        }
+        let mut viewer = harness.viewer().await;
+        for i in 0..8 {
+            assert!(viewer.write(&set_up_bytes(SessionRef(0x700 + i), "clip", 3000, "")).await);
+            assert_eq!(viewer.receive(ms(2500)).await.map(|reply| reply.kind), Some(Kind::Answer));
+        }
+        assert_eq!(harness.servers[2].received(Kind::SetUp).len(), 8, "all set-ups go where nothing drains");
+    });
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -150,7 +150,10 @@
                 // open it.
                 reread_at = new_address.is_err().then(|| Instant::now() + CONFIG_RETRY_INTERVAL);
                 match new_address {
-                    Ok(address) => drop(address_sender.send(address)),
+                    Ok(address) => {
+                        // The same address is no news: open requests to it are still answered.
+                        address_sender.send_if_modified(|current| std::mem::replace(current, address) != address);
+                    }
                     Err(error) => {
                         tracing::error!(error, "configuration can't be read; keeping the old one and retrying")
                     }
