--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -1,6 +1,6 @@
 //! Connections to servers: opening, maintenance, retirement and loss.
 
-use super::{ServerLink, Unreachable, encode_release};
+use super::{AttemptKey, ServerLink, Unreachable, encode_release};
 use crate::connection::{
     SharedStream, limit_send_buffer, new_writer, read_available, read_chunk, run_connection,
 };
@@ -164,18 +164,7 @@
                 "connection can't be established"
             );
         }
-        for key in link.queued {
-            if self.servers.attempts.remove(&key).is_some() {
-                core.on_attempt_result(
-                    self,
-                    now,
-                    key.0,
-                    key.1,
-                    AttemptResult::NotConnected,
-                    LoadReport::default(),
-                );
-            }
-        }
+        self.fail_queued_attempts(core, now, link.queued);
         self.fail_probes(core, now, server, link.pending_probes);
         let before = self.servers.unreachable.get(&server).copied();
         let since = self
@@ -200,6 +189,16 @@
         self.ensure_link(server);
     }
 
+    /// Reports attempts as failed that waited for a connection. They never ran.
+    fn fail_queued_attempts(&mut self, core: &mut SessionCore, now: Duration, queued: Vec<AttemptKey>) {
+        for key in queued {
+            if self.servers.attempts.remove(&key).is_some() {
+                let result = AttemptResult::NotConnected;
+                core.on_attempt_result(self, now, key.0, key.1, result, LoadReport::default());
+            }
+        }
+    }
+
     /// A connection is lost. The set-ups that were open on it may have run.
     pub(super) fn on_link_lost(&mut self, core: &mut SessionCore, now: Duration, link_id: u64, reason: &str) {
         let Some(link) = self.servers.links.remove(&link_id) else { return };
@@ -214,27 +213,10 @@
             why = reason,
             "connection lost"
         );
-        for key in link.queued {
-            if self.servers.attempts.remove(&key).is_some() {
-                core.on_attempt_result(
-                    self,
-                    now,
-                    key.0,
-                    key.1,
-                    AttemptResult::NotConnected,
-                    LoadReport::default(),
-                );
-            }
-        }
+        self.fail_queued_attempts(core, now, link.queued);
         for key in link.open_set_ups.into_values() {
-            core.on_attempt_result(
-                self,
-                now,
-                key.0,
-                key.1,
-                AttemptResult::ConnectionBroken,
-                LoadReport::default(),
-            );
+            let result = AttemptResult::ConnectionBroken;
+            core.on_attempt_result(self, now, key.0, key.1, result, LoadReport::default());
             self.servers.attempts.remove(&key);
         }
         self.fail_probes(core, now, server, link.pending_probes);
