Viewers: set-ups and ends of sessions in modules of their own

Connections and their input stay there; set-ups, adoption and answers are in viewers/set_ups.rs, ends that go to viewers in viewers/ends.rs.

--- /dev/null
+++ b/crates/node/src/viewers/ends.rs
@@ -0,0 +1,66 @@
+//! Ends of sessions: each is delivered to its viewer on some connection.
+
+use super::Viewers;
+use crate::connection::SessionEnd;
+use crate::host::NodeHost;
+use ivyward_edge::ClientLimits;
+use ivyward_signal::{Kind, SessionRef, line};
+use std::time::Duration;
+
+impl Viewers {
+    /// Writes the end of a session on the connection that requested it.
+    fn write_end(&mut self, client_id: u64, line: Vec<u8>, end: SessionEnd) -> bool {
+        self.connections
+            .get(&client_id)
+            .is_some_and(|connection| connection.writer.write_end(line, Some(end)))
+    }
+
+    /// Writes the end of a session on another connection than the one that requested it.
+    fn write_end_elsewhere(&mut self, now: Duration, client_id: u64, line: Vec<u8>, end: SessionEnd) -> bool {
+        let Some(connection) = self.connections.get_mut(&client_id) else { return false };
+        while connection
+            .recent_ends
+            .pop_front_if(|(_, at)| now >= *at + ClientLimits::END_UNREAD_TIMEOUT)
+            .is_some()
+        {}
+        connection.recent_ends.push_back((end, now));
+        connection.writer.write_end(line, Some(end))
+    }
+}
+
+impl NodeHost {
+    /// Notifies the viewer that its session is over, on the connection that requested it, else on the
+    /// most recently used connection of a viewer.
+    pub fn notify_viewer(
+        &mut self, now: Duration, session_ref: SessionRef, client_id: Option<u64>, cause: u8,
+    ) {
+        let Ok(line) = line::write(Kind::Release, session_ref, &[], Some(cause), None) else { return };
+        if client_id
+            .is_some_and(|client_id| self.viewers.write_end(client_id, line.clone(), (session_ref, cause)))
+        {
+            return;
+        }
+        // Only connections that had a session belong to viewers. An end that is written to another
+        // client, whose requests were refused at most, would not reach the viewer.
+        let notified = self
+            .viewers
+            .connections
+            .iter()
+            .filter(|(_, c)| c.state.active_sessions > 0 || c.state.had_session);
+        let latest_id = notified.max_by_key(|(id, c)| (c.state.last_message_at, **id)).map(|(id, _)| *id);
+        if !latest_id.is_some_and(|client_id| {
+            self.viewers.write_end_elsewhere(now, client_id, line, (session_ref, cause))
+        }) {
+            self.viewers.undelivered_ends.insert(session_ref, (cause, now));
+        }
+    }
+
+    /// Writes, on this connection, the ends that could not be delivered before.
+    pub(super) fn retry_undelivered_ends(&mut self, now: Duration, client_id: u64) {
+        for (session_ref, (cause, since)) in std::mem::take(&mut self.viewers.undelivered_ends) {
+            if now < since + ClientLimits::END_DELIVERY_TIMEOUT {
+                self.notify_viewer(since, session_ref, Some(client_id), cause);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/viewers/set_ups.rs
@@ -0,0 +1,236 @@
+//! Viewers' set-ups: checks, adoption of sessions that already play, and the only answer to each.
+
+use super::{PendingSetUp, Viewers};
+use crate::host::{ActiveSession, NodeHost};
+use ivyward::interface::{Cells, PackageId, TitleId};
+use ivyward_edge::{ClientLimits, truncate_for_log};
+use ivyward_session::{Answer, EndReason, RequestId, SessionCore, SessionId};
+use ivyward_signal::{Field, Kind, SessionRef, Signal, binary, line, parse_id};
+use std::time::Duration;
+
+/// The set-up was refused before it ran, so trying again is harmless.
+const CAUSE_REFUSED: u8 = 34;
+/// The set-up failed and may have run.
+const CAUSE_FAILED: u8 = 41;
+/// The set-up is invalid.
+const CAUSE_INVALID: u8 = 100;
+
+impl Viewers {
+    /// Refuses a set-up with a cause.
+    fn refuse(&mut self, client_id: u64, session_ref: SessionRef, cause: u8) {
+        if let Ok(line) = line::write(Kind::Release, session_ref, &[], Some(cause), None) {
+            self.write_line(client_id, line);
+        }
+        self.connections.entry(client_id).and_modify(|c| c.state.answered = true);
+    }
+
+    /// The first field of a set-up that is missing, unknown or out of range.
+    fn invalid_field(&self, signal: &Signal) -> Option<&'static str> {
+        let known = |names: &[String], field| {
+            signal.text(field).is_some_and(|text| names.iter().any(|name| name == text))
+        };
+        let time_left = signal.integer(Field::TimeLeft).map(Duration::from_millis);
+        let extra = |name, minimum: u64| {
+            signal.extra(name).is_some_and(|text| text.parse::<u32>().is_ok_and(|n| u64::from(n) >= minimum))
+        };
+        let title = signal.text(Field::Title).and_then(parse_id).is_some();
+        let fits = signal.description.as_deref().is_some_and(|description| {
+            let fields =
+                [Field::Package, Field::Title].map(|field| (field, signal.text(field).unwrap_or_default()));
+            let fields = [fields[0], fields[1], (Field::TimeLeft, "4294967295"), (Field::Rung, "255")];
+            binary::write(Kind::SetUp, signal.session, &fields, None, Some(description)).is_ok()
+        });
+        let plays_already = signal.extra("at").is_some();
+        [
+            ("class", known(&self.packages, Field::Package)),
+            ("tenant", self.tenants.is_empty() || known(&self.tenants, Field::Tenant)),
+            (
+                "left",
+                plays_already
+                    || time_left.is_some_and(|time_left| {
+                        !time_left.is_zero()
+                            && time_left <= self.longest_patience * ClientLimits::MAX_PATIENCE_FACTOR
+                    }),
+            ),
+            ("key", title),
+            ("home", extra("home", 0)),
+            ("copies", extra("copies", 1)),
+            ("top", extra("top", 0)),
+            ("description", plays_already || fits),
+        ]
+        .into_iter()
+        .find(|(_, is_valid)| !is_valid)
+        .map(|(field, _)| field)
+    }
+}
+
+impl NodeHost {
+    /// Handles a set-up: checks it and passes it to the core, or adopts a session that already plays.
+    pub(super) fn handle_set_up(
+        &mut self, core: &mut SessionCore, now: Duration, client_id: u64, signal: &Signal,
+    ) {
+        let session_ref = signal.session;
+        let first_invalid = self.viewers.invalid_field(signal);
+        let is_known =
+            self.viewers.pending.contains_key(&session_ref) || self.sessions.get(session_ref).is_some();
+        if let Some(server_name) = signal.extra("at") {
+            // An adoption gets no answer. It may name a session that is known already, which stays unchanged.
+            if first_invalid.is_none() && !is_known {
+                self.adopt_session(core, now, client_id, signal, server_name);
+            }
+            return;
+        }
+        let within_limits = self
+            .viewers
+            .connections
+            .get(&client_id)
+            .is_some_and(|c| self.viewers.limits.may_open(&c.state, self.viewers.pending.len()));
+        let rejection = match (first_invalid, is_known, within_limits) {
+            (None, false, true) => None,
+            (None, false, false) => Some(("too many set-ups are open", CAUSE_REFUSED)),
+            (None, true, _) => Some(("session number is in use", CAUSE_INVALID)),
+            (Some(field), ..) => Some((field, CAUSE_INVALID)),
+        };
+        if let Some((reason, cause)) = rejection {
+            if let Some(left_out) = self.log_limiter.check(now, "a set-up") {
+                tracing::info!(wrong = reason, left_out, "a set-up is refused");
+            }
+            return self.viewers.refuse(client_id, session_ref, cause);
+        }
+        self.viewers.last_request_id += 1;
+        let request = RequestId(self.viewers.last_request_id);
+        let text = |field| signal.text(field).unwrap_or_default().to_string();
+        let set_up = PendingSetUp {
+            client_id,
+            request,
+            package: text(Field::Package),
+            title: text(Field::Title),
+            description: signal.description.as_deref().unwrap_or_default().to_vec(),
+        };
+        let (package, title, top) = self.target(signal);
+        let cells = |name| signal.extra(name).and_then(|text| text.parse().ok()).unwrap_or_default();
+        let request_details = (package, title, Cells { first: cells("home"), spread: cells("copies") }, top);
+        let time_left = Duration::from_millis(signal.integer(Field::TimeLeft).unwrap_or_default());
+        tracing::debug!(
+            of = format!("{:016x}", session_ref.0),
+            left = ?time_left,
+            package = set_up.package,
+            "set-up requested"
+        );
+        self.viewers.pending.insert(session_ref, set_up);
+        self.viewers.requests.insert(request, session_ref);
+        self.viewers.connections.entry(client_id).and_modify(|c| c.state.open_set_ups += 1);
+        core.on_single_request(
+            self,
+            now,
+            request,
+            SessionId(session_ref.0.into()),
+            request_details,
+            time_left,
+        );
+    }
+
+    /// The package, title and highest rung that a set-up names.
+    fn target(&self, signal: &Signal) -> (PackageId, TitleId, usize) {
+        let package = signal.text(Field::Package);
+        let package = self.viewers.packages.iter().position(|name| Some(name.as_str()) == package);
+        let title = signal.text(Field::Title).and_then(parse_id).unwrap_or_default();
+        let top = signal.extra("top").and_then(|text| text.parse().ok()).unwrap_or_default();
+        (PackageId(package.unwrap_or(usize::MAX)), TitleId(title), top)
+    }
+
+    /// Adopts a session that already plays at a server.
+    fn adopt_session(
+        &mut self, core: &mut SessionCore, now: Duration, client_id: u64, signal: &Signal, server_name: &str,
+    ) {
+        let Some(server) = self.server_list.id_by_name(server_name) else {
+            return tracing::info!(
+                word = truncate_for_log(server_name),
+                "session can't be adopted: its server is not listed"
+            );
+        };
+        let (package, title, top) = self.target(signal);
+        // The session's rung arrives later in a note.
+        let session = SessionId(signal.session.0.into());
+        if let Some(key) = core.adopt_viewing(self, now, server, session, (package, title, (0, top))) {
+            self.sessions.insert(
+                signal.session,
+                ActiveSession { server, key, client_id: Some(client_id), active_since: now, link_id: None },
+            );
+            self.ensure_link(server);
+        }
+    }
+
+    /// Handles a viewer's release: abandons the set-up, or ends the session.
+    pub(super) fn end_by_viewer(
+        &mut self, core: &mut SessionCore, now: Duration, client_id: u64, session_ref: SessionRef,
+    ) {
+        if self.viewers.pending.get(&session_ref).is_some_and(|set_up| set_up.client_id == client_id) {
+            return self.abandon_set_up(core, now, session_ref);
+        }
+        if let Some(active_session) = self.sessions.remove(session_ref) {
+            self.release_session(active_session.server, session_ref);
+            core.on_viewing_ended(
+                self,
+                now,
+                active_session.server,
+                active_session.key,
+                EndReason::ViewerLeft,
+            );
+        }
+        self.viewers.undelivered_ends.remove(&session_ref);
+        if let Ok(line) = line::write(Kind::Ack, session_ref, &[], None, None) {
+            self.viewers.write_line(client_id, line);
+        }
+    }
+
+    /// Writes the only answer to a set-up.
+    pub fn deliver_answer(&mut self, request: RequestId, answer: Answer) {
+        let Some(session_ref) = self.viewers.requests.remove(&request) else { return };
+        let Some(set_up) = self.viewers.pending.remove(&session_ref) else { return };
+        let connection = self.viewers.connections.get_mut(&set_up.client_id);
+        connection.into_iter().for_each(|viewer_connection| {
+            (viewer_connection.state.open_set_ups, viewer_connection.state.answered) =
+                (viewer_connection.state.open_set_ups.saturating_sub(1), true)
+        });
+        match (answer, self.answer_line.take()) {
+            (Answer::Plays { .. }, Some(line)) => {
+                tracing::debug!(of = format!("{:016x}", session_ref.0), "session plays");
+                if let Some(active_session) = self.sessions.get_mut(session_ref) {
+                    active_session.client_id = Some(set_up.client_id);
+                }
+                self.viewers.connections.entry(set_up.client_id).and_modify(|c| c.state.had_session = true);
+                let written = self.viewers.write_line(set_up.client_id, line);
+                self.events.send(move |core, host, now| {
+                    host.retry_undelivered_ends(now, set_up.client_id);
+                    // If the answer could not be written, or the viewer disconnected before it, nobody
+                    // watches this session.
+                    if !written || host.has_disconnected(core, now, set_up.client_id) {
+                        host.close_viewer_connection(core, now, set_up.client_id);
+                        host.end_by_viewer(core, now, set_up.client_id, session_ref);
+                    }
+                });
+            }
+            (Answer::Blocked { why, .. }, _) => {
+                tracing::debug!(of = format!("{:016x}", session_ref.0), ?why, "blocked");
+                self.viewers.refuse(set_up.client_id, session_ref, CAUSE_REFUSED);
+            }
+            (answer, _) => {
+                tracing::debug!(of = format!("{:016x}", session_ref.0), ?answer, "set-up aborted");
+                self.viewers.refuse(set_up.client_id, session_ref, CAUSE_FAILED);
+            }
+        }
+    }
+
+    /// Drops a set-up for which no viewer waits any more.
+    pub(super) fn abandon_set_up(&mut self, core: &mut SessionCore, now: Duration, session_ref: SessionRef) {
+        tracing::debug!(of = format!("{:016x}", session_ref.0), "viewer abandoned a set-up");
+        let Some(set_up) = self.viewers.pending.remove(&session_ref) else { return };
+        self.viewers.requests.remove(&set_up.request);
+        self.viewers
+            .connections
+            .entry(set_up.client_id)
+            .and_modify(|c| c.state.open_set_ups = c.state.open_set_ups.saturating_sub(1));
+        core.on_request_closed(self, now, SessionId(session_ref.0.into()), set_up.request);
+    }
+}
