One server's several connections give way to sessions elsewhere, too

What callers saw: where one server holds all connections, with sessions that were set up on each, the end of a session handed over at another server is never released towards its viewer.

A connection on which ends may still be reported gave way only if it was the only one to its server; one of several never did.

Why this works: such a connection gives way after the same wait as an only one. Its server needs a new connection then, for the ends it may have reported, and replaces another of its own for that, so the turns come to rest. Replacing its own also comes before all but unneeded ones for a silent server.

--- a/crates/daemon/tests/node/link_limit.rs
+++ b/crates/daemon/tests/node/link_limit.rs
@@ -138,3 +138,35 @@
         check_released(&mut viewer, silent.map(adopted_session).to_vec()).await;
     });
 }
+
+// Fails if a server that holds several connections with sessions never gives one of them away.
+#[test]
+fn an_end_is_released_while_one_server_holds_all_connections() {
+    let tweak = |config: &mut Value| {
+        config["limits"]["sockets"] = DESCRIPTORS.into();
+        config["settings"]["limits"]["streams-per-conn"] = 1.into();
+    };
+    with_config(Behavior::Ignores, tweak, |harness| async move {
+        let mut viewer = harness.viewer().await;
+        let sessions = [SessionRef(0xa00), SessionRef(0xa01)];
+        for session_ref in sessions {
+            assert!(viewer.write(&set_up_at(session_ref, 0, "")).await);
+        }
+        wait_until("a connection for each set-up", || harness.signal_count(Kind::SetUp) == 2).await;
+        for set_up in harness.servers[0].received(Kind::SetUp) {
+            let answer_bytes =
+                ivyward_signal::binary::write(Kind::Answer, set_up.session_ref, &[], None, Some(b"here"));
+            harness.servers[0].send_bytes(set_up.connection, answer_bytes.expect("short"));
+            assert_eq!(viewer.receive(ms(1000)).await.map(|reply| reply.kind), Some(Kind::Answer));
+        }
+        let (server, adopted) = (harness.servers[1].clone(), SessionRef(0xa02));
+        assert!(viewer.write(&set_up_at(adopted, 1, &format!(";at:{}", server.server_id))).await);
+        spawn_local(async move {
+            while server.open_connection().is_none() {
+                sleep(ms(5)).await;
+            }
+            server.release(server.open_connection().expect("it is open"), adopted, 16);
+        });
+        check_released(&mut viewer, vec![adopted]).await;
+    });
+}
--- a/crates/edge/src/link_eviction.rs
+++ b/crates/edge/src/link_eviction.rs
@@ -36,6 +36,8 @@
     pub reports_ends: bool,
     /// Whether its server has another connection in use.
     pub has_alternative: bool,
+    /// Whether the new connection is for the same server.
+    pub same_server: bool,
 }
 
 /// Why a connection may be closed; the first variants go first.
@@ -43,6 +45,8 @@
 pub enum EvictionReason {
     /// No session plays at its server.
     Unneeded,
+    /// The new connection replaces it: its server reports on that what it reported on this one.
+    Replacement,
     /// It may be dead.
     Suspect,
     /// Its server has another one.
@@ -61,11 +65,14 @@
             return Some(EvictionReason::Unneeded);
         }
         let LinkNeed::Sessions { since } = need else { return None };
+        if self.same_server {
+            return Some(EvictionReason::Replacement);
+        }
         if self.suspect {
             return Some(EvictionReason::Suspect);
         }
-        if self.has_alternative {
-            return (!self.reports_ends).then_some(EvictionReason::Spare);
+        if self.has_alternative && !self.reports_ends {
+            return Some(EvictionReason::Spare);
         }
         let may_rotate = now >= since + ROTATION_WAIT && now >= self.established_at + MIN_HOLD_TIME;
         may_rotate.then_some(EvictionReason::Rotation)
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -13,7 +13,7 @@
     pub(super) fn new_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
         let occupied = self.servers.links.len() + self.reserved_link_count(server);
         let max_links = self.servers.max_links;
-        if occupied < max_links || occupied == max_links && self.evict_link(now, LinkNeed::SetUp) {
+        if occupied < max_links || occupied == max_links && self.evict_link(now, server, LinkNeed::SetUp) {
             return self.open_link(now, server);
         }
         self.log_limit_reached(now, server);
@@ -25,7 +25,7 @@
     pub(super) fn recover_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
         let since = *self.servers.waiting_for_link.entry(server).or_insert(now);
         let has_room = self.servers.links.len() < self.servers.max_links;
-        if has_room || self.evict_link(now, LinkNeed::Sessions { since }) {
+        if has_room || self.evict_link(now, server, LinkNeed::Sessions { since }) {
             return self.open_link(now, server);
         }
         self.log_limit_reached(now, server);
@@ -46,17 +46,18 @@
         self.servers.links_to(server).any(|(_, link)| !link.established)
     }
 
-    /// Closes the connection that is missed least. Returns whether there was one.
-    fn evict_link(&mut self, now: Duration, need: LinkNeed) -> bool {
+    /// Closes the connection that is missed least, so that one to `server` can be opened. Returns whether
+    /// there was one.
+    fn evict_link(&mut self, now: Duration, server: ServerId, need: LinkNeed) -> bool {
         let established = self.servers.links.iter().filter(|(_, link)| link.established);
-        let usages = established.map(|(link_id, link)| (*link_id, self.link_usage(*link_id, link)));
+        let usages = established.map(|(link_id, link)| (*link_id, self.link_usage(*link_id, link, server)));
         let Some((link_id, reason)) = link_to_evict(now, need, usages) else { return false };
         self.close_evicted_link(now, link_id, reason);
         true
     }
 
-    /// How a connection is used.
-    fn link_usage(&self, link_id: u64, link: &ServerLink) -> LinkUsage {
+    /// How a connection is used, when one to `server` is to be opened.
+    fn link_usage(&self, link_id: u64, link: &ServerLink, server: ServerId) -> LinkUsage {
         let is_alternative =
             |(other, sibling): (u64, &ServerLink)| other != link_id && sibling.retiring_since.is_none();
         LinkUsage {
@@ -67,6 +68,7 @@
             server_has_sessions: self.sessions.any_at_server(link.server),
             reports_ends: self.sessions.any_on_link(link.server, link_id),
             has_alternative: self.servers.links_to(link.server).any(is_alternative),
+            same_server: link.server == server,
         }
     }
 
