Logs: server, connection, sessions and reason for every close, test and end

A bad message's info line has server, connection and the sessions set up on it. Debug lines: connection opened (for a set-up, no connection, ends that may be lost, a silent server), lost (by the server, writes stalled, invalid or incomplete message, not closed by the server), retired, evicted, each with the sessions set up on it; test sent, not answered; a viewer's connection with the reason of its close; the end of a session sent to its viewer, on another connection, or waiting. Reasons are enums.

--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod capacity;
+mod close_reason;
 mod connections;
 mod messages;
 mod sessions;
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -1,6 +1,7 @@
 //! The limit on connections to servers: which server gets one, and which connection gives way.
 
 use super::ServerLink;
+use super::close_reason::OpenReason;
 use crate::host::NodeHost;
 use ivyward::interface::ServerId;
 use ivyward_edge::{EvictionReason, LinkNeed, LinkUsage, link_to_evict};
@@ -14,7 +15,7 @@
         let occupied = self.servers.links.len() + self.reserved_link_count(server);
         let max_links = self.servers.max_links;
         if occupied < max_links || occupied == max_links && self.evict_link(now, server, LinkNeed::SetUp) {
-            return self.open_link(now, server);
+            return self.open_link(now, server, OpenReason::SetUp);
         }
         self.log_limit_reached(now, server);
         None
@@ -22,11 +23,13 @@
 
     /// Opens a connection to a server with sessions or pending releases that needs one. At the limit,
     /// another connection gives way; if none can, the server waits for a place.
-    pub(super) fn recover_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
+    pub(super) fn recover_link(
+        &mut self, now: Duration, server: ServerId, reason: OpenReason,
+    ) -> Option<u64> {
         let since = *self.servers.waiting_for_link.entry(server).or_insert(now);
         let has_room = self.servers.links.len() < self.servers.max_links;
         if has_room || self.evict_link(now, server, LinkNeed::Sessions { since }) {
-            return self.open_link(now, server);
+            return self.open_link(now, server, reason);
         }
         self.log_limit_reached(now, server);
         None
@@ -77,7 +80,13 @@
         let Some(link) = self.servers.links.remove(&link_id) else { return };
         link.task.abort();
         let server = link.server;
-        tracing::debug!(server = self.server_name(server), connection = link_id, why = ?reason, "connection evicted");
+        tracing::debug!(
+            server = self.server_name(server),
+            connection = link_id,
+            stand = ?self.sessions_set_up_on(server, link_id),
+            why = ?reason,
+            "connection evicted"
+        );
         if self.sessions.any_on_link(server, link_id) {
             self.servers.reconnect_required.insert(server);
         }
@@ -89,13 +98,23 @@
     /// Whether a server with sessions or pending releases needs a connection: it has none, it may have
     /// reported an end on one that was closed here, or it is silent on all.
     fn needs_link(&self, now: Duration, server: ServerId) -> bool {
+        self.link_need(now, server).is_some()
+    }
+
+    /// Why a server with sessions or pending releases needs another connection, if it does.
+    fn link_need(&self, now: Duration, server: ServerId) -> Option<OpenReason> {
         let has_work =
             self.sessions.any_at_server(server) || self.servers.pending_releases.contains_key(&server);
-        let has_link = self.servers.links_to(server).any(|(_, link)| link.retiring_since.is_none());
-        let is_needed = !has_link
-            || self.servers.reconnect_required.contains(&server)
-            || self.is_server_silent(now, server);
-        has_work && is_needed && self.server_list.row(server).is_some()
+        if !has_work || self.server_list.row(server).is_none() {
+            return None;
+        }
+        if !self.servers.links_to(server).any(|(_, link)| link.retiring_since.is_none()) {
+            return Some(OpenReason::NoConnection);
+        }
+        if self.servers.reconnect_required.contains(&server) {
+            return Some(OpenReason::EndsMayBeLost);
+        }
+        self.is_server_silent(now, server).then_some(OpenReason::Silent)
     }
 
     /// Whether a server with sessions sends nothing on any connection, and none is being established.
@@ -110,12 +129,10 @@
     /// Opens a connection to a server that needs one, or lets the server wait for it.
     pub fn ensure_link(&mut self, server: ServerId) {
         let now = self.events.now();
-        if !self.needs_link(now, server) {
-            return;
-        }
+        let Some(reason) = self.link_need(now, server) else { return };
         let tried = self.servers.unreachable.get(&server).map(|unreachable| unreachable.last_tried_at);
         if tried.is_none_or(|last| now >= last + self.servers.connect_timeout) {
-            self.recover_link(now, server);
+            self.recover_link(now, server, reason);
         } else {
             self.servers.waiting_for_link.entry(server).or_insert(now);
         }
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -1,5 +1,6 @@
 //! Connections to servers: opening, maintenance, retirement and loss.
 
+use super::close_reason::{CloseReason, OpenReason, RetireReason};
 use super::{AttemptKey, ServerLink, Unreachable, encode_release};
 use crate::connection::{
     SharedStream, limit_send_buffer, new_writer, read_available, read_chunk, run_connection,
@@ -35,7 +36,7 @@
 impl NodeHost {
     /// Opens a connection to a server. The caller has made sure that the limit permits it. Returns `None`
     /// if the server is not listed.
-    pub(super) fn open_link(&mut self, now: Duration, server: ServerId) -> Option<u64> {
+    pub(super) fn open_link(&mut self, now: Duration, server: ServerId, reason: OpenReason) -> Option<u64> {
         let address = self.server_list.row(server)?.address;
         self.servers.reconnect_required.remove(&server);
         self.servers.last_link_id += 1;
@@ -65,8 +66,9 @@
             run_connection(stream, write_queue, on_readable).await;
             events.send(move |core, host, now| {
                 // Input that arrived before the connection broke still counts.
-                host.read_server_chunk(core, now, link_id, read_available);
-                host.on_link_lost(core, now, link_id, "closed");
+                let is_open = host.read_server_chunk(core, now, link_id, read_available);
+                let reason = if is_open { CloseReason::WriteStalled } else { CloseReason::ClosedByServer };
+                host.on_link_lost(core, now, link_id, reason);
             });
         });
         let link = ServerLink {
@@ -85,6 +87,12 @@
             upstream: UpstreamState::new(now),
         };
         self.servers.links.insert(link_id, link);
+        tracing::debug!(
+            server = self.server_name(server),
+            connection = link_id,
+            why = ?reason,
+            "connection opened"
+        );
         Some(link_id)
     }
 
@@ -200,7 +208,9 @@
     }
 
     /// A connection is lost. The set-ups that were open on it may have run.
-    pub(super) fn on_link_lost(&mut self, core: &mut SessionCore, now: Duration, link_id: u64, reason: &str) {
+    pub(super) fn on_link_lost(
+        &mut self, core: &mut SessionCore, now: Duration, link_id: u64, reason: CloseReason,
+    ) {
         let Some(link) = self.servers.links.remove(&link_id) else { return };
         link.task.abort();
         let server = link.server;
@@ -210,7 +220,8 @@
             server = self.server_name(server),
             connection = link_id,
             ?open,
-            why = reason,
+            stand = ?self.sessions_set_up_on(server, link_id),
+            why = ?reason,
             "connection lost"
         );
         self.fail_queued_attempts(core, now, link.queued);
@@ -230,14 +241,20 @@
 
     /// Closes the sending side of a connection that is no longer needed. The connection is still read
     /// until the server closes it too, so that a session's end that is under way is not lost.
-    pub(super) fn retire(&mut self, now: Duration, link_id: u64) {
+    pub(super) fn retire(&mut self, now: Duration, link_id: u64, reason: RetireReason) {
         let Some(link) = self.servers.links.get_mut(&link_id) else { return };
         link.retiring_since = Some(now);
         if let Some(stream) = &link.stream {
             SockRef::from(&**stream).shutdown(Shutdown::Write).ok();
         }
         let server = link.server;
-        tracing::debug!(server = self.server_name(server), connection = link_id, "connection retired");
+        tracing::debug!(
+            server = self.server_name(server),
+            connection = link_id,
+            stand = ?self.sessions_set_up_on(server, link_id),
+            why = ?reason,
+            "connection retired"
+        );
     }
 
     /// Maintains the connections to servers.
@@ -285,7 +302,7 @@
         if self.is_server_silent(now, server) {
             // If a machine has vanished, its established connections stay silent and new ones can't be
             // established. A new attempt detects this.
-            self.recover_link(now, server);
+            self.recover_link(now, server, OpenReason::Silent);
         }
     }
 
@@ -300,7 +317,7 @@
             // A server that hangs or is cut off may still report ends on this connection when it
             // recovers.
             if now >= since + UpstreamPolicy::RELEASE_TIMEOUT {
-                self.on_link_lost(core, now, link_id, "retired and not closed");
+                self.on_link_lost(core, now, link_id, CloseReason::NotClosedByServer);
             }
             return;
         }
@@ -310,10 +327,17 @@
                 core,
                 now,
                 link_id,
+                CloseReason::IncompleteMessage,
                 "the rest of a message did not arrive in time",
             );
         }
+        let was_suspect = link.upstream.is_suspect();
         self.servers.policy.check_test(now, &mut link.upstream);
+        if link.upstream.is_suspect() && !was_suspect {
+            let server = self.server_name(server);
+            tracing::debug!(server, connection = link_id, "test not answered");
+        }
+        let Some(link) = self.servers.links.get_mut(&link_id) else { return };
         let idle = link.open_set_ups.is_empty() && link.pending_probes.is_empty();
         let idle = idle && self.servers.policy.is_idle(now, &link.upstream);
         let needed = !link.upstream.is_suspect() && self.sessions.any_on_link(server, link_id);
@@ -321,7 +345,9 @@
         let expendable = !has_sessions || *live_links > 1 && !needed;
         if idle && expendable {
             *live_links -= 1;
-            return self.retire(now, link_id);
+            let suspect = link.upstream.is_suspect();
+            let reason = if suspect { RetireReason::Suspect } else { RetireReason::Idle };
+            return self.retire(now, link_id, reason);
         }
         if has_sessions && self.servers.policy.needs_test(now, last_received_at, &link.upstream) {
             link.upstream.test_sent_at = Some(now);
@@ -330,6 +356,7 @@
                 link_id,
                 binary::write(Kind::Heartbeat, session_ref, &[], Some(HEARTBEAT_ONLY), None),
             );
+            tracing::debug!(server = self.server_name(server), connection = link_id, "test sent");
         }
     }
 }
--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -1,5 +1,6 @@
 //! Messages from servers: reading, and passing them to the core.
 
+use super::close_reason::CloseReason;
 use super::connections::HEARTBEAT_WITH_REPORT;
 use super::sessions::CAUSE_CANCELLED;
 use super::{CAUSE_COMPLETED, CAUSE_LOST};
@@ -103,26 +104,36 @@
             let message = match link.messages.next_message() {
                 Ok(None) => return link.upstream.set_partial(now, link.messages.has_partial_message()),
                 Ok(Some(message)) => message.to_vec(),
-                Err(error) => return self.on_invalid_message(core, now, link_id, &error),
+                Err(error) => {
+                    return self.on_invalid_message(core, now, link_id, CloseReason::InvalidMessage, &error);
+                }
             };
             let handled = match binary::read(&message) {
                 Ok(signal) => self.handle_message(core, now, (link_id, server), &signal),
                 Err(error) => Err(error),
             };
             if let Err(error) = handled {
-                return self.on_invalid_message(core, now, link_id, &error);
+                return self.on_invalid_message(core, now, link_id, CloseReason::InvalidMessage, &error);
             }
         }
     }
 
     /// Closes a connection after an invalid message, because nothing that follows can be trusted.
     pub(super) fn on_invalid_message(
-        &mut self, core: &mut SessionCore, now: Duration, link_id: u64, error: &str,
+        &mut self, core: &mut SessionCore, now: Duration, link_id: u64, reason: CloseReason, error: &str,
     ) {
         if let Some(left_out) = self.log_limiter.check(now, "a server's message") {
-            tracing::info!(wrong = error, left_out, "a server's message can't be read");
+            let server = self.servers.links.get(&link_id).map(|link| link.server);
+            tracing::info!(
+                server = server.map(|server| self.server_name(server)),
+                connection = link_id,
+                stand = ?server.map(|server| self.sessions_set_up_on(server, link_id)),
+                wrong = error,
+                left_out,
+                "a server's message can't be read"
+            );
         }
-        self.on_link_lost(core, now, link_id, "invalid message");
+        self.on_link_lost(core, now, link_id, reason);
     }
 
     /// Handles one message.
--- a/crates/node/src/servers/sessions.rs
+++ b/crates/node/src/servers/sessions.rs
@@ -48,6 +48,17 @@
         }
     }
 
+    /// The sessions that were set up on a connection, for log lines.
+    pub(super) fn sessions_set_up_on(&self, server: ServerId, link_id: u64) -> Vec<String> {
+        let set_up_here = |session_ref: &SessionRef| {
+            self.sessions
+                .get(*session_ref)
+                .is_some_and(|active_session| active_session.link_id == Some(link_id))
+        };
+        let session_refs = self.sessions.at_server(server).filter(set_up_here);
+        session_refs.map(|session_ref| format!("{:016x}", session_ref.0)).collect()
+    }
+
     /// A server's name for log lines; empty if the server is not listed.
     pub(super) fn server_name(&self, server: ServerId) -> &str {
         self.server_list.row(server).map_or("", |row| &row.name)
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -23,6 +23,21 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+/// Why a viewer's connection is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ViewerCloseReason {
+    /// The viewer closed it.
+    ClosedByViewer,
+    /// The viewer reset it, so it may not have read what was written last.
+    ResetByViewer,
+    /// A line on it could not be read.
+    InvalidLine,
+    /// It was closed here as unused, or because nothing more could be written on it.
+    ClosedHere,
+    /// The answer to a set-up could not be written on it.
+    AnswerNotWritten,
+}
+
 /// A viewer's connection.
 struct ViewerConnection {
     writer: Writer,
@@ -170,7 +185,7 @@
             };
             let undelivered = run_connection(task_stream, write_queue, on_readable).await;
             events.send(move |core, host, now| {
-                host.close_viewer_connection(core, now, client_id);
+                host.close_viewer_connection(core, now, client_id, ViewerCloseReason::ClosedHere);
                 // The slot is released only now that the file descriptor is closed.
                 drop(slot);
                 // Ends that were queued but not written completely still have to be delivered.
@@ -193,7 +208,9 @@
     }
 
     /// Removes a connection that is closed, and abandons the set-ups that are open on it.
-    fn close_viewer_connection(&mut self, core: &mut SessionCore, now: Duration, client_id: u64) {
+    fn close_viewer_connection(
+        &mut self, core: &mut SessionCore, now: Duration, client_id: u64, reason: ViewerCloseReason,
+    ) {
         let Some(connection) = self.viewers.connections.remove(&client_id) else { return };
         let ClientState { open_set_ups, active_sessions, had_session, .. } = connection.state;
         tracing::debug!(
@@ -202,6 +219,7 @@
             stand = active_sessions,
             served = had_session,
             from = %connection.viewer_ip,
+            why = ?reason,
             "viewer connection closed"
         );
         let abandoned = self
@@ -267,7 +285,9 @@
         let unread_ends =
             unread_ends.map(|connection| std::mem::take(&mut connection.recent_ends)).unwrap_or_default();
         if closed {
-            self.close_viewer_connection(core, now, client_id);
+            let reason =
+                if reset { ViewerCloseReason::ResetByViewer } else { ViewerCloseReason::ClosedByViewer };
+            self.close_viewer_connection(core, now, client_id, reason);
         }
         // The client has not read the ends that were written shortly before the reset, so they are sent
         // elsewhere.
@@ -302,7 +322,8 @@
                             "a viewer's line can't be read"
                         );
                     }
-                    return self.close_viewer_connection(core, now, client_id);
+                    let reason = ViewerCloseReason::InvalidLine;
+                    return self.close_viewer_connection(core, now, client_id, reason);
                 }
             };
             (connection.state.last_message_at, connection.closing) = (now, false);
--- a/crates/node/src/viewers/ends.rs
+++ b/crates/node/src/viewers/ends.rs
@@ -35,10 +35,11 @@
         &mut self, now: Duration, session_ref: SessionRef, client_id: Option<u64>, cause: u8,
     ) {
         let Ok(line) = line::write(Kind::Release, session_ref, &[], Some(cause), None) else { return };
+        let of = format!("{:016x}", session_ref.0);
         if client_id
             .is_some_and(|client_id| self.viewers.write_end(client_id, line.clone(), (session_ref, cause)))
         {
-            return;
+            return tracing::debug!(of, cause, client = client_id, "end sent to the viewer");
         }
         // Only connections that had a session belong to viewers. An end that is written to another
         // client, whose requests were refused at most, would not reach the viewer.
@@ -48,11 +49,13 @@
             .iter()
             .filter(|(_, c)| c.state.active_sessions > 0 || c.state.had_session);
         let latest_id = notified.max_by_key(|(id, c)| (c.state.last_message_at, **id)).map(|(id, _)| *id);
-        if !latest_id.is_some_and(|client_id| {
+        if latest_id.is_some_and(|client_id| {
             self.viewers.write_end_elsewhere(now, client_id, line, (session_ref, cause))
         }) {
-            self.viewers.undelivered_ends.insert(session_ref, (cause, now));
+            return tracing::debug!(of, cause, client = latest_id, "end sent on another viewer connection");
         }
+        tracing::debug!(of, cause, "end waits for a viewer connection");
+        self.viewers.undelivered_ends.insert(session_ref, (cause, now));
     }
 
     /// Writes, on this connection, the ends that could not be delivered before.
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -1,6 +1,6 @@
 //! Viewers' set-ups: checks, adoption of sessions that already play, and the only answer to each.
 
-use super::{PendingSetUp, Viewers};
+use super::{PendingSetUp, ViewerCloseReason, Viewers};
 use crate::host::{ActiveSession, NodeHost};
 use ivyward::interface::{Cells, PackageId, TitleId};
 use ivyward_edge::{ClientLimits, truncate_for_log};
@@ -93,7 +93,14 @@
         };
         if let Some((reason, cause)) = rejection {
             if let Some(left_out) = self.log_limiter.check(now, "a set-up") {
-                tracing::info!(wrong = reason, left_out, "a set-up is refused");
+                let session_ref = format!("{:016x}", session_ref.0);
+                tracing::info!(
+                    of = session_ref,
+                    client = client_id,
+                    wrong = reason,
+                    left_out,
+                    "a set-up is refused"
+                );
             }
             return self.viewers.refuse(client_id, session_ref, cause);
         }
@@ -206,7 +213,8 @@
                     // If the answer could not be written, or the viewer disconnected before it, nobody
                     // watches this session.
                     if !written || host.has_disconnected(core, now, set_up.client_id) {
-                        host.close_viewer_connection(core, now, set_up.client_id);
+                        let reason = ViewerCloseReason::AnswerNotWritten;
+                        host.close_viewer_connection(core, now, set_up.client_id, reason);
                         host.end_by_viewer(core, now, set_up.client_id, session_ref);
                     }
                 });
