--- /dev/null
+++ b/crates/daemon/tests/node/half_open.rs
@@ -0,0 +1,110 @@
+//! Connections to servers of which only one end knows that they are over.
+
+use super::*;
+use ivyward_fault_proxy::FaultProxy;
+use ivyward_signal::binary;
+
+/// A session that is over is released towards its viewer within this time, whatever its server could report.
+const RELEASE_DEADLINE: Duration = Duration::from_millis(8050);
+
+/// How the program notices that a connection is dead.
+#[derive(Clone, Copy, Debug)]
+enum Sign {
+    /// A message breaks off in the middle.
+    IncompleteMessage,
+    /// A message can't be read.
+    InvalidMessage,
+    /// Nothing arrives any more, not even the answer to a test.
+    Silence,
+}
+
+/// A server behind a proxy, which is the only one on the list.
+struct ProxiedServer {
+    harness: Harness,
+    server: Rc<Server>,
+    proxy: FaultProxy,
+}
+
+impl ProxiedServer {
+    async fn new(harness: Harness) -> ProxiedServer {
+        let server = Server::start("s-behind", Behavior::Plays).await.expect("a server");
+        let proxy = FaultProxy::open(server.address).await.expect("a proxy");
+        harness.list_only("s-behind", proxy.address).await;
+        ProxiedServer { harness, server, proxy }
+    }
+
+    /// Sets up a session. It plays.
+    async fn set_up(&self, viewer: &mut Viewer, session_ref: SessionRef) {
+        assert!(viewer.write(&set_up_bytes(session_ref, "clip", 3500, "")).await);
+        let reply = viewer.receive(ms(1000)).await.map(|reply| (reply.kind, reply.session));
+        assert_eq!(reply, Some((Kind::Answer, session_ref)));
+    }
+
+    /// Ends a session. The server reports that on a connection, and again on the next one that is opened.
+    fn end_session(&self, session_ref: SessionRef, connection: usize) {
+        let (server, next_connection) = (self.server.clone(), self.server.accepted_connection_count());
+        server.release(connection, session_ref, 16);
+        spawn_local(async move {
+            while server.accepted_connection_count() <= next_connection {
+                sleep(ms(2)).await;
+            }
+            server.release(next_connection, session_ref, 16);
+        });
+    }
+}
+
+/// Runs a test with a server behind a proxy.
+fn with_proxied_server<F: Future<Output = ()>>(
+    tweak: impl FnOnce(&mut Value), test: impl FnOnce(ProxiedServer) -> F,
+) {
+    with_config(Behavior::Plays, tweak, |harness| async move {
+        test(ProxiedServer::new(harness).await).await;
+    });
+}
+
+/// Waits until a viewer receives the release of a session. Other messages are ignored.
+async fn wait_for_release(viewer: &mut Viewer, session_ref: SessionRef, deadline: Instant) -> bool {
+    while let Some(signal) = viewer.receive(deadline.saturating_duration_since(Instant::now())).await {
+        if signal.kind == Kind::Release && signal.session == session_ref {
+            return true;
+        }
+    }
+    false
+}
+
+#[test]
+fn an_end_is_released_although_its_server_reports_it_on_a_connection_that_only_the_manager_has_closed() {
+    for sign in [Sign::IncompleteMessage, Sign::InvalidMessage, Sign::Silence] {
+        with_proxied_server(
+            |_| {},
+            |path| async move {
+                let (mut viewer, session_ref) = (path.harness.viewer().await, SessionRef(0x200));
+                path.set_up(&mut viewer, session_ref).await;
+                match sign {
+                    Sign::IncompleteMessage => {
+                        let whole = binary::write(Kind::Answer, SessionRef(0x201), &[], None, Some(b"here"));
+                        path.server.send_bytes(0, whole.expect("short")[..12].to_vec());
+                        sleep(ms(50)).await;
+                        path.proxy.make_half_open(0);
+                    }
+                    Sign::InvalidMessage => {
+                        path.harness.pause().await;
+                        path.server.send_bytes(0, vec![0xff; 64]);
+                        sleep(ms(50)).await;
+                        path.proxy.make_half_open(0);
+                        path.harness.resume();
+                    }
+                    Sign::Silence => path.proxy.make_half_open(0),
+                }
+                wait_until("another connection", || path.server.accepted_connection_count() == 2).await;
+                sleep(ms(100)).await;
+                path.end_session(session_ref, 0);
+                let deadline = Instant::now() + RELEASE_DEADLINE;
+                assert!(
+                    wait_for_release(&mut viewer, session_ref, deadline).await,
+                    "{sign:?}: not released in time"
+                );
+            },
+        );
+    }
+}
--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -9,7 +9,7 @@
 
 impl Harness {
     /// Stops the program with SIGSTOP, and waits until it is stopped.
-    async fn pause(&self) {
+    pub(super) async fn pause(&self) {
         self.send_unix_signal("-STOP");
         let stat_file = format!("/proc/{}/stat", self.program.id().expect("it runs"));
         let is_stopped = || {
@@ -20,7 +20,7 @@
     }
 
     /// Continues the program with SIGCONT.
-    fn resume(&self) {
+    pub(super) fn resume(&self) {
         self.send_unix_signal("-CONT");
     }
 
@@ -39,7 +39,7 @@
     }
 
     /// Removes all servers but this one from the server list.
-    async fn list_only(&self, server_id: &str, address: SocketAddr) {
+    pub(super) async fn list_only(&self, server_id: &str, address: SocketAddr) {
         let removed = (0..SERVER_COUNT).map(|i| member(&self.servers[i], i, "gone"));
         let members: Vec<_> = removed.chain([list_row(server_id, address, "ready")]).collect();
         self.bus.publish(2, &event(2, false, &members), 1);
--- a/crates/fault-proxy/src/lib.rs
+++ b/crates/fault-proxy/src/lib.rs
@@ -3,7 +3,8 @@
 //! It forwards connections to its address to a target, unless a fault is set. It works on loopback only
 //! and is not part of the product.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,6 +34,9 @@
     pub address: SocketAddr,
     fault: Rc<watch::Sender<Fault>>,
     target: Rc<RefCell<SocketAddr>>,
+    /// The connections that are half-open, by number.
+    half_open: Rc<watch::Sender<BTreeSet<usize>>>,
+    connection_count: Rc<Cell<usize>>,
 }
 
 impl FaultProxy {
@@ -47,12 +51,19 @@
             address,
             fault: Rc::new(watch::Sender::new(Fault::Forward)),
             target: Rc::new(RefCell::new(target)),
+            half_open: Rc::new(watch::Sender::new(BTreeSet::new())),
+            connection_count: Rc::default(),
         };
         let accepting_proxy = proxy.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (fault, target) = (accepting_proxy.fault.subscribe(), *accepting_proxy.target.borrow());
-                spawn_local(proxy_connection(stream, target, fault));
+                let (half_open, number) =
+                    (accepting_proxy.half_open.subscribe(), accepting_proxy.connection_count.get());
+                accepting_proxy.connection_count.set(number + 1);
+                spawn_local(async move {
+                    proxy_connection(stream, target, fault, (half_open, number)).await;
+                });
             }
         });
         Ok(proxy)
@@ -63,6 +74,20 @@
         self.target.replace(target);
     }
 
+    /// Makes a connection half-open for good: it carries nothing more in either direction, and neither end
+    /// learns that the other closed or reset it. Connections are numbered from 0 in the order in which they
+    /// were accepted.
+    pub fn make_half_open(&self, connection: usize) {
+        self.half_open.send_modify(|numbers| {
+            numbers.insert(connection);
+        });
+    }
+
+    /// The number of connections accepted so far.
+    pub fn connection_count(&self) -> usize {
+        self.connection_count.get()
+    }
+
     /// Sets the fault of all connections.
     pub fn set_fault(&self, fault: Fault) {
         self.fault.send_replace(fault);
@@ -70,7 +95,10 @@
 }
 
 /// Forwards one connection until either end closes it or a fault resets it.
-async fn proxy_connection(mut client: TcpStream, target: SocketAddr, mut fault: watch::Receiver<Fault>) {
+async fn proxy_connection(
+    mut client: TcpStream, target: SocketAddr, mut fault: watch::Receiver<Fault>,
+    (mut half_open, number): (watch::Receiver<BTreeSet<usize>>, usize),
+) {
     // A connection that can't be forwarded is reset, so that the client learns of it.
     let may_forward = fault.wait_for(|fault| *fault != Fault::Stall);
     if may_forward.await.is_ok_and(|fault| *fault != Fault::Reset)
@@ -86,6 +114,9 @@
             &[Fault::Stall, Fault::StallReplies],
         );
         tokio::select! {
+            biased;
+            // Both sockets stay open, and nothing reads them.
+            Ok(_) = half_open.wait_for(|numbers| numbers.contains(&number)) => std::future::pending().await,
             () = client_to_server => {}
             () = server_to_client => {}
             _ = fault.wait_for(|fault| *fault == Fault::Reset) => {}
