Ends reported on a connection that only we closed are heard on a fresh one

Cause: a connection that is over here need not be over at the server, and the server reports an end on the connection of the set-up for as long as it takes that for open. It repeats the end on the next connection that is opened; the manager opened one at once after the loss, before the end, and none later. A session knew of its connection only the number, so nothing told a connection that the server had closed from one closed here.

Mend: each session knows the route of its end's report: its set-up's connection, any, or one that was closed here. A close that is seen to come from the server ends that, as it knows of it then.

--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -23,6 +23,29 @@
 /// Time after a stall within which input that was waiting in the sockets is read.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(20);
 
+/// On which connection a server reports the end of a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportRoute {
+    /// On the connection of the set-up.
+    SetUpLink(u64),
+    /// On any connection.
+    AnyLink,
+    /// Perhaps on the connection of the set-up, which was closed here although the server may still take it
+    /// for open. Only a connection that is opened after the end reports it for certain.
+    ClosedHere(u64),
+}
+
+impl ReportRoute {
+    /// Whether the end may be reported on this connection.
+    fn may_use(self, link_id: u64) -> bool {
+        match self {
+            ReportRoute::SetUpLink(setup_link) => setup_link == link_id,
+            ReportRoute::AnyLink => true,
+            ReportRoute::ClosedHere(_) => false,
+        }
+    }
+}
+
 /// A session that plays at a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ActiveSession {
@@ -34,8 +57,8 @@
     pub client_id: Option<u64>,
     /// When the session was set up or adopted.
     pub active_since: Duration,
-    /// The connection to the server on which the session was set up; `None` if the session was adopted.
-    pub link_id: Option<u64>,
+    /// On which connection the server reports the session's end.
+    pub report_route: ReportRoute,
 }
 
 /// All active sessions, indexed by their reference on the wire, by server and by viewing.
@@ -91,11 +114,46 @@
 
     /// Whether the server may report the end of any of its sessions on this connection.
     pub fn any_on_link(&self, server: ServerId, link_id: u64) -> bool {
-        self.at_server(server).any(|session_ref| {
-            self.get(session_ref).is_some_and(|active_session| {
-                active_session.link_id.is_none_or(|setup_link| setup_link == link_id)
-            })
-        })
+        self.report_routes(server).any(|route| route.may_use(link_id))
+    }
+
+    /// Whether any session was set up on this connection, and its server reports the end there.
+    pub fn any_set_up_on_link(&self, server: ServerId, link_id: u64) -> bool {
+        self.report_routes(server).any(|route| route == ReportRoute::SetUpLink(link_id))
+    }
+
+    /// Whether a server may report the end of any of its sessions on a connection that was closed here.
+    pub fn any_on_closed_link(&self, server: ServerId) -> bool {
+        self.report_routes(server).any(|route| matches!(route, ReportRoute::ClosedHere(_)))
+    }
+
+    /// On which connections a server reports the ends of its sessions.
+    fn report_routes(&self, server: ServerId) -> impl Iterator<Item = ReportRoute> {
+        let session_refs = self.by_server.get(&server).into_iter().flatten();
+        session_refs
+            .filter_map(|session_ref| self.by_ref.get(session_ref))
+            .map(|active_session| active_session.report_route)
+    }
+
+    /// A connection was closed here, and its server may not know that.
+    pub fn on_link_closed_here(&mut self, server: ServerId, link_id: u64) {
+        let closed_here = ReportRoute::ClosedHere(link_id);
+        self.change_routes(server, |route| if route.may_use(link_id) { closed_here } else { route });
+    }
+
+    /// The server has closed a connection that may have been closed here before.
+    pub fn on_link_closed_by_server(&mut self, server: ServerId, link_id: u64) {
+        let (closed_here, set_up_link) = (ReportRoute::ClosedHere(link_id), ReportRoute::SetUpLink(link_id));
+        self.change_routes(server, |route| if route == closed_here { set_up_link } else { route });
+    }
+
+    /// Changes the routes of all sessions at a server.
+    fn change_routes(&mut self, server: ServerId, change: impl Fn(ReportRoute) -> ReportRoute) {
+        for session_ref in self.by_server.get(&server).into_iter().flatten() {
+            if let Some(active_session) = self.by_ref.get_mut(session_ref) {
+                active_session.report_route = change(active_session.report_route);
+            }
+        }
     }
 
     /// Whether any session plays at a server.
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -8,6 +8,7 @@
 mod sessions;
 
 use crate::connection::{SharedStream, Writer};
+use close_reason::CloseReason;
 use ivyward::interface::{ServerId, ViewingId};
 use ivyward_edge::{UpstreamPolicy, UpstreamState};
 use ivyward_session::{Incarnation, TuneIn};
@@ -50,6 +51,8 @@
     established_at: Duration,
     /// Since when nothing more is written on it. What still arrives is read until the server closes it.
     retiring_since: Option<Duration>,
+    /// How the server closed it, if it has.
+    closed_by_server: Option<CloseReason>,
     /// Attempts that wait until the connection is established.
     queued: Vec<AttemptKey>,
     /// Set-ups that were written and have no answer yet.
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -87,9 +87,7 @@
             why = ?reason,
             "connection evicted"
         );
-        if self.sessions.any_on_link(server, link_id) {
-            self.servers.reconnect_required.insert(server);
-        }
+        self.note_closed_here(server, link_id);
         if self.needs_link(now, server) {
             self.servers.waiting_for_link.entry(server).or_insert(now);
         }
@@ -114,9 +112,22 @@
         if self.servers.reconnect_required.contains(&server) {
             return Some(OpenReason::EndsMayBeLost);
         }
+        if self.is_fresh_link_due(now, server) {
+            return Some(OpenReason::ClosedHere);
+        }
         self.is_server_silent(now, server).then_some(OpenReason::Silent)
     }
 
+    /// Whether a server may have reported the end of a session on a connection that was closed here, and no
+    /// connection was opened since for long enough.
+    fn is_fresh_link_due(&self, now: Duration, server: ServerId) -> bool {
+        let established = self.servers.links_to(server).filter(|(_, link)| link.established);
+        let latest_at = established.map(|(_, link)| link.established_at).max();
+        self.sessions.any_on_closed_link(server)
+            && !self.is_connecting(server)
+            && latest_at.is_none_or(|latest_at| self.servers.policy.is_fresh_link_due(now, latest_at))
+    }
+
     /// Whether a server with sessions sends nothing on any connection, and none is being established.
     pub(super) fn is_server_silent(&self, now: Duration, server: ServerId) -> bool {
         let received_at = self.servers.links_to(server).map(|(_, link)| link.upstream.last_received_at);
--- a/crates/node/src/servers/close_reason.rs
+++ b/crates/node/src/servers/close_reason.rs
@@ -3,8 +3,10 @@
 /// Why a connection to a server is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CloseReason {
-    /// The server closed or reset it.
+    /// The server closed it. Everything that it had written was read.
     ClosedByServer,
+    /// The server reset it. What it wrote last may be lost.
+    ResetByServer,
     /// Nothing more could be written on it.
     WriteStalled,
     /// A message on it was invalid.
@@ -22,6 +24,8 @@
     Idle,
     /// It may be dead, and the server has another one.
     Suspect,
+    /// A connection was opened to hear of ends that were reported on closed ones. It replaces this one.
+    Replaced,
 }
 
 /// Why a connection to a server is opened.
@@ -33,6 +37,8 @@
     NoConnection,
     /// The server may have reported the end of a session on a connection that is over.
     EndsMayBeLost,
+    /// The server may report the end of a session on a connection that was closed here.
+    ClosedHere,
     /// The server sends nothing on its connections.
     Silent,
 }
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -66,9 +66,10 @@
             run_connection(stream, write_queue, on_readable).await;
             events.send(move |core, host, now| {
                 // Input that arrived before the connection broke still counts.
-                let is_open = host.read_server_chunk(core, now, link_id, read_available);
-                let reason = if is_open { CloseReason::WriteStalled } else { CloseReason::ClosedByServer };
-                host.on_link_lost(core, now, link_id, reason);
+                host.read_server_chunk(core, now, link_id, read_available);
+                let link = host.servers.links.get(&link_id);
+                let reason = link.and_then(|link| link.closed_by_server);
+                host.on_link_lost(core, now, link_id, reason.unwrap_or(CloseReason::WriteStalled));
             });
         });
         let link = ServerLink {
@@ -80,6 +81,7 @@
             established: false,
             established_at: now,
             retiring_since: None,
+            closed_by_server: None,
             queued: vec![],
             open_set_ups: BTreeMap::new(),
             abandoned: VecDeque::new(),
@@ -147,6 +149,23 @@
         for key in queued {
             self.write_set_up(core, now, link_id, key);
         }
+        self.retire_replaced_links(now, server, link_id);
+    }
+
+    /// Retires the connections that a new one replaces, if it was opened because ends may be reported on a
+    /// connection that was closed here.
+    fn retire_replaced_links(&mut self, now: Duration, server: ServerId, new_link_id: u64) {
+        if !self.sessions.any_on_closed_link(server) {
+            return;
+        }
+        let is_replaced = |(link_id, link): &(u64, &ServerLink)| {
+            let is_busy = !link.open_set_ups.is_empty() || !link.pending_probes.is_empty();
+            let is_kept = *link_id == new_link_id || !link.established || link.retiring_since.is_some();
+            !is_kept && !is_busy && !self.sessions.any_set_up_on_link(server, *link_id)
+        };
+        let replaced: Vec<_> =
+            self.servers.links_to(server).filter(is_replaced).map(|(link_id, _)| link_id).collect();
+        replaced.into_iter().for_each(|link_id| self.retire(now, link_id, RetireReason::Replaced));
     }
 
     /// A connection could not be established, so nothing that waited for it ran. If the server refused
@@ -231,14 +250,32 @@
             self.servers.attempts.remove(&key);
         }
         self.fail_probes(core, now, server, link.pending_probes);
-        if link.established && self.sessions.any_on_link(server, link_id) {
-            // The server may have reported an end on the lost connection. It reports it again on the next
-            // connection that is opened, even if others exist.
-            self.servers.reconnect_required.insert(server);
+        match reason {
+            CloseReason::ClosedByServer | CloseReason::ResetByServer => {
+                self.sessions.on_link_closed_by_server(server, link_id);
+                let all_read = reason == CloseReason::ClosedByServer && link.retiring_since.is_some();
+                if !all_read && self.sessions.any_on_link(server, link_id) {
+                    // What the server reported last may not have arrived. It reports that again on the
+                    // next connection that is opened, even if others exist.
+                    self.servers.reconnect_required.insert(server);
+                }
+            }
+            CloseReason::WriteStalled
+            | CloseReason::InvalidMessage
+            | CloseReason::IncompleteMessage
+            | CloseReason::NotClosedByServer => self.note_closed_here(server, link_id),
         }
         self.ensure_link(server);
     }
 
+    /// A connection is closed here. Its server may not learn that, and may go on to report ends on it.
+    pub(super) fn note_closed_here(&mut self, server: ServerId, link_id: u64) {
+        if self.sessions.any_on_link(server, link_id) {
+            self.servers.reconnect_required.insert(server);
+        }
+        self.sessions.on_link_closed_here(server, link_id);
+    }
+
     /// Closes the sending side of a connection that is no longer needed. The connection is still read
     /// until the server closes it too, so that a session's end that is under way is not lost.
     pub(super) fn retire(&mut self, now: Duration, link_id: u64, reason: RetireReason) {
@@ -255,6 +292,11 @@
             why = ?reason,
             "connection retired"
         );
+        match reason {
+            RetireReason::Suspect => self.note_closed_here(server, link_id),
+            // What the server reports on it is read until the server closes it, too.
+            RetireReason::Idle | RetireReason::Replaced => self.sessions.on_link_closed_here(server, link_id),
+        }
     }
 
     /// Maintains the connections to servers.
--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -5,7 +5,7 @@
 use super::sessions::CAUSE_CANCELLED;
 use super::{CAUSE_COMPLETED, CAUSE_LOST};
 use crate::connection::{ReadResult, read_available};
-use crate::host::{ActiveSession, NodeHost};
+use crate::host::{ActiveSession, NodeHost, ReportRoute};
 use ivyward::interface::{LoadReport, ServerId, ServerUpdate};
 use ivyward_options as options;
 use ivyward_session::{AttemptResult, EndReason, SessionCore};
@@ -66,16 +66,20 @@
         &mut self, core: &mut SessionCore, now: Duration, link_id: u64,
         read_socket: fn(&TcpStream) -> ReadResult,
     ) -> bool {
-        let link = self.servers.links.get(&link_id);
-        let Some(stream) = link.and_then(|link| link.stream.as_ref()) else { return false };
-        let (bytes, closed) = match read_socket(stream) {
-            ReadResult::Bytes(bytes) | ReadResult::MaybeMore(bytes) => (bytes, false),
-            ReadResult::Closed(bytes) | ReadResult::Reset(bytes) => (bytes, true),
+        let link = self.servers.links.get_mut(&link_id);
+        let Some(link) = link else { return false };
+        let Some(stream) = &link.stream else { return false };
+        let (bytes, closed_by_server) = match read_socket(stream) {
+            ReadResult::Bytes(bytes) | ReadResult::MaybeMore(bytes) => (bytes, None),
+            ReadResult::Closed(bytes) => (bytes, Some(CloseReason::ClosedByServer)),
+            ReadResult::Reset(bytes) => (bytes, Some(CloseReason::ResetByServer)),
         };
+        // After a reset, a further read finds an ordinary close.
+        link.closed_by_server = link.closed_by_server.or(closed_by_server);
         if !bytes.is_empty() {
             self.handle_server_bytes(core, now, link_id, &bytes);
         }
-        !closed && self.servers.links.contains_key(&link_id)
+        closed_by_server.is_none() && self.servers.links.contains_key(&link_id)
     }
 
     /// Reads the input of all connections with open set-ups.
@@ -219,7 +223,7 @@
             key: session_key,
             client_id: None,
             active_since: now,
-            link_id: Some(link_id),
+            report_route: ReportRoute::SetUpLink(link_id),
         };
         self.sessions.insert(session_ref, active_session);
         self.answer_line = Some(line);
--- a/crates/node/src/servers/sessions.rs
+++ b/crates/node/src/servers/sessions.rs
@@ -1,7 +1,7 @@
 //! Sessions at servers, and how they end.
 
 use super::CAUSE_LOST;
-use crate::host::NodeHost;
+use crate::host::{NodeHost, ReportRoute};
 use ivyward::interface::ServerId;
 use ivyward_session::{EndReason, SessionCore};
 use ivyward_signal::SessionRef;
@@ -53,7 +53,7 @@
         let set_up_here = |session_ref: &SessionRef| {
             self.sessions
                 .get(*session_ref)
-                .is_some_and(|active_session| active_session.link_id == Some(link_id))
+                .is_some_and(|active_session| active_session.report_route == ReportRoute::SetUpLink(link_id))
         };
         let session_refs = self.sessions.at_server(server).filter(set_up_here);
         session_refs.map(|session_ref| format!("{:016x}", session_ref.0)).collect()
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -1,7 +1,7 @@
 //! Viewers' set-ups: checks, adoption of sessions that already play, and the only answer to each.
 
 use super::{PendingSetUp, ViewerCloseReason, Viewers};
-use crate::host::{ActiveSession, NodeHost};
+use crate::host::{ActiveSession, NodeHost, ReportRoute};
 use ivyward::interface::{Cells, PackageId, TitleId};
 use ivyward_edge::{ClientLimits, truncate_for_log};
 use ivyward_session::{Answer, EndReason, RequestId, SessionCore, SessionId};
@@ -162,7 +162,13 @@
         if let Some(key) = core.adopt_viewing(self, now, server, session, (package, title, (0, top))) {
             self.sessions.insert(
                 signal.session,
-                ActiveSession { server, key, client_id: Some(client_id), active_since: now, link_id: None },
+                ActiveSession {
+                    server,
+                    key,
+                    client_id: Some(client_id),
+                    active_since: now,
+                    report_route: ReportRoute::AnyLink,
+                },
             );
             self.ensure_link(server);
         }
