Ends of sessions whose connection the server closed may be reported on any other

What callers saw: nothing of a session's end, where the server had closed the connection of the set-up, reported the end on another one, and that was lost with the report while a third was open.

Cause: a session kept the number of its set-up's connection when that was over. The need for a further connection after a loss (any_on_link) was asked only for sessions set up on the lost one.

Mend: when the server closes or resets a connection, its sessions' ends are expected on any; the loss of any then asks for a further one.

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -40,6 +40,35 @@
         assert_eq!(reply, Some((Kind::Answer, session_ref)));
     }
 
+    /// Sets up sessions of which each has a connection of its own, numbered alike. The settings allow one open
+    /// set-up on a connection.
+    async fn set_up_on_own_connections(&self, viewer: &mut Viewer, session_refs: &[SessionRef]) {
+        self.server.behavior.set(Behavior::Ignores);
+        for (index, session_ref) in session_refs.iter().enumerate() {
+            assert!(viewer.write(&set_up_bytes(*session_ref, "clip", 3500, "")).await);
+            wait_until("a set-up", || self.server.received(Kind::SetUp).len() == index + 1).await;
+            assert_eq!(self.server.received(Kind::SetUp)[index].connection, index);
+        }
+        for (connection, session_ref) in session_refs.iter().enumerate() {
+            let answer_bytes = binary::write(Kind::Answer, *session_ref, &[], None, Some(b"here"));
+            self.server.send_bytes(connection, answer_bytes.expect("short"));
+            assert_eq!(viewer.receive(ms(1000)).await.map(|reply| reply.kind), Some(Kind::Answer));
+        }
+    }
+
+    /// Sends notes about a session on its connection from now on.
+    fn send_notes(&self, session_ref: SessionRef, connection: usize) {
+        let server = self.server.clone();
+        let fields = [(Field::Note, "asked"), (Field::NoteValue, "0.4")];
+        let note = binary::write(Kind::Note, session_ref, &fields, None, None).expect("short");
+        spawn_local(async move {
+            loop {
+                server.send_bytes(connection, note.clone());
+                sleep(ms(200)).await;
+            }
+        });
+    }
+
     /// Ends a session. The server reports that on a connection, and again on the next one that is opened.
     fn end_session(&self, session_ref: SessionRef, connection: usize) {
         let (server, next_connection) = (self.server.clone(), self.server.accepted_connection_count());
@@ -108,3 +137,29 @@
         );
     }
 }
+
+/// Allows one open set-up on a connection.
+fn one_set_up_on_a_connection(config: &mut Value) {
+    config["settings"]["limits"]["streams-per-conn"] = 1.into();
+}
+
+#[test]
+fn an_end_is_released_although_the_connection_that_took_over_its_report_is_lost() {
+    with_proxied_server(one_set_up_on_a_connection, |path| async move {
+        let sessions = [SessionRef(0x220), SessionRef(0x221), SessionRef(0x222)];
+        let mut viewer = path.harness.viewer().await;
+        path.set_up_on_own_connections(&mut viewer, &sessions).await;
+        path.send_notes(sessions[2], 2);
+        path.end_session(sessions[1], 1);
+        let deadline = Instant::now() + RELEASE_DEADLINE;
+        assert!(wait_for_release(&mut viewer, sessions[1], deadline).await);
+        path.server.reset(0);
+        wait_until("a connection for the lost one", || path.server.accepted_connection_count() == 4).await;
+        sleep(ms(100)).await;
+        // The server reports the end on the second connection, and the report is lost with it.
+        path.server.reset(1);
+        path.end_session(sessions[0], 1);
+        let deadline = Instant::now() + RELEASE_DEADLINE;
+        assert!(wait_for_release(&mut viewer, sessions[0], deadline).await, "not released in time");
+    });
+}
--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -28,7 +28,7 @@
 pub enum ReportRoute {
     /// On the connection of the set-up.
     SetUpLink(u64),
-    /// On any connection.
+    /// On any connection: it has closed that of the set-up, or the session was set up by an earlier process.
     AnyLink,
     /// Perhaps on the connection of the set-up, which was closed here although the server may still take it
     /// for open. Only a connection that is opened after the end reports it for certain.
@@ -141,10 +141,10 @@
         self.change_routes(server, |route| if route.may_use(link_id) { closed_here } else { route });
     }
 
-    /// The server has closed a connection that may have been closed here before.
+    /// The server has closed a connection, and reports on another one what it would have reported there.
     pub fn on_link_closed_by_server(&mut self, server: ServerId, link_id: u64) {
-        let (closed_here, set_up_link) = (ReportRoute::ClosedHere(link_id), ReportRoute::SetUpLink(link_id));
-        self.change_routes(server, |route| if route == closed_here { set_up_link } else { route });
+        let over = [ReportRoute::SetUpLink(link_id), ReportRoute::ClosedHere(link_id)];
+        self.change_routes(server, |route| if over.contains(&route) { ReportRoute::AnyLink } else { route });
     }
 
     /// Changes the routes of all sessions at a server.
