A connection needed after a loss stays needed until one is established

What callers saw: nothing of a session's end that was reported on a connection as it was lost, where another connection to the server was open and the first attempt at a further one failed.

Cause: open_link cleared the need (reconnect_required) when the attempt began. Where it failed, the open connection made the server look served.

The stand-in server can establish no new connections while it serves the open ones, or accept connections and neither read nor write.

Mend: the need has the time of the loss, and ends when a connection that was opened since is established.

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -3,6 +3,7 @@
 use super::*;
 use ivyward_fault_proxy::FaultProxy;
 use ivyward_signal::binary;
+use ivyward_standin::platform::AcceptMode;
 
 /// A session that is over is released towards its viewer within this time, whatever its server could report.
 const RELEASE_DEADLINE: Duration = Duration::from_millis(8050);
@@ -163,3 +164,24 @@
         assert!(wait_for_release(&mut viewer, sessions[0], deadline).await, "not released in time");
     });
 }
+
+#[test]
+fn an_end_is_released_although_the_first_connection_for_a_lost_one_is_not_established() {
+    with_config(Behavior::Plays, one_set_up_on_a_connection, |harness| async move {
+        let server = Server::start("s-alone", Behavior::Plays).await.expect("a server");
+        let proxy = FaultProxy::open(server.address).await.expect("a proxy");
+        harness.list_only("s-alone", server.address).await;
+        let path = ProxiedServer { harness, server, proxy };
+        let (mut viewer, sessions) = (path.harness.viewer().await, [SessionRef(0x230), SessionRef(0x231)]);
+        path.set_up_on_own_connections(&mut viewer, &sessions).await;
+        path.send_notes(sessions[1], 1);
+        path.server.set_accept_mode(AcceptMode::OnlyOpen);
+        sleep(ms(200)).await;
+        path.server.reset(0);
+        path.end_session(sessions[0], 0);
+        let deadline = Instant::now() + RELEASE_DEADLINE;
+        sleep(ms(600)).await;
+        path.server.set_accept_mode(AcceptMode::All);
+        assert!(wait_for_release(&mut viewer, sessions[0], deadline).await, "not released in time");
+    });
+}
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -85,9 +85,9 @@
     /// Servers with sessions or pending releases that wait for a connection to be established, and since
     /// when.
     waiting_for_link: BTreeMap<ServerId, Duration>,
-    /// Servers that may have reported the end of a session on a connection that is closed. They report it
-    /// again on the next connection that is opened, even if others exist.
-    reconnect_required: BTreeSet<ServerId>,
+    /// Servers that may have reported the end of a session on a connection that was over at this time. They
+    /// report it again on the next connection that is opened, even if others exist.
+    reconnect_required: BTreeMap<ServerId, Duration>,
     policy: UpstreamPolicy,
     connect_timeout: Duration,
     /// The maximum number of connections.
@@ -109,7 +109,7 @@
             pending_releases: BTreeMap::new(),
             unreachable: BTreeMap::new(),
             waiting_for_link: BTreeMap::new(),
-            reconnect_required: BTreeSet::new(),
+            reconnect_required: BTreeMap::new(),
             policy,
             connect_timeout,
             max_links,
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -87,7 +87,7 @@
             why = ?reason,
             "connection evicted"
         );
-        self.note_closed_here(server, link_id);
+        self.note_closed_here(now, server, link_id);
         if self.needs_link(now, server) {
             self.servers.waiting_for_link.entry(server).or_insert(now);
         }
@@ -109,7 +109,7 @@
         if !self.servers.links_to(server).any(|(_, link)| link.retiring_since.is_none()) {
             return Some(OpenReason::NoConnection);
         }
-        if self.servers.reconnect_required.contains(&server) {
+        if self.is_reconnect_due(server) {
             return Some(OpenReason::EndsMayBeLost);
         }
         if self.is_fresh_link_due(now, server) {
@@ -118,6 +118,14 @@
         self.is_server_silent(now, server).then_some(OpenReason::Silent)
     }
 
+    /// Whether a server may have reported the end of a session on a connection that is over, and no connection
+    /// has been opened since.
+    fn is_reconnect_due(&self, server: ServerId) -> bool {
+        let Some(since) = self.servers.reconnect_required.get(&server) else { return false };
+        let is_connecting = |link: &ServerLink| !link.established && link.established_at >= *since;
+        !self.servers.links_to(server).any(|(_, link)| is_connecting(link))
+    }
+
     /// Whether a server may have reported the end of a session on a connection that was closed here, and no
     /// connection was opened since for long enough.
     fn is_fresh_link_due(&self, now: Duration, server: ServerId) -> bool {
@@ -153,7 +161,7 @@
     pub(super) fn ensure_links(&mut self, now: Duration) {
         let mut waiting_for_link = std::mem::take(&mut self.servers.waiting_for_link);
         waiting_for_link.retain(|server, _| self.needs_link(now, *server) || self.is_connecting(*server));
-        self.servers.reconnect_required.retain(|server| self.sessions.any_at_server(*server));
+        self.servers.reconnect_required.retain(|server, _| self.sessions.any_at_server(*server));
         let with_releases = self.servers.pending_releases.keys().copied();
         let mut servers: Vec<_> = self.sessions.servers().chain(with_releases).collect();
         servers
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -38,7 +38,6 @@
     /// if the server is not listed.
     pub(super) fn open_link(&mut self, now: Duration, server: ServerId, reason: OpenReason) -> Option<u64> {
         let address = self.server_list.row(server)?.address;
-        self.servers.reconnect_required.remove(&server);
         self.servers.last_link_id += 1;
         let (link_id, (writer, write_queue)) = (self.servers.last_link_id, new_writer());
         let (events, connect_timeout) = (self.events.clone(), self.servers.connect_timeout);
@@ -105,6 +104,7 @@
         let Some(link) = self.servers.links.get_mut(&link_id) else { return };
         let server = link.server;
         self.servers.waiting_for_link.remove(&server);
+        let opened_at = link.established_at;
         let (set_ups, probes) = (link.queued.len(), link.pending_probes.len());
         (link.established, link.established_at, link.upstream.last_received_at) = (true, now, now);
         link.writer.attach(&stream);
@@ -149,6 +149,9 @@
         for key in queued {
             self.write_set_up(core, now, link_id, key);
         }
+        if self.servers.reconnect_required.get(&server).is_some_and(|since| *since <= opened_at) {
+            self.servers.reconnect_required.remove(&server);
+        }
         self.retire_replaced_links(now, server, link_id);
     }
 
@@ -257,21 +260,21 @@
                 if !all_read && self.sessions.any_on_link(server, link_id) {
                     // What the server reported last may not have arrived. It reports that again on the
                     // next connection that is opened, even if others exist.
-                    self.servers.reconnect_required.insert(server);
+                    self.servers.reconnect_required.insert(server, now);
                 }
             }
             CloseReason::WriteStalled
             | CloseReason::InvalidMessage
             | CloseReason::IncompleteMessage
-            | CloseReason::NotClosedByServer => self.note_closed_here(server, link_id),
+            | CloseReason::NotClosedByServer => self.note_closed_here(now, server, link_id),
         }
         self.ensure_link(server);
     }
 
     /// A connection is closed here. Its server may not learn that, and may go on to report ends on it.
-    pub(super) fn note_closed_here(&mut self, server: ServerId, link_id: u64) {
+    pub(super) fn note_closed_here(&mut self, now: Duration, server: ServerId, link_id: u64) {
         if self.sessions.any_on_link(server, link_id) {
-            self.servers.reconnect_required.insert(server);
+            self.servers.reconnect_required.insert(server, now);
         }
         self.sessions.on_link_closed_here(server, link_id);
     }
@@ -293,7 +296,7 @@
             "connection retired"
         );
         match reason {
-            RetireReason::Suspect => self.note_closed_here(server, link_id),
+            RetireReason::Suspect => self.note_closed_here(now, server, link_id),
             // What the server reports on it is read until the server closes it, too.
             RetireReason::Idle | RetireReason::Replaced => self.sessions.on_link_closed_here(server, link_id),
         }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -63,6 +63,17 @@
     Silent,
     /// Resets open connections, and each new one as soon as it is accepted.
     Reset,
+    /// Accepts all connections, and neither reads nor writes on any.
+    Mute,
+    /// Serves open connections; new ones are never established.
+    OnlyOpen,
+}
+
+impl AcceptMode {
+    /// Whether open connections are neither read nor written.
+    fn suspends_open_connections(self) -> bool {
+        matches!(self, AcceptMode::Silent | AcceptMode::Mute)
+    }
 }
 
 /// A message that a server received.
@@ -190,12 +201,12 @@
                 (0..self.accepted_connection_count()).for_each(|number| self.reset(number));
             }
             match mode {
-                AcceptMode::All | AcceptMode::Reset => loop {
+                AcceptMode::All | AcceptMode::Mute | AcceptMode::Reset => loop {
                     tokio::select! {
                         changed = mode_changed.changed() => if changed.is_ok() { break } else { return },
                         Ok((stream, _)) = listener.accept() => match mode {
-                            AcceptMode::All => self.on_connection(stream),
-                            _ => drop(stream.set_zero_linger()),
+                            AcceptMode::Reset => drop(stream.set_zero_linger()),
+                            _ => self.on_connection(stream),
                         },
                     }
                 },
@@ -204,7 +215,7 @@
                     mode_changed.changed().await.ok();
                     listener = listen(self.address, BACKLOG_CONNECTION_COUNT).await;
                 }
-                AcceptMode::Silent => {
+                AcceptMode::Silent | AcceptMode::OnlyOpen => {
                     // A listener whose backlog is full establishes no connection.
                     drop(listener);
                     let full_listener = listen(self.address, 1).await;
@@ -253,7 +264,7 @@
         let (mut messages, mut buffer) = (Messages::default(), [0; 4096]);
         let mut mode_changed = self.accept_mode.subscribe();
         loop {
-            if mode_changed.wait_for(|mode| *mode != AcceptMode::Silent).await.is_err() {
+            if mode_changed.wait_for(|mode| !mode.suspends_open_connections()).await.is_err() {
                 return;
             }
             tokio::select! {
