A connection with sessions is tested by itself, not only with its whole server

What callers saw: a session's end was never released where its connection was dead while another one to the same server was alive.

Cause: needs_test went by what arrived from the server on any connection. A dead connection beside a live one was never tested, so it was never found dead, closed or replaced.

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -144,6 +144,19 @@
     config["settings"]["limits"]["streams-per-conn"] = 1.into();
 }
 
+#[test]
+fn an_end_is_released_although_its_connection_is_dead_and_another_to_the_server_is_alive() {
+    with_proxied_server(one_set_up_on_a_connection, |path| async move {
+        let (mut viewer, sessions) = (path.harness.viewer().await, [SessionRef(0x210), SessionRef(0x211)]);
+        path.set_up_on_own_connections(&mut viewer, &sessions).await;
+        path.send_notes(sessions[1], 1);
+        path.proxy.make_half_open(0);
+        path.end_session(sessions[0], 0);
+        let deadline = Instant::now() + RELEASE_DEADLINE;
+        assert!(wait_for_release(&mut viewer, sessions[0], deadline).await, "not released in time");
+    });
+}
+
 #[test]
 fn an_end_is_released_although_the_connection_that_took_over_its_report_is_lost() {
     with_proxied_server(one_set_up_on_a_connection, |path| async move {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -112,7 +112,8 @@
                     + self.server_idle_timeout.mul_f64(IDLE_FRACTION)
     }
 
-    /// Whether to test a connection. `last_received_at`: when anything last arrived from the server.
+    /// Whether to test a connection. `last_received_at`: when anything last arrived on it or, if the server
+    /// reports nothing on this one in particular, on any connection to the server.
     pub fn needs_test(&self, now: Duration, last_received_at: Duration, upstream: &UpstreamState) -> bool {
         upstream.test_sent_at.is_none()
             && now >= last_received_at + self.report_interval.mul_f64(SILENCE_FACTOR)
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -394,7 +394,11 @@
             let reason = if suspect { RetireReason::Suspect } else { RetireReason::Idle };
             return self.retire(now, link_id, reason);
         }
-        if has_sessions && self.servers.policy.needs_test(now, last_received_at, &link.upstream) {
+        // A server that reports ends on this connection must be heard on this one. Others may be alive
+        // while it is dead.
+        let reports_ends = self.sessions.any_set_up_on_link(server, link_id);
+        let heard_at = if reports_ends { link.upstream.last_received_at } else { last_received_at };
+        if has_sessions && self.servers.policy.needs_test(now, heard_at, &link.upstream) {
             link.upstream.test_sent_at = Some(now);
             let session_ref = SessionRef(self.servers.rng.random());
             self.servers.write_to_link(
