A server that is asked and sends nothing for 7.5 s is lost, however it treats connections

Cause: only a connection that can't be established counted against a server. Each one that was established counted as a sign of life, also of a process that accepts (or the system for it) and never sends; and the times of the steps up to 'lost' were added up from the note interval, with no regard to the bound.

Mend: it is kept for each server with sessions when anything last arrived from it; connections that come and go don't change that. After 7.5 s, with a test unanswered or an attempt failed, its sessions end towards their viewers and are released at the server. The time doesn't run while a server waits for its turn at the limit of connections, nor is it judged while input of a stop is still unread. A connection lost before anything arrived on it is a failed attempt, so one that resets at once is tried at the pace of the connect timeout, not in a loop.

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -198,3 +198,29 @@
         assert!(wait_for_release(&mut viewer, sessions[0], deadline).await, "not released in time");
     });
 }
+
+#[test]
+fn sessions_are_released_although_their_server_accepts_connections_and_sends_nothing() {
+    // The interval of notes in ms, and how the server treats connections.
+    for (interval_ms, accept_mode) in [
+        (1000, AcceptMode::Mute),
+        (4900, AcceptMode::Mute),
+        (4900, AcceptMode::Silent),
+        (1000, AcceptMode::Reset),
+    ] {
+        let tweak = |config: &mut Value| {
+            config["settings"]["specifics"]["told-every-us"] = (interval_ms * 1000).into();
+        };
+        with_config(Behavior::Plays, tweak, |harness| async move {
+            let (mut viewer, session_ref) = (harness.viewer().await, SessionRef(0x240));
+            assert!(viewer.write(&set_up_bytes(session_ref, "clip", 3500, "")).await);
+            assert_eq!(viewer.receive(ms(1000)).await.map(|reply| reply.kind), Some(Kind::Answer));
+            harness.set_up_server().set_accept_mode(accept_mode);
+            let deadline = Instant::now() + RELEASE_DEADLINE;
+            assert!(
+                wait_for_release(&mut viewer, session_ref, deadline).await,
+                "{accept_mode:?}, notes each {interval_ms} ms: not released in time"
+            );
+        });
+    }
+}
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -19,6 +19,10 @@
 /// attempts to connect that fail.
 const FRESH_LINK_INTERVAL: Duration = Duration::from_secs(4);
 
+/// A server with sessions from which nothing arrived for this time, although it was asked, is lost. The
+/// difference to [`UpstreamPolicy::RELEASE_TIMEOUT`] is for noticing it and for writing the releases.
+const MUTE_TIMEOUT: Duration = Duration::from_millis(7500);
+
 /// The state of a connection to a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct UpstreamState {
@@ -86,8 +90,12 @@
         let longest_interval = UpstreamPolicy::RELEASE_TIMEOUT
             .saturating_sub(connect_timeout * (TEST_TIMEOUT_FACTOR + LOST_FACTOR))
             .div_f64(SILENCE_FACTOR);
+        // A test must have failed twice before a server counts as mute.
+        let mute_interval =
+            MUTE_TIMEOUT.saturating_sub(connect_timeout * (2 * TEST_TIMEOUT_FACTOR)).div_f64(SILENCE_FACTOR);
         let test_interval =
-            if report_interval.is_zero() { longest_interval.max(connect_timeout) } else { report_interval };
+            if report_interval.is_zero() { longest_interval } else { report_interval.min(mute_interval) };
+        let test_interval = test_interval.max(connect_timeout);
         UpstreamPolicy { max_streams, connect_timeout, server_idle_timeout, report_interval: test_interval }
     }
 
@@ -156,6 +164,11 @@
             .map_or(now, |earlier_failures| earlier_failures.0)
     }
 
+    /// Whether a server is lost from which nothing arrived since `heard_at`, although it was asked.
+    pub fn is_server_mute(&self, now: Duration, heard_at: Duration) -> bool {
+        now >= heard_at + MUTE_TIMEOUT
+    }
+
     /// Whether a server that was unreachable for this long is lost.
     pub fn is_server_lost(&self, unreachable_for: Duration) -> bool {
         unreachable_for >= self.connect_timeout * LOST_FACTOR
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -51,6 +51,8 @@
     established_at: Duration,
     /// Since when nothing more is written on it. What still arrives is read until the server closes it.
     retiring_since: Option<Duration>,
+    /// Whether anything has arrived on it.
+    has_received: bool,
     /// How the server closed it, if it has.
     closed_by_server: Option<CloseReason>,
     /// Attempts that wait until the connection is established.
@@ -64,7 +66,7 @@
     upstream: UpstreamState,
 }
 
-/// A server to which no connection could be established.
+/// A server to which no connection could be established, or that sent nothing on one before it was lost.
 #[derive(Clone, Copy)]
 struct Unreachable {
     /// When the first of the attempts to connect failed.
@@ -82,6 +84,8 @@
     /// Sessions to be released at servers that could not be reached, with the times of the requests.
     pending_releases: BTreeMap<ServerId, BTreeMap<SessionRef, Duration>>,
     unreachable: BTreeMap<ServerId, Unreachable>,
+    /// When anything last arrived from each server; if nothing has, since when something is expected.
+    heard_at: BTreeMap<ServerId, Duration>,
     /// Servers with sessions or pending releases that wait for a connection to be established, and since
     /// when.
     waiting_for_link: BTreeMap<ServerId, Duration>,
@@ -108,6 +112,7 @@
             attempts: BTreeMap::new(),
             pending_releases: BTreeMap::new(),
             unreachable: BTreeMap::new(),
+            heard_at: BTreeMap::new(),
             waiting_for_link: BTreeMap::new(),
             reconnect_required: BTreeMap::new(),
             policy,
@@ -171,6 +176,11 @@
         bytes.is_ok_and(|bytes| link.is_some_and(|link| link.writer.write(bytes)))
     }
 
+    /// Forgets when a server was last heard.
+    pub fn expect_nothing_yet(&mut self, server: ServerId) {
+        self.heard_at.remove(&server);
+    }
+
     /// Whether there is a connection to a server, or a release is pending for it.
     pub fn has_links(&self, server: ServerId) -> bool {
         self.links_to(server).next().is_some() || self.pending_releases.contains_key(&server)
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -88,6 +88,10 @@
             "connection evicted"
         );
         self.note_closed_here(now, server, link_id);
+        if !self.servers.has_links(server) {
+            // It waits for its turn, and can't be heard meanwhile.
+            self.servers.heard_at.remove(&server);
+        }
         if self.needs_link(now, server) {
             self.servers.waiting_for_link.entry(server).or_insert(now);
         }
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -80,6 +80,7 @@
             established: false,
             established_at: now,
             retiring_since: None,
+            has_received: false,
             closed_by_server: None,
             queued: vec![],
             open_set_ups: BTreeMap::new(),
@@ -88,6 +89,11 @@
             upstream: UpstreamState::new(now),
         };
         self.servers.links.insert(link_id, link);
+        if self.sessions.any_at_server(server) {
+            self.servers.heard_at.entry(server).or_insert(now);
+        } else {
+            self.servers.heard_at.insert(server, now);
+        }
         tracing::debug!(
             server = self.server_name(server),
             connection = link_id,
@@ -196,16 +202,8 @@
         }
         self.fail_queued_attempts(core, now, link.queued);
         self.fail_probes(core, now, server, link.pending_probes);
-        let before = self.servers.unreachable.get(&server).copied();
-        let since = self
-            .servers
-            .policy
-            .unreachable_since(now, before.map(|failure| (failure.since, failure.last_tried_at)));
         let no_other_link = !self.servers.links_to(server).any(|(_, link)| link.established);
-        let refused_before = before.is_some_and(|before| before.refused && before.since == since);
-        let unreachable =
-            Unreachable { since, last_tried_at: now, refused: refused_before || refused && no_other_link };
-        self.servers.unreachable.insert(server, unreachable);
+        let since = self.note_unreachable(now, server, refused && no_other_link);
         let received_since = self
             .servers
             .links_to(server)
@@ -219,6 +217,18 @@
         self.ensure_link(server);
     }
 
+    /// A connection could not be established, or was lost before anything arrived on it. Returns since when
+    /// the server is unreachable.
+    fn note_unreachable(&mut self, now: Duration, server: ServerId, refused: bool) -> Duration {
+        let before = self.servers.unreachable.get(&server).copied();
+        let earlier_failures = before.map(|failure| (failure.since, failure.last_tried_at));
+        let since = self.servers.policy.unreachable_since(now, earlier_failures);
+        let refused_before = before.is_some_and(|before| before.refused && before.since == since);
+        let unreachable = Unreachable { since, last_tried_at: now, refused: refused_before || refused };
+        self.servers.unreachable.insert(server, unreachable);
+        since
+    }
+
     /// Reports attempts as failed that waited for a connection. They never ran.
     fn fail_queued_attempts(&mut self, core: &mut SessionCore, now: Duration, queued: Vec<AttemptKey>) {
         for key in queued {
@@ -253,6 +263,9 @@
             self.servers.attempts.remove(&key);
         }
         self.fail_probes(core, now, server, link.pending_probes);
+        if !link.has_received && link.retiring_since.is_none() {
+            self.note_unreachable(now, server, false);
+        }
         match reason {
             CloseReason::ClosedByServer | CloseReason::ResetByServer => {
                 self.sessions.on_link_closed_by_server(server, link_id);
@@ -305,7 +318,8 @@
     /// Maintains the connections to servers.
     pub fn sweep_servers(&mut self, core: &mut SessionCore, now: Duration) {
         self.drop_expired_releases(now);
-        let all: BTreeSet<_> = self.servers.links.values().map(|link| link.server).collect();
+        let connected = self.servers.links.values().map(|link| link.server);
+        let all: BTreeSet<_> = connected.chain(self.sessions.servers()).collect();
         for server in all {
             self.sweep_server(core, now, server);
         }
@@ -314,6 +328,7 @@
             server_list.row(*server).is_some()
                 && policy.is_recent_failure(now, (unreachable.since, unreachable.last_tried_at))
         });
+        self.servers.heard_at.retain(|server, _| server_list.row(*server).is_some());
         self.ensure_links(now);
     }
 
@@ -344,6 +359,9 @@
         for link_id in links {
             self.sweep_link(core, now, (link_id, server), last_received_at, &mut live_links);
         }
+        if self.is_server_mute(now, server) {
+            return self.lose_mute_server(core, now, server);
+        }
         if self.is_server_silent(now, server) {
             // If a machine has vanished, its established connections stay silent and new ones can't be
             // established. A new attempt detects this.
@@ -351,6 +369,24 @@
         }
     }
 
+    /// Whether nothing arrived from a server for too long, and it does not react to being asked.
+    fn is_server_mute(&self, now: Duration, server: ServerId) -> bool {
+        let heard_at = self.servers.heard_at.get(&server).copied().unwrap_or(now);
+        let has_suspect_link = || self.servers.links_to(server).any(|(_, link)| link.upstream.is_suspect());
+        self.sessions.any_at_server(server)
+            && self.deferred_set_ups.is_none()
+            && self.servers.policy.is_server_mute(now, heard_at)
+            && (self.servers.unreachable.contains_key(&server) || has_suspect_link())
+    }
+
+    /// Ends all sessions at a server from which nothing arrives. It may still play them, so they are released
+    /// there, too.
+    fn lose_mute_server(&mut self, core: &mut SessionCore, now: Duration, server: ServerId) {
+        let session_refs: Vec<_> = self.sessions.at_server(server).collect();
+        session_refs.into_iter().for_each(|session_ref| self.release_session(server, session_ref));
+        self.lose_all_sessions(core, now, server);
+    }
+
     /// Closes a connection that is not needed, or tests it. `last_received_at`: when the server last sent
     /// anything on any connection; `live_links`: the number of connections to it that are not retiring.
     fn sweep_link(
--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -102,6 +102,8 @@
         let Some(link) = self.servers.links.get_mut(&link_id) else { return };
         link.messages.push(chunk);
         link.upstream.record_received(now);
+        link.has_received = true;
+        self.servers.heard_at.insert(link.server, now);
         loop {
             let Some(link) = self.servers.links.get_mut(&link_id) else { return };
             let server = link.server;
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -159,6 +159,9 @@
         let (package, title, top) = self.target(signal);
         // The session's rung arrives later in a note.
         let session = SessionId(signal.session.0.into());
+        if !self.sessions.any_at_server(server) {
+            self.servers.expect_nothing_yet(server);
+        }
         if let Some(key) = core.adopt_viewing(self, now, server, session, (package, title, (0, top))) {
             self.sessions.insert(
                 signal.session,
