Soak: half-open connections, hangs beyond the bound, ends reported on dead connections

Its stand-in servers knew which of their connections were dead and reported ends on others; no fault left a connection open at one end only; hangs lasted 4 s at most, and sessions of a hung server ended only afterwards.

Now a server reports the end on the connection of the set-up while it takes that for open, whatever became of it; connections become half-open, half of them in a message; in a quarter of the trials a server hangs for 8.5 to 11 s. No check and no bound is changed.

--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -182,6 +182,10 @@
                 self.servers[server].set_path(manager, PathState { to_server: true, to_manager: true });
                 self.busy_servers.borrow_mut().remove(&server);
             }
+            Fault::HalfOpen { manager, server, in_message } => {
+                self.record_disruption(Some(manager), server, Duration::ZERO);
+                self.servers[server].make_half_open(manager, in_message).await;
+            }
             Fault::ResetAll { manager, server } => {
                 self.record_disruption(Some(manager), server, Duration::ZERO);
                 self.servers[server].reset_connections(Some(manager));
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -98,6 +98,9 @@
     /// For `span`, the path between a manager and a server carries nothing to the server (`forth`), from it
     /// (`back`), or both.
     Partition { manager: usize, server: usize, forth: bool, back: bool, span: Duration },
+    /// All connections of a manager to a server become half-open: they carry nothing more, and neither end
+    /// learns that the other closes them. With `in_message` a message breaks off on each. New connections work.
+    HalfOpen { manager: usize, server: usize, in_message: bool },
     /// All connections of a manager to a server are reset.
     ResetAll { manager: usize, server: usize },
     /// Discovery publishes a server as draining, and as ready again after `span`.
@@ -276,9 +279,29 @@
             let clients = rng.random_range(20..=80);
             self.faults.push((draw_millis(rng, 1500, 7000), Fault::Crowd { clients }));
         }
+        self.draw_lasting_faults(rng);
         self.faults.sort_by_key(|(at, _)| *at);
     }
 
+    /// Draws faults whose effects last longer than the time within which an end must be released.
+    fn draw_lasting_faults(&mut self, rng: &mut Pcg64Mcg) {
+        let half_open_count = rng.random_range(0..=4);
+        for _ in 0..half_open_count {
+            let at = draw_millis(rng, FAULTS_START_AT.as_millis() as u64, FAULTS_END_AT.as_millis() as u64);
+            let fault = Fault::HalfOpen {
+                manager: rng.random_range(0..self.managers),
+                server: rng.random_range(0..self.servers),
+                in_message: rng.random(),
+            };
+            self.faults.push((at, fault));
+        }
+        if rng.random_bool(0.25) {
+            let at = draw_millis(rng, 1500, 5000);
+            let server = rng.random_range(0..self.servers);
+            self.faults.push((at, Fault::Hang { server, span: draw_millis(rng, 8500, 11_000) }));
+        }
+    }
+
     /// Draws one fault and its targets.
     fn draw_fault(&self, rng: &mut Pcg64Mcg) -> Fault {
         let server = rng.random_range(0..self.servers);
--- a/crates/lab/src/soak/server.rs
+++ b/crates/lab/src/soak/server.rs
@@ -77,9 +77,11 @@
     manager: usize,
     output: mpsc::UnboundedSender<Output>,
     is_alive: bool,
-    /// An answer on it was malformed or truncated. The server ignores further set-ups on it and sends neither
-    /// notes nor ends on it.
+    /// An answer on it was malformed or truncated. The server ignores further set-ups on it, and what it sends
+    /// on it is lost.
     is_unusable: bool,
+    /// It carries nothing in either direction, and neither end learns that the other has closed it.
+    is_half_open: bool,
 }
 
 /// The state of a server's process.
@@ -200,7 +202,9 @@
         let (output, to_write) = mpsc::unbounded_channel();
         let mut state = self.state.borrow_mut();
         let (connection_index, generation) = (state.connections.len(), state.generation);
-        state.connections.push(Connection { manager, output, is_alive: true, is_unusable: false });
+        let connection =
+            Connection { manager, output, is_alive: true, is_unusable: false, is_half_open: false };
+        state.connections.push(connection);
         let ends = state.ends_to_repeat.remove(&manager).unwrap_or_default();
         drop(state);
         for (viewing_id, attempt) in ends {
@@ -223,7 +227,7 @@
         tokio::select! {
             () = self.read_input(&stream, (connection_index, manager), &input_sender) => {}
             () = self.process_input(input, (connection_index, manager, generation), lag) => {}
-            () = self.write_output(&stream, (manager, generation), to_write, lag) => {}
+            () = self.write_output(&stream, (connection_index, manager, generation), to_write, lag) => {}
         }
         self.record_withdrawals(connection_index);
     }
@@ -344,7 +348,7 @@
             {
                 return;
             }
-            if self.state.borrow().generation != generation {
+            if self.state.borrow().generation != generation || self.is_half_open(connection_index) {
                 return std::future::pending().await;
             }
             match message {
@@ -363,6 +367,28 @@
         }
     }
 
+    /// Whether a connection carries nothing, unknown to its ends.
+    fn is_half_open(&self, connection: usize) -> bool {
+        self.state.borrow().connections[connection].is_half_open
+    }
+
+    /// Makes all connections of a manager half-open, with `in_message` in the middle of a message.
+    pub async fn make_half_open(&self, manager: usize, in_message: bool) {
+        let open: Vec<_> = {
+            let connections = &self.state.borrow().connections;
+            let is_affected = |connection: &Connection| connection.is_alive && connection.manager == manager;
+            (0..connections.len()).filter(|index| is_affected(&connections[*index])).collect()
+        };
+        if in_message {
+            let answer = binary::write(Kind::Answer, SessionRef(0), &[], None, Some(b"a part of it"))
+                .unwrap_or_default();
+            open.iter().for_each(|index| self.send_bytes(*index, answer[..answer.len() / 2].to_vec()));
+            sleep(Duration::from_millis(3 * MAX_LAG_MS)).await;
+        }
+        let mut state = self.state.borrow_mut();
+        open.into_iter().for_each(|index| state.connections[index].is_half_open = true);
+    }
+
     /// Whether no set-up is pending on a connection.
     fn is_idle(&self, connection: usize) -> bool {
         !self.state.borrow().pending_attempts.keys().any(|(pending_on, _)| *pending_on == connection)
@@ -370,11 +396,17 @@
 
     /// Writes queued output, some of it in small pieces, and records answers and ends as written.
     async fn write_output(
-        &self, stream: &TcpStream, (manager, generation): (usize, u32),
+        &self, stream: &TcpStream, (connection_index, manager, generation): (usize, usize, u32),
         mut to_write: mpsc::UnboundedReceiver<Output>, lag: Duration,
     ) {
         let (mut hung, mut path) = (self.hung_sender.subscribe(), self.paths[manager].subscribe());
         while let Some(output) = to_write.recv().await {
+            if self.is_half_open(connection_index) {
+                if matches!(output, Output::Reset | Output::Close) {
+                    self.state.borrow_mut().connections[connection_index].is_alive = false;
+                }
+                continue;
+            }
             let Output::Bytes { bytes, answered_attempt, ended_attempt } = output else {
                 if matches!(output, Output::Reset) {
                     stream.set_zero_linger().ok();
@@ -387,7 +419,7 @@
             {
                 return;
             }
-            if self.state.borrow().generation != generation {
+            if self.state.borrow().generation != generation || self.is_half_open(connection_index) {
                 continue;
             }
             let in_pieces = self.rng.borrow_mut().random_bool(0.15);
@@ -561,8 +593,8 @@
         self.start_session(connection, viewing_id, attempt);
     }
 
-    /// Runs a session until its end. The end is reported on the session's connection or on another one of the
-    /// manager, and repeated on the manager's next connection.
+    /// Runs a session until its end, which a hung server reports only once it recovers. The end is reported on
+    /// the session's connection or on another one of the manager, and repeated on the manager's next connection.
     fn start_session(self: &Rc<Self>, connection: usize, viewing_id: SessionRef, attempt: usize) {
         let generation = {
             let mut state = self.state.borrow_mut();
@@ -573,13 +605,15 @@
         let server = self.clone();
         spawn_local(async move {
             sleep(session_duration).await;
-            let mut hung = server.hung_sender.subscribe();
-            if hung.wait_for(|is_hung| !is_hung).await.is_err()
-                || server.state.borrow().generation != generation
+            if server.state.borrow().generation != generation
+                || !server.finish_attempt(viewing_id, attempt, AttemptEnd::Finished)
             {
                 return;
             }
-            if server.finish_attempt(viewing_id, attempt, AttemptEnd::Finished) {
+            let mut hung = server.hung_sender.subscribe();
+            if hung.wait_for(|is_hung| !is_hung).await.is_ok()
+                && server.state.borrow().generation == generation
+            {
                 server.report_end(connection, viewing_id, attempt);
             }
         });
@@ -590,11 +624,10 @@
         let (target, manager) = {
             let state = self.state.borrow();
             let manager = state.connections[connection].manager;
-            let is_usable = |candidate: &Connection| {
-                candidate.is_alive && !candidate.is_unusable && candidate.manager == manager
-            };
-            let own_connection = Some(connection).filter(|own| is_usable(&state.connections[*own]));
-            (own_connection.or_else(|| state.connections.iter().position(is_usable)), manager)
+            // The server doesn't know which of its open connections are dead.
+            let is_open = |candidate: &Connection| candidate.is_alive && candidate.manager == manager;
+            let own_connection = Some(connection).filter(|own| is_open(&state.connections[*own]));
+            (own_connection.or_else(|| state.connections.iter().position(is_open)), manager)
         };
         target.into_iter().for_each(|target| self.send_end(target, viewing_id, attempt));
         self.state.borrow_mut().ends_to_repeat.entry(manager).or_default().push((viewing_id, attempt));
@@ -602,6 +635,9 @@
 
     /// Queues the release that reports the end of a session.
     fn send_end(&self, connection: usize, viewing_id: SessionRef, attempt: usize) {
+        if self.state.borrow().connections[connection].is_unusable {
+            return;
+        }
         let bytes = binary::write(Kind::Release, viewing_id, &[], Some(16), None).unwrap_or_default();
         self.send(connection, Output::Bytes { bytes, answered_attempt: None, ended_attempt: Some(attempt) });
     }
