Node: sessions, liveness of servers and report routes in modules of their own

Moved, but for update_report_routes, which was a part of on_link_lost, and a name (forget_heard_at). No change of behaviour.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! around the session core. Decisions about connections are made in `ivyward_edge`; messages are encoded
 //! and decoded by `ivyward_signal`.
 
+mod active_sessions;
 mod config;
 mod connection;
 mod discovery;
@@ -13,6 +14,7 @@
 mod shutdown;
 mod viewers;
 
+use active_sessions::ActiveSessions;
 use host::{NodeHost, SWEEP_INTERVAL};
 use ivyward::interface::ListScope;
 use ivyward_edge::{LogRateLimiter, UpstreamPolicy};
@@ -103,7 +105,7 @@
             Pcg64Mcg::seed_from_u64(seed),
         ),
         viewers,
-        sessions: host::ActiveSessions::default(),
+        sessions: ActiveSessions::default(),
         log_limiter: LogRateLimiter::default(),
         answer_line: None,
         last_sweep_at: clock.now(),
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -4,7 +4,9 @@
 mod capacity;
 mod close_reason;
 mod connections;
+mod liveness;
 mod messages;
+mod report_routes;
 mod sessions;
 
 use crate::connection::{SharedStream, Writer};
@@ -177,7 +179,7 @@
     }
 
     /// Forgets when a server was last heard.
-    pub fn expect_nothing_yet(&mut self, server: ServerId) {
+    pub fn forget_heard_at(&mut self, server: ServerId) {
         self.heard_at.remove(&server);
     }
 
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -45,7 +45,7 @@
     }
 
     /// Whether a connection to a server is being established.
-    fn is_connecting(&self, server: ServerId) -> bool {
+    pub(super) fn is_connecting(&self, server: ServerId) -> bool {
         self.servers.links_to(server).any(|(_, link)| !link.established)
     }
 
@@ -122,33 +122,6 @@
         self.is_server_silent(now, server).then_some(OpenReason::Silent)
     }
 
-    /// Whether a server may have reported the end of a session on a connection that is over, and no connection
-    /// has been opened since.
-    fn is_reconnect_due(&self, server: ServerId) -> bool {
-        let Some(since) = self.servers.reconnect_required.get(&server) else { return false };
-        let is_connecting = |link: &ServerLink| !link.established && link.established_at >= *since;
-        !self.servers.links_to(server).any(|(_, link)| is_connecting(link))
-    }
-
-    /// Whether a server may have reported the end of a session on a connection that was closed here, and no
-    /// connection was opened since for long enough.
-    fn is_fresh_link_due(&self, now: Duration, server: ServerId) -> bool {
-        let established = self.servers.links_to(server).filter(|(_, link)| link.established);
-        let latest_at = established.map(|(_, link)| link.established_at).max();
-        self.sessions.any_on_closed_link(server)
-            && !self.is_connecting(server)
-            && latest_at.is_none_or(|latest_at| self.servers.policy.is_fresh_link_due(now, latest_at))
-    }
-
-    /// Whether a server with sessions sends nothing on any connection, and none is being established.
-    pub(super) fn is_server_silent(&self, now: Duration, server: ServerId) -> bool {
-        let received_at = self.servers.links_to(server).map(|(_, link)| link.upstream.last_received_at);
-        let last_received_at = received_at.max().unwrap_or(now);
-        self.sessions.any_at_server(server)
-            && !self.is_connecting(server)
-            && self.servers.policy.is_server_silent(now, last_received_at)
-    }
-
     /// Opens a connection to a server that needs one, or lets the server wait for it.
     pub fn ensure_link(&mut self, server: ServerId) {
         let now = self.events.now();
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -1,17 +1,16 @@
 //! Connections to servers: opening, maintenance, retirement and loss.
 
 use super::close_reason::{CloseReason, OpenReason, RetireReason};
-use super::{AttemptKey, ServerLink, Unreachable, encode_release};
+use super::{AttemptKey, ServerLink, encode_release};
 use crate::connection::{
     SharedStream, limit_send_buffer, new_writer, read_available, read_chunk, run_connection,
 };
 use crate::host::NodeHost;
 use ivyward::interface::{LoadReport, ServerId, ServerState};
-use ivyward_edge::{UpstreamPolicy, UpstreamState};
+use ivyward_edge::UpstreamState;
 use ivyward_session::{AttemptResult, SessionCore};
+use ivyward_signal::Kind;
 use ivyward_signal::binary::{self, Messages};
-use ivyward_signal::{Kind, SessionRef};
-use rand::RngExt;
 use socket2::SockRef;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
@@ -25,8 +24,6 @@
 
 /// The heartbeat's cause value that requests a load report.
 pub(super) const HEARTBEAT_WITH_REPORT: u8 = 1;
-/// The heartbeat's cause value that only tests whether the server responds.
-const HEARTBEAT_ONLY: u8 = 0;
 
 /// Connects to a server within a time limit.
 async fn connect(address: SocketAddr, connect_timeout: Duration) -> io::Result<TcpStream> {
@@ -161,22 +158,6 @@
         self.retire_replaced_links(now, server, link_id);
     }
 
-    /// Retires the connections that a new one replaces, if it was opened because ends may be reported on a
-    /// connection that was closed here.
-    fn retire_replaced_links(&mut self, now: Duration, server: ServerId, new_link_id: u64) {
-        if !self.sessions.any_on_closed_link(server) {
-            return;
-        }
-        let is_replaced = |(link_id, link): &(u64, &ServerLink)| {
-            let is_busy = !link.open_set_ups.is_empty() || !link.pending_probes.is_empty();
-            let is_kept = *link_id == new_link_id || !link.established || link.retiring_since.is_some();
-            !is_kept && !is_busy && !self.sessions.any_set_up_on_link(server, *link_id)
-        };
-        let replaced: Vec<_> =
-            self.servers.links_to(server).filter(is_replaced).map(|(link_id, _)| link_id).collect();
-        replaced.into_iter().for_each(|link_id| self.retire(now, link_id, RetireReason::Replaced));
-    }
-
     /// A connection could not be established, so nothing that waited for it ran. If the server refused
     /// it, its process has ended, and so have its sessions.
     pub(super) fn on_connect_failed(
@@ -217,18 +198,6 @@
         self.ensure_link(server);
     }
 
-    /// A connection could not be established, or was lost before anything arrived on it. Returns since when
-    /// the server is unreachable.
-    fn note_unreachable(&mut self, now: Duration, server: ServerId, refused: bool) -> Duration {
-        let before = self.servers.unreachable.get(&server).copied();
-        let earlier_failures = before.map(|failure| (failure.since, failure.last_tried_at));
-        let since = self.servers.policy.unreachable_since(now, earlier_failures);
-        let refused_before = before.is_some_and(|before| before.refused && before.since == since);
-        let unreachable = Unreachable { since, last_tried_at: now, refused: refused_before || refused };
-        self.servers.unreachable.insert(server, unreachable);
-        since
-    }
-
     /// Reports attempts as failed that waited for a connection. They never ran.
     fn fail_queued_attempts(&mut self, core: &mut SessionCore, now: Duration, queued: Vec<AttemptKey>) {
         for key in queued {
@@ -266,32 +235,10 @@
         if !link.has_received && link.retiring_since.is_none() {
             self.note_unreachable(now, server, false);
         }
-        match reason {
-            CloseReason::ClosedByServer | CloseReason::ResetByServer => {
-                self.sessions.on_link_closed_by_server(server, link_id);
-                let all_read = reason == CloseReason::ClosedByServer && link.retiring_since.is_some();
-                if !all_read && self.sessions.any_on_link(server, link_id) {
-                    // What the server reported last may not have arrived. It reports that again on the
-                    // next connection that is opened, even if others exist.
-                    self.servers.reconnect_required.insert(server, now);
-                }
-            }
-            CloseReason::WriteStalled
-            | CloseReason::InvalidMessage
-            | CloseReason::IncompleteMessage
-            | CloseReason::NotClosedByServer => self.note_closed_here(now, server, link_id),
-        }
+        self.update_report_routes(now, server, link_id, reason, link.retiring_since.is_some());
         self.ensure_link(server);
     }
 
-    /// A connection is closed here. Its server may not learn that, and may go on to report ends on it.
-    pub(super) fn note_closed_here(&mut self, now: Duration, server: ServerId, link_id: u64) {
-        if self.sessions.any_on_link(server, link_id) {
-            self.servers.reconnect_required.insert(server, now);
-        }
-        self.sessions.on_link_closed_here(server, link_id);
-    }
-
     /// Closes the sending side of a connection that is no longer needed. The connection is still read
     /// until the server closes it too, so that a session's end that is under way is not lost.
     pub(super) fn retire(&mut self, now: Duration, link_id: u64, reason: RetireReason) {
@@ -314,134 +261,4 @@
             RetireReason::Idle | RetireReason::Replaced => self.sessions.on_link_closed_here(server, link_id),
         }
     }
-
-    /// Maintains the connections to servers.
-    pub fn sweep_servers(&mut self, core: &mut SessionCore, now: Duration) {
-        self.drop_expired_releases(now);
-        let connected = self.servers.links.values().map(|link| link.server);
-        let all: BTreeSet<_> = connected.chain(self.sessions.servers()).collect();
-        for server in all {
-            self.sweep_server(core, now, server);
-        }
-        let (policy, server_list) = (&self.servers.policy, &self.server_list);
-        self.servers.unreachable.retain(|server, unreachable| {
-            server_list.row(*server).is_some()
-                && policy.is_recent_failure(now, (unreachable.since, unreachable.last_tried_at))
-        });
-        self.servers.heard_at.retain(|server, _| server_list.row(*server).is_some());
-        self.ensure_links(now);
-    }
-
-    /// Drops releases that were pending for too long.
-    fn drop_expired_releases(&mut self, now: Duration) {
-        let pending_releases = &mut self.servers.pending_releases;
-        for releases in pending_releases.values_mut() {
-            releases.retain(|_, since| now < *since + UpstreamPolicy::RELEASE_TIMEOUT);
-        }
-        pending_releases.retain(|_, releases| !releases.is_empty());
-    }
-
-    /// Maintains the connections to one server, and declares it lost if it is silent.
-    fn sweep_server(&mut self, core: &mut SessionCore, now: Duration, server: ServerId) {
-        let links: Vec<_> = self
-            .servers
-            .links_to(server)
-            .filter(|(_, link)| link.established)
-            .map(|(link_id, _)| link_id)
-            .collect();
-        let last_received_at = links
-            .iter()
-            .map(|link_id| self.servers.links[link_id].upstream.last_received_at)
-            .max()
-            .unwrap_or(now);
-        let live = |link_id: &&u64| self.servers.links[*link_id].retiring_since.is_none();
-        let mut live_links = links.iter().filter(live).count();
-        for link_id in links {
-            self.sweep_link(core, now, (link_id, server), last_received_at, &mut live_links);
-        }
-        if self.is_server_mute(now, server) {
-            return self.lose_mute_server(core, now, server);
-        }
-        if self.is_server_silent(now, server) {
-            // If a machine has vanished, its established connections stay silent and new ones can't be
-            // established. A new attempt detects this.
-            self.recover_link(now, server, OpenReason::Silent);
-        }
-    }
-
-    /// Whether nothing arrived from a server for too long, and it does not react to being asked.
-    fn is_server_mute(&self, now: Duration, server: ServerId) -> bool {
-        let heard_at = self.servers.heard_at.get(&server).copied().unwrap_or(now);
-        let has_suspect_link = || self.servers.links_to(server).any(|(_, link)| link.upstream.is_suspect());
-        self.sessions.any_at_server(server)
-            && self.deferred_set_ups.is_none()
-            && self.servers.policy.is_server_mute(now, heard_at)
-            && (self.servers.unreachable.contains_key(&server) || has_suspect_link())
-    }
-
-    /// Ends all sessions at a server from which nothing arrives. It may still play them, so they are released
-    /// there, too.
-    fn lose_mute_server(&mut self, core: &mut SessionCore, now: Duration, server: ServerId) {
-        let session_refs: Vec<_> = self.sessions.at_server(server).collect();
-        session_refs.into_iter().for_each(|session_ref| self.release_session(server, session_ref));
-        self.lose_all_sessions(core, now, server);
-    }
-
-    /// Closes a connection that is not needed, or tests it. `last_received_at`: when the server last sent
-    /// anything on any connection; `live_links`: the number of connections to it that are not retiring.
-    fn sweep_link(
-        &mut self, core: &mut SessionCore, now: Duration, (link_id, server): (u64, ServerId),
-        last_received_at: Duration, live_links: &mut usize,
-    ) {
-        let Some(link) = self.servers.links.get_mut(&link_id) else { return };
-        if let Some(since) = link.retiring_since {
-            // A server that hangs or is cut off may still report ends on this connection when it
-            // recovers.
-            if now >= since + UpstreamPolicy::RELEASE_TIMEOUT {
-                self.on_link_lost(core, now, link_id, CloseReason::NotClosedByServer);
-            }
-            return;
-        }
-        if self.servers.policy.is_partial_overdue(now, &link.upstream) {
-            *live_links -= 1;
-            return self.on_invalid_message(
-                core,
-                now,
-                link_id,
-                CloseReason::IncompleteMessage,
-                "the rest of a message did not arrive in time",
-            );
-        }
-        let was_suspect = link.upstream.is_suspect();
-        self.servers.policy.check_test(now, &mut link.upstream);
-        if link.upstream.is_suspect() && !was_suspect {
-            let server = self.server_name(server);
-            tracing::debug!(server, connection = link_id, "test not answered");
-        }
-        let Some(link) = self.servers.links.get_mut(&link_id) else { return };
-        let idle = link.open_set_ups.is_empty() && link.pending_probes.is_empty();
-        let idle = idle && self.servers.policy.is_idle(now, &link.upstream);
-        let needed = !link.upstream.is_suspect() && self.sessions.any_on_link(server, link_id);
-        let has_sessions = self.sessions.any_at_server(server);
-        let expendable = !has_sessions || *live_links > 1 && !needed;
-        if idle && expendable {
-            *live_links -= 1;
-            let suspect = link.upstream.is_suspect();
-            let reason = if suspect { RetireReason::Suspect } else { RetireReason::Idle };
-            return self.retire(now, link_id, reason);
-        }
-        // A server that reports ends on this connection must be heard on this one. Others may be alive
-        // while it is dead.
-        let reports_ends = self.sessions.any_set_up_on_link(server, link_id);
-        let heard_at = if reports_ends { link.upstream.last_received_at } else { last_received_at };
-        if has_sessions && self.servers.policy.needs_test(now, heard_at, &link.upstream) {
-            link.upstream.test_sent_at = Some(now);
-            let session_ref = SessionRef(self.servers.rng.random());
-            self.servers.write_to_link(
-                link_id,
-                binary::write(Kind::Heartbeat, session_ref, &[], Some(HEARTBEAT_ONLY), None),
-            );
-            tracing::debug!(server = self.server_name(server), connection = link_id, "test sent");
-        }
-    }
 }
--- a/crates/node/src/servers/sessions.rs
+++ b/crates/node/src/servers/sessions.rs
@@ -1,7 +1,8 @@
 //! Sessions at servers, and how they end.
 
 use super::CAUSE_LOST;
-use crate::host::{NodeHost, ReportRoute};
+use crate::active_sessions::ReportRoute;
+use crate::host::NodeHost;
 use ivyward::interface::ServerId;
 use ivyward_session::{EndReason, SessionCore};
 use ivyward_signal::SessionRef;
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -1,7 +1,8 @@
 //! Viewers' set-ups: checks, adoption of sessions that already play, and the only answer to each.
 
 use super::{PendingSetUp, ViewerCloseReason, Viewers};
-use crate::host::{ActiveSession, NodeHost, ReportRoute};
+use crate::active_sessions::{ActiveSession, ReportRoute};
+use crate::host::NodeHost;
 use ivyward::interface::{Cells, PackageId, TitleId};
 use ivyward_edge::{ClientLimits, truncate_for_log};
 use ivyward_session::{Answer, EndReason, RequestId, SessionCore, SessionId};
@@ -160,7 +161,7 @@
         // The session's rung arrives later in a note.
         let session = SessionId(signal.session.0.into());
         if !self.sessions.any_at_server(server) {
-            self.servers.expect_nothing_yet(server);
+            self.servers.forget_heard_at(server);
         }
         if let Some(key) = core.adopt_viewing(self, now, server, session, (package, title, (0, top))) {
             self.sessions.insert(
