--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -159,23 +159,34 @@
 
 #[test]
 fn an_end_is_released_although_the_connection_that_took_over_its_report_is_lost() {
-    with_proxied_server(one_set_up_on_a_connection, |path| async move {
-        let sessions = [SessionRef(0x220), SessionRef(0x221), SessionRef(0x222)];
-        let mut viewer = path.harness.viewer().await;
-        path.set_up_on_own_connections(&mut viewer, &sessions).await;
-        path.send_notes(sessions[2], 2);
-        path.end_session(sessions[1], 1);
-        let deadline = Instant::now() + RELEASE_DEADLINE;
-        assert!(wait_for_release(&mut viewer, sessions[1], deadline).await);
-        path.server.reset(0);
-        wait_until("a connection for the lost one", || path.server.accepted_connection_count() == 4).await;
-        sleep(ms(100)).await;
-        // The server reports the end on the second connection, and the report is lost with it.
-        path.server.reset(1);
-        path.end_session(sessions[0], 1);
-        let deadline = Instant::now() + RELEASE_DEADLINE;
-        assert!(wait_for_release(&mut viewer, sessions[0], deadline).await, "not released in time");
-    });
+    // Whether that connection is reset, or dead without a sign.
+    for is_reset in [true, false] {
+        with_proxied_server(one_set_up_on_a_connection, |path| async move {
+            let sessions = [SessionRef(0x220), SessionRef(0x221), SessionRef(0x222)];
+            let mut viewer = path.harness.viewer().await;
+            path.set_up_on_own_connections(&mut viewer, &sessions).await;
+            path.send_notes(sessions[2], 2);
+            path.end_session(sessions[1], 1);
+            let deadline = Instant::now() + RELEASE_DEADLINE;
+            assert!(wait_for_release(&mut viewer, sessions[1], deadline).await);
+            path.server.reset(0);
+            wait_until("a connection for the lost one", || path.server.accepted_connection_count() == 4)
+                .await;
+            sleep(ms(100)).await;
+            // The server reports the end on the second connection, and the report is lost.
+            if is_reset {
+                path.server.reset(1);
+            } else {
+                path.proxy.make_half_open(1);
+            }
+            path.end_session(sessions[0], 1);
+            let deadline = Instant::now() + RELEASE_DEADLINE;
+            assert!(
+                wait_for_release(&mut viewer, sessions[0], deadline).await,
+                "reset {is_reset}: not released in time"
+            );
+        });
+    }
 }
 
 #[test]
