Ends reported on a connection of the process before are heard on a fresh one

What callers saw: nothing of a handed-over session's end, where the server took the connection of the manager's earlier process for open (killed while the path was cut, say).

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -235,3 +235,20 @@
         });
     }
 }
+
+#[test]
+fn an_end_is_released_although_its_server_reports_it_on_a_connection_of_the_process_before() {
+    with_proxied_server(
+        |_| {},
+        |path| async move {
+            let (mut viewer, session_ref) = (path.harness.viewer().await, SessionRef(0x250));
+            assert!(viewer.write(&set_up_bytes(session_ref, "clip", 3500, ";at:s-behind")).await);
+            wait_until("a connection", || path.server.accepted_connection_count() == 1).await;
+            sleep(ms(200)).await;
+            // That connection is none of those that this process opened.
+            path.end_session(session_ref, usize::MAX);
+            let deadline = Instant::now() + RELEASE_DEADLINE;
+            assert!(wait_for_release(&mut viewer, session_ref, deadline).await, "not released in time");
+        },
+    );
+}
--- a/crates/node/src/active_sessions.rs
+++ b/crates/node/src/active_sessions.rs
@@ -11,11 +11,13 @@
 pub enum ReportRoute {
     /// On the connection of the set-up.
     SetUpLink(u64),
-    /// On any connection: it has closed that of the set-up, or the session was set up by an earlier process.
+    /// On any connection: it has closed that of the set-up.
     AnyLink,
     /// Perhaps on the connection of the set-up, which was closed here although the server may still take it
     /// for open. Only a connection that is opened after the end reports it for certain.
     ClosedHere(u64),
+    /// Perhaps on a connection of an earlier process, likewise.
+    EarlierProcess,
 }
 
 impl ReportRoute {
@@ -24,9 +26,14 @@
         match self {
             ReportRoute::SetUpLink(setup_link) => setup_link == link_id,
             ReportRoute::AnyLink => true,
-            ReportRoute::ClosedHere(_) => false,
+            ReportRoute::ClosedHere(_) | ReportRoute::EarlierProcess => false,
         }
     }
+
+    /// Whether the end may be reported on a connection that is over here.
+    fn may_use_closed_link(self) -> bool {
+        matches!(self, ReportRoute::ClosedHere(_) | ReportRoute::EarlierProcess)
+    }
 }
 
 /// A session that plays at a server.
@@ -105,9 +112,9 @@
         self.report_routes(server).any(|route| route == ReportRoute::SetUpLink(link_id))
     }
 
-    /// Whether a server may report the end of any of its sessions on a connection that was closed here.
+    /// Whether a server may report the end of any of its sessions on a connection that is over here.
     pub fn any_on_closed_link(&self, server: ServerId) -> bool {
-        self.report_routes(server).any(|route| matches!(route, ReportRoute::ClosedHere(_)))
+        self.report_routes(server).any(ReportRoute::may_use_closed_link)
     }
 
     /// On which connections a server reports the ends of its sessions.
