A message is incomplete since its own begin, not since that of one before

What callers saw: a connection in use was closed with 'the rest of a message did not arrive in time' although every message arrived in time: set-ups on it broke, and ends had to be reported again.

Cause: set_partial kept the time of the first incomplete message while each read ended within some message.

Mend: the time begins anew once a message was completed. The unit test's calls have the new parameter; rows are added, none is changed.

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -252,3 +252,23 @@
         },
     );
 }
+
+#[test]
+fn a_connection_is_kept_while_messages_arrive_although_each_read_ends_within_one() {
+    with_proxied_server(
+        |_| {},
+        |path| async move {
+            let (mut viewer, session_ref) = (path.harness.viewer().await, SessionRef(0x260));
+            path.set_up(&mut viewer, session_ref).await;
+            let fields = [(Field::Note, "asked"), (Field::NoteValue, "0.4")];
+            let note = binary::write(Kind::Note, session_ref, &fields, None, None).expect("short");
+            let (first_half, second_half) = note.split_at(note.len() / 2);
+            path.server.send_bytes(0, first_half.to_vec());
+            for _ in 0..10 {
+                sleep(ms(60)).await;
+                path.server.send_bytes(0, [second_half, first_half].concat());
+            }
+            assert_eq!(path.server.accepted_connection_count(), 1);
+        },
+    );
+}
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -517,11 +517,22 @@
         assert!(policy.may_send(&upstream, 0), "something has arrived since");
     }
     // An incomplete message since 100 ms, and its rest.
-    upstream.set_partial(ms(100), true);
-    upstream.set_partial(ms(300), true);
+    upstream.set_partial(ms(100), true, false);
+    upstream.set_partial(ms(300), true, false);
     assert!(!policy.is_partial_overdue(ms(349), &upstream) && policy.is_partial_overdue(ms(350), &upstream));
-    upstream.set_partial(ms(350), false);
+    upstream.set_partial(ms(350), false, true);
     assert!(!policy.is_partial_overdue(ms(900), &upstream));
+    // Another message is incomplete now than at 100 ms.
+    upstream.set_partial(ms(1000), true, false);
+    upstream.set_partial(ms(1200), true, true);
+    assert!(
+        !policy.is_partial_overdue(ms(1449), &upstream) && policy.is_partial_overdue(ms(1450), &upstream)
+    );
+    // A lost server, and ends reported on connections that are over, are known within eight seconds.
+    assert!(!policy.is_server_mute(ms(8499), ms(1000)) && policy.is_server_mute(ms(8500), ms(1000)));
+    assert!(!policy.is_fresh_link_due(ms(4999), ms(1000)) && policy.is_fresh_link_due(ms(5000), ms(1000)));
+    let with_rare_reports = UpstreamPolicy::new(2, ms(400), ms(15_000), ms(60_000));
+    assert!(with_rare_reports.needs_test(ms(6900), ms(1000), &UpstreamState::new(ms(1000))));
     // Servers without unsolicited reports are tested once in this interval, not at every sweep.
     let without_reports = UpstreamPolicy::new(2, ms(250), ms(15_000), ms(0));
     let needs_test_at = |at| without_reports.needs_test(ms(at), ms(1000), &UpstreamState::new(ms(1000)));
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -54,9 +54,11 @@
         self.suspect
     }
 
-    /// Records whether an incomplete message is left after the input so far.
-    pub fn set_partial(&mut self, now: Duration, has_partial: bool) {
-        self.partial_since = has_partial.then(|| self.partial_since.unwrap_or(now));
+    /// Records whether an incomplete message is left after the input so far. `has_completed`: whether the
+    /// latest input completed the message that was incomplete before.
+    pub fn set_partial(&mut self, now: Duration, has_partial: bool, has_completed: bool) {
+        let earlier = self.partial_since.filter(|_| !has_completed);
+        self.partial_since = has_partial.then(|| earlier.unwrap_or(now));
     }
 
     /// Records that a set-up was abandoned on it. If nothing arrived since the last set-up was sent, the
--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -105,16 +105,21 @@
         link.upstream.record_received(now);
         link.has_received = true;
         self.servers.heard_at.insert(link.server, now);
+        let mut has_completed = false;
         loop {
             let Some(link) = self.servers.links.get_mut(&link_id) else { return };
             let server = link.server;
             let message = match link.messages.next_message() {
-                Ok(None) => return link.upstream.set_partial(now, link.messages.has_partial_message()),
+                Ok(None) => {
+                    let has_partial = link.messages.has_partial_message();
+                    return link.upstream.set_partial(now, has_partial, has_completed);
+                }
                 Ok(Some(message)) => message.to_vec(),
                 Err(error) => {
                     return self.on_invalid_message(core, now, link_id, CloseReason::InvalidMessage, &error);
                 }
             };
+            has_completed = true;
             let handled = match binary::read(&message) {
                 Ok(signal) => self.handle_message(core, now, (link_id, server), &signal),
                 Err(error) => Err(error),
