After a stall, servers' input is read before anything of theirs counts as missing

What callers saw: after the process had stood still, connections were closed with 'the rest of a message did not arrive in time' although the rest was in the socket.

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -272,3 +272,26 @@
         },
     );
 }
+
+#[test]
+fn a_connection_is_kept_whose_message_was_completed_while_the_program_was_stopped() {
+    with_proxied_server(
+        |_| {},
+        |path| async move {
+            let (mut viewer, session_ref) = (path.harness.viewer().await, SessionRef(0x270));
+            path.set_up(&mut viewer, session_ref).await;
+            let fields = [(Field::Note, "asked"), (Field::NoteValue, "0.4")];
+            let note = binary::write(Kind::Note, session_ref, &fields, None, None).expect("short");
+            for _ in 0..3 {
+                path.server.send_bytes(0, note[..note.len() / 2].to_vec());
+                sleep(ms(50)).await;
+                path.harness.pause().await;
+                path.server.send_bytes(0, note[note.len() / 2..].to_vec());
+                sleep(ms(400)).await;
+                path.harness.resume();
+                sleep(ms(300)).await;
+            }
+            assert_eq!(path.server.accepted_connection_count(), 1);
+        },
+    );
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -187,11 +187,12 @@
 impl NodeHost {
     /// Performs the periodic maintenance of connections, sessions and the server list.
     fn sweep(&mut self, core: &mut SessionCore, now: Duration, forget_after: Duration) {
+        self.sweep_viewers(now);
+        // After a stall, what servers sent meanwhile is read before anything counts as missing.
         if !self.is_catching_up(now) {
             self.last_sweep_at = now;
+            self.sweep_servers(core, now);
         }
-        self.sweep_viewers(now);
-        self.sweep_servers(core, now);
         let (sessions, servers) = (&self.sessions, &self.servers);
         let in_use = |server| sessions.any_at_server(server) || servers.has_links(server);
         self.server_list.forget(now, forget_after, in_use);
--- a/crates/node/src/servers/liveness.rs
+++ b/crates/node/src/servers/liveness.rs
@@ -142,7 +142,6 @@
         let heard_at = self.servers.heard_at.get(&server).copied().unwrap_or(now);
         let has_suspect_link = || self.servers.links_to(server).any(|(_, link)| link.upstream.is_suspect());
         self.sessions.any_at_server(server)
-            && self.deferred_set_ups.is_none()
             && self.servers.policy.is_server_mute(now, heard_at)
             && (self.servers.unreachable.contains_key(&server) || has_suspect_link())
     }
