Any session whose connection is over here is heard on fresh connections

What callers saw: sessions whose connection the server had reset were never released: the server reported their ends on an older connection that it took for open and that was over here.

Cause: a server may choose any connection that it takes for open, one that we closed or of an earlier process among them. That a server had closed a session's own connection doesn't make the others safe.

Mend: one state instead of three: a session is reported on the connection of its set-up while that is open here, otherwise on any, and then its server gets a fresh connection each 4 s. A connection that was closed for writing doesn't ask for a further one when it ends: the one that replaced it was opened already (without this, a server that resets what we close was connected to in a loop; the first test counts connections now, at most one each 4 s and three).

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -8,6 +8,10 @@
 /// A session that is over is released towards its viewer within this time, whatever its server could report.
 const RELEASE_DEADLINE: Duration = Duration::from_millis(8050);
 
+/// For one session: that of the set-up, one for the silent server, one for the lost one, and one each 4 s of
+/// the time to its release.
+const MAX_CONNECTIONS: usize = 5;
+
 /// How the program notices that a connection is dead.
 #[derive(Clone, Copy, Debug)]
 enum Sign {
@@ -134,6 +138,8 @@
                     wait_for_release(&mut viewer, session_ref, deadline).await,
                     "{sign:?}: not released in time"
                 );
+                let connection_count = path.server.accepted_connection_count();
+                assert!(connection_count <= MAX_CONNECTIONS, "{sign:?}: {connection_count} connections");
             },
         );
     }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -14,8 +14,8 @@
 /// A server to which no connection could be established for this multiple of the connect timeout is lost.
 const LOST_FACTOR: u32 = 8;
 
-/// A server that may report the end of a session on a connection that was closed here gets a new
-/// connection at this interval. Half of the time within which an end must be delivered leaves room for
+/// A server that may report the end of a session on a connection that is over here gets a new connection
+/// at this interval. Half of the time within which an end must be delivered leaves room for
 /// attempts to connect that fail.
 const FRESH_LINK_INTERVAL: Duration = Duration::from_secs(4);
 
@@ -143,8 +143,8 @@
             upstream.test_sent_at.is_some_and(|at| now >= at + self.connect_timeout * TEST_TIMEOUT_FACTOR);
     }
 
-    /// Whether a server that may report the end of a session on a connection that was closed here needs a
-    /// new connection, as it reports ends again on each new one. `established_at`: when the latest connection
+    /// Whether a server that may report the end of a session on a connection that is over here needs a new
+    /// connection, as it reports ends again on each new one. `established_at`: when the latest connection
     /// to it was established.
     pub fn is_fresh_link_due(&self, now: Duration, established_at: Duration) -> bool {
         now >= established_at + FRESH_LINK_INTERVAL
--- a/crates/node/src/active_sessions.rs
+++ b/crates/node/src/active_sessions.rs
@@ -9,31 +9,12 @@
 /// On which connection a server reports the end of a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportRoute {
-    /// On the connection of the set-up.
+    /// On the connection of the set-up, which is open.
     SetUpLink(u64),
-    /// On any connection: it has closed that of the set-up.
+    /// On any: the connection of the set-up is over here, or was of an earlier process. The server may choose
+    /// one that is over here and that it takes for open, so only a connection that is opened after the end
+    /// reports it for certain.
     AnyLink,
-    /// Perhaps on the connection of the set-up, which was closed here although the server may still take it
-    /// for open. Only a connection that is opened after the end reports it for certain.
-    ClosedHere(u64),
-    /// Perhaps on a connection of an earlier process, likewise.
-    EarlierProcess,
-}
-
-impl ReportRoute {
-    /// Whether the end may be reported on this connection.
-    fn may_use(self, link_id: u64) -> bool {
-        match self {
-            ReportRoute::SetUpLink(setup_link) => setup_link == link_id,
-            ReportRoute::AnyLink => true,
-            ReportRoute::ClosedHere(_) | ReportRoute::EarlierProcess => false,
-        }
-    }
-
-    /// Whether the end may be reported on a connection that is over here.
-    fn may_use_closed_link(self) -> bool {
-        matches!(self, ReportRoute::ClosedHere(_) | ReportRoute::EarlierProcess)
-    }
 }
 
 /// A session that plays at a server.
@@ -104,17 +85,18 @@
 
     /// Whether the server may report the end of any of its sessions on this connection.
     pub fn any_on_link(&self, server: ServerId, link_id: u64) -> bool {
-        self.report_routes(server).any(|route| route.may_use(link_id))
+        self.report_routes(server)
+            .any(|route| matches!(route, ReportRoute::AnyLink) || route == ReportRoute::SetUpLink(link_id))
     }
 
-    /// Whether any session was set up on this connection, and its server reports the end there.
+    /// Whether any session was set up on this connection.
     pub fn any_set_up_on_link(&self, server: ServerId, link_id: u64) -> bool {
         self.report_routes(server).any(|route| route == ReportRoute::SetUpLink(link_id))
     }
 
     /// Whether a server may report the end of any of its sessions on a connection that is over here.
-    pub fn any_on_closed_link(&self, server: ServerId) -> bool {
-        self.report_routes(server).any(ReportRoute::may_use_closed_link)
+    pub fn any_on_any_link(&self, server: ServerId) -> bool {
+        self.report_routes(server).any(|route| route == ReportRoute::AnyLink)
     }
 
     /// On which connections a server reports the ends of its sessions.
@@ -125,23 +107,14 @@
             .map(|active_session| active_session.report_route)
     }
 
-    /// A connection was closed here, and its server may not know that.
-    pub fn on_link_closed_here(&mut self, server: ServerId, link_id: u64) {
-        let closed_here = ReportRoute::ClosedHere(link_id);
-        self.change_routes(server, |route| if route.may_use(link_id) { closed_here } else { route });
-    }
-
-    /// The server has closed a connection, and reports on another one what it would have reported there.
-    pub fn on_link_closed_by_server(&mut self, server: ServerId, link_id: u64) {
-        let over = [ReportRoute::SetUpLink(link_id), ReportRoute::ClosedHere(link_id)];
-        self.change_routes(server, |route| if over.contains(&route) { ReportRoute::AnyLink } else { route });
-    }
-
-    /// Changes the routes of all sessions at a server.
-    fn change_routes(&mut self, server: ServerId, change: impl Fn(ReportRoute) -> ReportRoute) {
+    /// A connection is over here, or nothing more is written on it.
+    pub fn on_link_over(&mut self, server: ServerId, link_id: u64) {
         for session_ref in self.by_server.get(&server).into_iter().flatten() {
-            if let Some(active_session) = self.by_ref.get_mut(session_ref) {
-                active_session.report_route = change(active_session.report_route);
+            let active_session = self.by_ref.get_mut(session_ref);
+            if let Some(active_session) =
+                active_session.filter(|found| found.report_route == ReportRoute::SetUpLink(link_id))
+            {
+                active_session.report_route = ReportRoute::AnyLink;
             }
         }
     }
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -87,7 +87,7 @@
             why = ?reason,
             "connection evicted"
         );
-        self.note_closed_here(now, server, link_id);
+        self.update_report_routes(now, server, link_id, false);
         if !self.servers.has_links(server) {
             // It waits for its turn, and can't be heard meanwhile.
             self.servers.heard_at.remove(&server);
@@ -117,7 +117,7 @@
             return Some(OpenReason::EndsMayBeLost);
         }
         if self.is_fresh_link_due(now, server) {
-            return Some(OpenReason::ClosedHere);
+            return Some(OpenReason::ReportsElsewhere);
         }
         self.is_server_silent(now, server).then_some(OpenReason::Silent)
     }
--- a/crates/node/src/servers/close_reason.rs
+++ b/crates/node/src/servers/close_reason.rs
@@ -37,8 +37,8 @@
     NoConnection,
     /// The server may have reported the end of a session on a connection that is over.
     EndsMayBeLost,
-    /// The server may report the end of a session on a connection that was closed here.
-    ClosedHere,
+    /// The server may report the end of a session on a connection that is over here.
+    ReportsElsewhere,
     /// The server sends nothing on its connections.
     Silent,
 }
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -235,7 +235,7 @@
         if !link.has_received && link.retiring_since.is_none() {
             self.note_unreachable(now, server, false);
         }
-        self.update_report_routes(now, server, link_id, reason, link.retiring_since.is_some());
+        self.update_report_routes(now, server, link_id, link.retiring_since.is_some());
         self.ensure_link(server);
     }
 
@@ -255,10 +255,7 @@
             why = ?reason,
             "connection retired"
         );
-        match reason {
-            RetireReason::Suspect => self.note_closed_here(now, server, link_id),
-            // What the server reports on it is read until the server closes it, too.
-            RetireReason::Idle | RetireReason::Replaced => self.sessions.on_link_closed_here(server, link_id),
-        }
+        // Unless it may be dead, what the server reports on it is read until the server closes it, too.
+        self.update_report_routes(now, server, link_id, reason != RetireReason::Suspect);
     }
 }
--- a/crates/node/src/servers/liveness.rs
+++ b/crates/node/src/servers/liveness.rs
@@ -113,9 +113,9 @@
             let reason = if suspect { RetireReason::Suspect } else { RetireReason::Idle };
             return self.retire(now, link_id, reason);
         }
-        // A server that may report ends on this connection must be heard on this one. Others may be alive
-        // while it is dead.
-        let reports_ends = self.sessions.any_on_link(server, link_id);
+        // A server that reports ends on this connection must be heard on this one. Others may be alive while
+        // it is dead. Where ends may be reported on any connection, new ones are opened anyway.
+        let reports_ends = self.sessions.any_set_up_on_link(server, link_id);
         let heard_at = if reports_ends { link.upstream.last_received_at } else { last_received_at };
         if has_sessions && self.servers.policy.needs_test(now, heard_at, &link.upstream) {
             link.upstream.test_sent_at = Some(now);
--- a/crates/node/src/servers/report_routes.rs
+++ b/crates/node/src/servers/report_routes.rs
@@ -1,40 +1,22 @@
 //! Ends of sessions that servers may have reported on connections that are over.
 
 use super::ServerLink;
-use super::close_reason::{CloseReason, RetireReason};
+use super::close_reason::RetireReason;
 use crate::host::NodeHost;
 use ivyward::interface::ServerId;
 use std::time::Duration;
 
 impl NodeHost {
-    /// A connection is over: notes where the server reports ends from now on, and whether it may have reported
-    /// one that did not arrive. `was_retiring`: the connection had been closed for writing before.
+    /// A connection is over, or nothing more is written on it. What the server reported on it last may not have
+    /// arrived. It reports that again on the next connection that is opened, even if others exist. `replaced`:
+    /// one was opened when it was closed for writing, so that the next may wait.
     pub(super) fn update_report_routes(
-        &mut self, now: Duration, server: ServerId, link_id: u64, reason: CloseReason, was_retiring: bool,
+        &mut self, now: Duration, server: ServerId, link_id: u64, replaced: bool,
     ) {
-        match reason {
-            CloseReason::ClosedByServer | CloseReason::ResetByServer => {
-                self.sessions.on_link_closed_by_server(server, link_id);
-                let all_read = reason == CloseReason::ClosedByServer && was_retiring;
-                if !all_read && self.sessions.any_on_link(server, link_id) {
-                    // What the server reported last may not have arrived. It reports that again on the
-                    // next connection that is opened, even if others exist.
-                    self.servers.reconnect_required.insert(server, now);
-                }
-            }
-            CloseReason::WriteStalled
-            | CloseReason::InvalidMessage
-            | CloseReason::IncompleteMessage
-            | CloseReason::NotClosedByServer => self.note_closed_here(now, server, link_id),
-        }
-    }
-
-    /// A connection is closed here. Its server may not learn that, and may go on to report ends on it.
-    pub(super) fn note_closed_here(&mut self, now: Duration, server: ServerId, link_id: u64) {
-        if self.sessions.any_on_link(server, link_id) {
+        if !replaced && self.sessions.any_on_link(server, link_id) {
             self.servers.reconnect_required.insert(server, now);
         }
-        self.sessions.on_link_closed_here(server, link_id);
+        self.sessions.on_link_over(server, link_id);
     }
 
     /// Whether a server may have reported the end of a session on a connection that is over, and no connection
@@ -45,20 +27,20 @@
         !self.servers.links_to(server).any(|(_, link)| is_connecting(link))
     }
 
-    /// Whether a server may have reported the end of a session on a connection that was closed here, and no
-    /// connection was opened since for long enough.
+    /// Whether a server may report the end of a session on a connection that is over here, and no connection
+    /// was opened for long enough.
     pub(super) fn is_fresh_link_due(&self, now: Duration, server: ServerId) -> bool {
         let established = self.servers.links_to(server).filter(|(_, link)| link.established);
         let latest_at = established.map(|(_, link)| link.established_at).max();
-        self.sessions.any_on_closed_link(server)
+        self.sessions.any_on_any_link(server)
             && !self.is_connecting(server)
             && latest_at.is_none_or(|latest_at| self.servers.policy.is_fresh_link_due(now, latest_at))
     }
 
-    /// Retires the connections that a new one replaces, if it was opened because ends may be reported on a
-    /// connection that was closed here.
+    /// Retires the connections that a new one replaces, if it was opened because ends may be reported on
+    /// connections that are over here.
     pub(super) fn retire_replaced_links(&mut self, now: Duration, server: ServerId, new_link_id: u64) {
-        if !self.sessions.any_on_closed_link(server) {
+        if !self.sessions.any_on_any_link(server) {
             return;
         }
         let is_replaced = |(link_id, link): &(u64, &ServerLink)| {
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -171,7 +171,7 @@
                     key,
                     client_id: Some(client_id),
                     active_since: now,
-                    report_route: ReportRoute::EarlierProcess,
+                    report_route: ReportRoute::AnyLink,
                 },
             );
             self.ensure_link(server);
