At the limit of connections, a mute server's clock runs on, and its tests count

Cause: where a connection to the same server replaces one at the limit, the time since it was last heard began anew, as for a server that waits for its turn; and a test that was not answered was known only by its connection, which is replaced in the same moment.

Mend: a replacement leaves the clock; a test not answered and a failed connection are kept with the time, for the server.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -38,6 +38,8 @@
 const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=video \u{e4}\"\\ 0\r\n";
 /// How many servers the stand-in platform has; each holds all titles.
 const SERVER_COUNT: usize = 3;
+/// A session that is over is released towards its viewer within this time, even if its server can't report it.
+const RELEASE_DEADLINE: Duration = Duration::from_millis(8050);
 static HARNESS_COUNT: AtomicU32 = AtomicU32::new(0);
 
 fn ms(ms: u64) -> Duration {
@@ -215,6 +217,16 @@
     line::write(Kind::SetUp, session_ref, &fields, None, Some(DESCRIPTION)).expect("short")
 }
 
+/// Waits until a viewer receives the release of a session. Other messages are ignored.
+async fn wait_for_release(viewer: &mut Viewer, session_ref: SessionRef, deadline: Instant) -> bool {
+    while let Some(signal) = viewer.receive(deadline.saturating_duration_since(Instant::now())).await {
+        if signal.kind == Kind::Release && signal.session == session_ref {
+            return true;
+        }
+    }
+    false
+}
+
 /// Waits until the condition holds, for five seconds at most.
 async fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let deadline = Instant::now() + ms(5000);
--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -5,9 +5,6 @@
 use ivyward_signal::binary;
 use ivyward_standin::platform::AcceptMode;
 
-/// A session that is over is released towards its viewer within this time, whatever its server could report.
-const RELEASE_DEADLINE: Duration = Duration::from_millis(8050);
-
 /// For one session: that of the set-up, one for the silent server, one for the lost one, and one each 4 s of
 /// the time to its release.
 const MAX_CONNECTIONS: usize = 5;
@@ -96,16 +93,6 @@
     });
 }
 
-/// Waits until a viewer receives the release of a session. Other messages are ignored.
-async fn wait_for_release(viewer: &mut Viewer, session_ref: SessionRef, deadline: Instant) -> bool {
-    while let Some(signal) = viewer.receive(deadline.saturating_duration_since(Instant::now())).await {
-        if signal.kind == Kind::Release && signal.session == session_ref {
-            return true;
-        }
-    }
-    false
-}
-
 #[test]
 fn an_end_is_released_although_its_server_reports_it_on_a_connection_that_only_the_manager_has_closed() {
     for sign in [Sign::IncompleteMessage, Sign::InvalidMessage, Sign::Silence] {
--- a/crates/daemon/tests/node/link_limit.rs
+++ b/crates/daemon/tests/node/link_limit.rs
@@ -5,8 +5,6 @@
 
 /// With this many descriptors, the program holds two connections to servers.
 const DESCRIPTORS: usize = 40;
-/// A session that is over is released towards its viewer within this time, even if its server can't report it.
-const RELEASE_DEADLINE: Duration = Duration::from_millis(8050);
 
 /// Runs a test on a program with [`DESCRIPTORS`] and three servers, each of which alone holds its titles.
 fn with_two_links<F: Future<Output = ()>>(test: impl FnOnce(Harness) -> F) {
@@ -20,16 +18,6 @@
     text.replace("home:0;copies:3;", &format!("home:{server_index};copies:1;")).into_bytes()
 }
 
-/// Waits until a viewer receives the release of a session. Other messages are ignored.
-async fn wait_for_release(viewer: &mut Viewer, session_ref: SessionRef, deadline: Instant) -> bool {
-    while let Some(signal) = viewer.receive(deadline.saturating_duration_since(Instant::now())).await {
-        if signal.kind == Kind::Release && signal.session == session_ref {
-            return true;
-        }
-    }
-    false
-}
-
 // Fails if the attempt that finds a silent server lost finds no place while all connections are in use.
 #[test]
 fn sessions_at_a_silent_server_are_released_although_all_connections_are_in_use() {
@@ -67,6 +55,23 @@
     });
 }
 
+#[test]
+fn sessions_at_a_mute_server_are_released_although_all_connections_are_in_use() {
+    with_two_links(|harness| async move {
+        let mut viewer = harness.viewer().await;
+        for (server_index, server) in harness.servers.iter().enumerate().take(2) {
+            let at = format!(";at:{}", server.server_id);
+            assert!(viewer.write(&set_up_at(adopted_session(server_index), server_index, &at)).await);
+        }
+        sleep(ms(300)).await;
+        harness.servers[0].set_accept_mode(AcceptMode::Mute);
+        let deadline = Instant::now() + RELEASE_DEADLINE;
+        assert!(wait_for_release(&mut viewer, adopted_session(0), deadline).await, "not released in time");
+        // The server that answers keeps its session.
+        assert!(!wait_for_release(&mut viewer, adopted_session(1), Instant::now() + ms(500)).await);
+    });
+}
+
 /// Runs a test on a program to which a session at each of six servers was handed over.
 fn with_adopted_sessions<F: Future<Output = ()>>(test: impl FnOnce(Harness, Viewer) -> F) {
     const SERVER_TOTAL: usize = 6;
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -137,10 +137,12 @@
     }
 
     /// Marks the connection as suspect if a test got no reply in time: the server does not read it any
-    /// more.
-    pub fn check_test(&self, now: Duration, upstream: &mut UpstreamState) {
-        upstream.suspect |=
+    /// more. Returns whether that is so.
+    pub fn check_test(&self, now: Duration, upstream: &mut UpstreamState) -> bool {
+        let is_overdue =
             upstream.test_sent_at.is_some_and(|at| now >= at + self.connect_timeout * TEST_TIMEOUT_FACTOR);
+        upstream.suspect |= is_overdue;
+        is_overdue
     }
 
     /// Whether a server that may report the end of a session on a connection that is over here needs a new
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -79,6 +79,22 @@
     refused: bool,
 }
 
+/// When a server was last heard.
+#[derive(Clone, Copy)]
+struct LastContact {
+    /// When anything last arrived from it; if nothing has, since when something is expected.
+    heard_at: Duration,
+    /// Whether since then a test was not answered, or a connection failed.
+    asked_in_vain: bool,
+}
+
+impl LastContact {
+    /// The server is heard now, or expected to be heard from now on.
+    fn new(now: Duration) -> LastContact {
+        LastContact { heard_at: now, asked_in_vain: false }
+    }
+}
+
 /// The connections to servers and the attempts at them.
 pub struct Servers {
     links: BTreeMap<u64, ServerLink>,
@@ -86,8 +102,8 @@
     /// Sessions to be released at servers that could not be reached, with the times of the requests.
     pending_releases: BTreeMap<ServerId, BTreeMap<SessionRef, Duration>>,
     unreachable: BTreeMap<ServerId, Unreachable>,
-    /// When anything last arrived from each server; if nothing has, since when something is expected.
-    heard_at: BTreeMap<ServerId, Duration>,
+    /// When each server that should send something was last heard.
+    last_contacts: BTreeMap<ServerId, LastContact>,
     /// Servers with sessions or pending releases that wait for a connection to be established, and since
     /// when.
     waiting_for_link: BTreeMap<ServerId, Duration>,
@@ -114,7 +130,7 @@
             attempts: BTreeMap::new(),
             pending_releases: BTreeMap::new(),
             unreachable: BTreeMap::new(),
-            heard_at: BTreeMap::new(),
+            last_contacts: BTreeMap::new(),
             waiting_for_link: BTreeMap::new(),
             reconnect_required: BTreeMap::new(),
             policy,
@@ -179,8 +195,8 @@
     }
 
     /// Forgets when a server was last heard.
-    pub fn forget_heard_at(&mut self, server: ServerId) {
-        self.heard_at.remove(&server);
+    pub fn forget_last_contact(&mut self, server: ServerId) {
+        self.last_contacts.remove(&server);
     }
 
     /// Whether there is a connection to a server, or a release is pending for it.
--- a/crates/node/src/servers/capacity.rs
+++ b/crates/node/src/servers/capacity.rs
@@ -88,9 +88,9 @@
             "connection evicted"
         );
         self.update_report_routes(now, server, link_id, false);
-        if !self.servers.has_links(server) {
+        if reason != EvictionReason::Replacement && !self.servers.has_links(server) {
             // It waits for its turn, and can't be heard meanwhile.
-            self.servers.heard_at.remove(&server);
+            self.servers.forget_last_contact(server);
         }
         if self.needs_link(now, server) {
             self.servers.waiting_for_link.entry(server).or_insert(now);
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -1,7 +1,7 @@
 //! Connections to servers: opening, maintenance, retirement and loss.
 
 use super::close_reason::{CloseReason, OpenReason, RetireReason};
-use super::{AttemptKey, ServerLink, encode_release};
+use super::{AttemptKey, LastContact, ServerLink, encode_release};
 use crate::connection::{
     SharedStream, limit_send_buffer, new_writer, read_available, read_chunk, run_connection,
 };
@@ -87,9 +87,9 @@
         };
         self.servers.links.insert(link_id, link);
         if self.sessions.any_at_server(server) {
-            self.servers.heard_at.entry(server).or_insert(now);
+            self.servers.last_contacts.entry(server).or_insert(LastContact::new(now));
         } else {
-            self.servers.heard_at.insert(server, now);
+            self.servers.last_contacts.insert(server, LastContact::new(now));
         }
         tracing::debug!(
             server = self.server_name(server),
--- a/crates/node/src/servers/liveness.rs
+++ b/crates/node/src/servers/liveness.rs
@@ -29,7 +29,7 @@
             server_list.row(*server).is_some()
                 && policy.is_recent_failure(now, (unreachable.since, unreachable.last_tried_at))
         });
-        self.servers.heard_at.retain(|server, _| server_list.row(*server).is_some());
+        self.servers.last_contacts.retain(|server, _| server_list.row(*server).is_some());
         self.ensure_links(now);
     }
 
@@ -96,10 +96,12 @@
             );
         }
         let was_suspect = link.upstream.is_suspect();
-        self.servers.policy.check_test(now, &mut link.upstream);
-        if link.upstream.is_suspect() && !was_suspect {
-            let server = self.server_name(server);
-            tracing::debug!(server, connection = link_id, "test not answered");
+        if self.servers.policy.check_test(now, &mut link.upstream) {
+            if !was_suspect {
+                let server = self.server_name(server);
+                tracing::debug!(server, connection = link_id, "test not answered");
+            }
+            self.note_asked_in_vain(server);
         }
         let Some(link) = self.servers.links.get_mut(&link_id) else { return };
         let idle = link.open_set_ups.is_empty() && link.pending_probes.is_empty();
@@ -139,11 +141,15 @@
 
     /// Whether nothing arrived from a server for too long, and it does not react to being asked.
     fn is_server_mute(&self, now: Duration, server: ServerId) -> bool {
-        let heard_at = self.servers.heard_at.get(&server).copied().unwrap_or(now);
-        let has_suspect_link = || self.servers.links_to(server).any(|(_, link)| link.upstream.is_suspect());
         self.sessions.any_at_server(server)
-            && self.servers.policy.is_server_mute(now, heard_at)
-            && (self.servers.unreachable.contains_key(&server) || has_suspect_link())
+            && self.servers.last_contacts.get(&server).is_some_and(|contact| {
+                contact.asked_in_vain && self.servers.policy.is_server_mute(now, contact.heard_at)
+            })
+    }
+
+    /// A server did not answer a test, or a connection to it failed.
+    fn note_asked_in_vain(&mut self, server: ServerId) {
+        self.servers.last_contacts.entry(server).and_modify(|contact| contact.asked_in_vain = true);
     }
 
     /// Ends all sessions at a server from which nothing arrives. It may still play them, so they are released
@@ -163,6 +169,7 @@
         let refused_before = before.is_some_and(|before| before.refused && before.since == since);
         let unreachable = Unreachable { since, last_tried_at: now, refused: refused_before || refused };
         self.servers.unreachable.insert(server, unreachable);
+        self.note_asked_in_vain(server);
         since
     }
 }
--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -1,5 +1,6 @@
 //! Messages from servers: reading, and passing them to the core.
 
+use super::LastContact;
 use super::close_reason::CloseReason;
 use super::connections::HEARTBEAT_WITH_REPORT;
 use super::sessions::CAUSE_CANCELLED;
@@ -104,7 +105,7 @@
         link.messages.push(chunk);
         link.upstream.record_received(now);
         link.has_received = true;
-        self.servers.heard_at.insert(link.server, now);
+        self.servers.last_contacts.insert(link.server, LastContact::new(now));
         let mut has_completed = false;
         loop {
             let Some(link) = self.servers.links.get_mut(&link_id) else { return };
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -161,7 +161,7 @@
         // The session's rung arrives later in a note.
         let session = SessionId(signal.session.0.into());
         if !self.sessions.any_at_server(server) {
-            self.servers.forget_heard_at(server);
+            self.servers.forget_last_contact(server);
         }
         if let Some(key) = core.adopt_viewing(self, now, server, session, (package, title, (0, top))) {
             self.sessions.insert(
