Logs: which connections an end of a session finds, and whose takes one that waited

Nothing was logged that tells apart why an end is told late: no connection open, none that the manager takes for the viewers', a write that fails, or a late report of the server. Nor was it logged that an end goes to the newest connection for want of a better one; that line read as if the viewer itself had got it.

--- a/crates/node/src/viewers/ends.rs
+++ b/crates/node/src/viewers/ends.rs
@@ -54,12 +54,32 @@
         }) {
             return tracing::debug!(of, cause, client = latest_id, "end sent on another viewer connection");
         }
-        tracing::debug!(of, cause, "end waits for a viewer connection");
+        let connections = self.viewers.connections.values();
+        tracing::debug!(
+            of,
+            cause,
+            requested_on = client_id,
+            open = connections.len(),
+            answered = connections.filter(|connection| connection.state.answered).count(),
+            "end waits for a viewer connection: none is open that had a session"
+        );
         self.viewers.undelivered_ends.insert(session_ref, (cause, now));
     }
 
     /// Writes, on this connection, the ends that could not be delivered before.
     pub(super) fn retry_undelivered_ends(&mut self, now: Duration, client_id: u64) {
+        if let Some(connection) = self.viewers.connections.get(&client_id)
+            && !self.viewers.undelivered_ends.is_empty()
+        {
+            tracing::debug!(
+                client = client_id,
+                from = %connection.viewer_ip,
+                answered = connection.state.answered,
+                had_session = connection.state.had_session,
+                ends = self.viewers.undelivered_ends.len(),
+                "ends that waited are sent on this connection"
+            );
+        }
         for (session_ref, (cause, since)) in std::mem::take(&mut self.viewers.undelivered_ends) {
             if now < since + ClientLimits::END_DELIVERY_TIMEOUT {
                 self.notify_viewer(since, session_ref, Some(client_id), cause);
