Node: the end of a session is a type of its own, with the time at which it became known

SessionEnd was a tuple, and the time of an end stood beside it or was lost on the way. An end that waited was written with the time of its begin as the time of writing, so that a reset right after it would have counted as old; with the time in the type that is told apart.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -34,8 +34,16 @@
     CloseIfUnused { processed_chunks: u64 },
 }
 
-/// A session and the cause of its end.
-pub type SessionEnd = (SessionRef, u8);
+/// The end of a session, which must reach its viewer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SessionEnd {
+    /// The session that is over.
+    pub session_ref: SessionRef,
+    /// Why it is over, as the protocol's cause.
+    pub cause: u8,
+    /// When its end became known here.
+    pub ended_at: Duration,
+}
 
 /// An established connection, read by the event loop's task.
 pub type SharedStream = Rc<TcpStream>;
--- a/crates/node/src/connection_tests.rs
+++ b/crates/node/src/connection_tests.rs
@@ -4,7 +4,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-const END: SessionEnd = (SessionRef(7), 16);
+const END: SessionEnd = SessionEnd { session_ref: SessionRef(7), cause: 16, ended_at: Duration::ZERO };
+const OTHER_END: SessionEnd = SessionEnd { session_ref: SessionRef(8), cause: 41, ended_at: Duration::ZERO };
 
 fn block_on<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -75,7 +76,7 @@
     let cases: [(bool, &[SessionEnd], &[SessionEnd]); 4] = [
         (true, &[END], &[]),
         (false, &[END], &[END]),
-        (false, &[END, (SessionRef(8), 41)], &[END, (SessionRef(8), 41)]),
+        (false, &[END, OTHER_END], &[END, OTHER_END]),
         (false, &[], &[]),
     ];
     for (reads, ends, back) in cases {
--- a/crates/node/src/servers/sessions.rs
+++ b/crates/node/src/servers/sessions.rs
@@ -2,6 +2,7 @@
 
 use super::CAUSE_LOST;
 use crate::active_sessions::ReportRoute;
+use crate::connection::SessionEnd;
 use crate::host::NodeHost;
 use ivyward::interface::ServerId;
 use ivyward_session::{EndReason, SessionCore};
@@ -83,7 +84,8 @@
         // A viewer that ended the session itself expects no notification. It would also be wrong if the
         // viewer has not read the answer yet, because the end would overtake it.
         if cause != CAUSE_CANCELLED {
-            self.notify_viewer(now, session_ref, active_session.client_id, cause);
+            let end = SessionEnd { session_ref, cause, ended_at: now };
+            self.notify_viewer(now, active_session.client_id, end);
         }
         core.on_viewing_ended(self, now, server, active_session.key, reason);
     }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -7,6 +7,7 @@
     ReadResult, SessionEnd, SharedStream, Writer, new_writer, read_available, read_chunk, run_connection,
 };
 use crate::host::NodeHost;
+use ends::SentEnd;
 use ivyward_edge::{ClientLimits, ClientState, truncate_for_log};
 use ivyward_event_loop::EventSender;
 use ivyward_session::{RequestId, SessionCore};
@@ -49,9 +50,8 @@
     closing: bool,
     /// The number of chunks read from this connection.
     processed_chunks: u64,
-    /// Ends of sessions that another connection had requested, with the times at which they were written
-    /// here. If this connection is reset, its client may not have read the latest ones.
-    recent_ends: VecDeque<(SessionEnd, Duration)>,
+    /// Ends of sessions that another connection had requested, in the order in which they were written.
+    recent_ends: VecDeque<SentEnd>,
 }
 
 /// A set-up that is not answered yet.
@@ -73,8 +73,8 @@
     /// The set-ups that are not answered yet.
     pub pending: BTreeMap<SessionRef, PendingSetUp>,
     requests: BTreeMap<RequestId, SessionRef>,
-    /// Ends of sessions that could not be written on any connection, with their causes and times.
-    undelivered_ends: BTreeMap<SessionRef, (u8, Duration)>,
+    /// Ends of sessions that could not be written on any connection.
+    undelivered_ends: BTreeMap<SessionRef, SessionEnd>,
     packages: Vec<String>,
     tenants: Vec<String>,
     /// The longest patience of any package.
@@ -189,9 +189,7 @@
                 // The slot is released only now that the file descriptor is closed.
                 drop(slot);
                 // Ends that were queued but not written completely still have to be delivered.
-                undelivered
-                    .into_iter()
-                    .for_each(|(session_ref, cause)| host.notify_viewer(now, session_ref, None, cause));
+                undelivered.into_iter().for_each(|end| host.notify_viewer(now, None, end));
             });
         });
         self.evict_connections(now);
@@ -291,10 +289,8 @@
         }
         // The client has not read the ends that were written shortly before the reset, so they are sent
         // elsewhere.
-        for ((session_ref, cause), _) in
-            unread_ends.into_iter().filter(|(_, at)| now < *at + ClientLimits::END_UNREAD_TIMEOUT)
-        {
-            self.notify_viewer(now, session_ref, None, cause);
+        for end in unread_ends.into_iter().filter_map(|sent| sent.unread_at(now)) {
+            self.notify_viewer(now, None, end);
         }
         self.viewers.connections.contains_key(&client_id)
     }
@@ -366,13 +362,13 @@
     pub fn sweep_viewers(&mut self, now: Duration) {
         self.viewers
             .undelivered_ends
-            .retain(|_, (_, since)| now < *since + ClientLimits::END_DELIVERY_TIMEOUT);
+            .retain(|_, end| now < end.ended_at + ClientLimits::END_DELIVERY_TIMEOUT);
         // If no viewer's connection was found for half of the allowed time, any connection is used.
         let due = self
             .viewers
             .undelivered_ends
             .values()
-            .any(|(_, since)| now >= *since + ClientLimits::END_DELIVERY_TIMEOUT / 2);
+            .any(|end| now >= end.ended_at + ClientLimits::END_DELIVERY_TIMEOUT / 2);
         if let Some(newest_id) = self.viewers.connections.keys().next_back().copied().filter(|_| due) {
             self.retry_undelivered_ends(now, newest_id);
         }
