Ends of sessions go to connections that viewers have used, at once, and never to silent clients

Cause: whose a connection is was judged by one sign only, an answered set-up on that very connection (had_session). After a reset no connection has it, although viewers are there and pass tests on it. An end that found none waited for 4 s and was then written on the newest connection, whoever had opened it (sweep_viewers), which counted as told.

Evidence: the lines of the commit on logs: open=1 answered=1 and 'none is open that had a session', 4.05 s later on client 3, had_session=false; in the second half on client 76, answered=false.

Mend: what a connection has shown is kept in four steps (nothing, a valid set-up, a heartbeat, a session that was set up, adopted or ended by its number on it), and edge::end_recipients orders the connections of viewers by it, then by their last message. An end goes out at once where there is one; a connection that has only requested something gets it after 0.5 s, as other clients request things too; one that has shown nothing never does. An end that finds nobody for 8 s is dropped with a line in the log.

Tests: end_delivery::an_end_reaches_viewers_that_connected_again_and_no_client_that_has_sent_nothing (four cases) and ..._waits_for_viewers_while_only_clients_are_connected_that_have_sent_nothing; each case and test failed with the program before, each run alone. edge's table of recipients is new. In edge's test of limits a field of the state that it doesn't depend on has its default.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -26,6 +26,8 @@
 
 #[path = "node/discovery.rs"]
 mod discovery;
+#[path = "node/end_delivery.rs"]
+mod end_delivery;
 #[path = "node/half_open.rs"]
 mod half_open;
 #[path = "node/link_limit.rs"]
--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,5 +1,6 @@
 //! Limits for viewer connections: which ones are kept, and how many set-ups may be open.
 
+use crate::ViewerEvidence;
 use std::time::Duration;
 
 /// A new connection on which nothing was answered after this time is closed, unless a set-up is open on
@@ -38,8 +39,8 @@
     pub active_sessions: usize,
     /// Whether anything was answered on this connection.
     pub answered: bool,
-    /// Whether a session was set up on this connection. Only viewers have that.
-    pub had_session: bool,
+    /// What shows that the connection belongs to viewers.
+    pub evidence: ViewerEvidence,
 }
 
 /// Limits for viewer connections, derived from the number of file descriptors.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,8 +5,9 @@
 //! - Which date is used: [`ClockConsensus`].
 //! - When players fetch their manifests again: [`RefreshSchedule`].
 //! - Which repeated log lines are written: [`LogRateLimiter`].
-//! - Which connections of viewers are kept: [`ClientLimits`]; which connections to servers are used:
-//!   [`UpstreamPolicy`]; which of these give way at their limit: [`link_to_evict`]; which ones to the discovery service are open: [`DiscoveryConnections`].
+//! - Which connections of viewers are kept: [`ClientLimits`]; on which ones ends of sessions are delivered:
+//!   [`end_recipients`].
+//! - Which connections to servers are used: [`UpstreamPolicy`]; which of these give way at their limit: [`link_to_evict`]; which ones to the discovery service are open: [`DiscoveryConnections`].
 //!
 //! Who is served, and by which server, is decided by the policy in `ivyward`. Nothing here has sockets,
 //! clocks or tasks: the caller passes the current time, as the span since the start.
@@ -16,6 +17,7 @@
 mod clock_consensus;
 mod connection_limits;
 mod discovery_connections;
+mod end_delivery;
 mod link_eviction;
 mod log_rate_limiter;
 mod overload_gate;
@@ -27,6 +29,7 @@
 pub use clock_consensus::ClockConsensus;
 pub use connection_limits::{Admission, ConnectionLimits, Purpose, WaiterId};
 pub use discovery_connections::{DiscoveryAction, DiscoveryConnectionId, DiscoveryConnections};
+pub use end_delivery::{ViewerEvidence, end_recipients};
 pub use link_eviction::{EvictionReason, LinkNeed, LinkUsage, link_to_evict};
 pub use log_rate_limiter::{LogRateLimiter, truncate_for_log};
 pub use overload_gate::OverloadGate;
--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -469,7 +469,7 @@
         open_set_ups: open,
         active_sessions: stand,
         answered,
-        had_session: answered,
+        ..ClientState::default()
     };
     for (of, closed) in cases {
         assert_eq!(clients.is_expired(ms(10_000), &client(of)), closed, "{of:?}");
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -8,7 +8,7 @@
 };
 use crate::host::NodeHost;
 use ends::SentEnd;
-use ivyward_edge::{ClientLimits, ClientState, truncate_for_log};
+use ivyward_edge::{ClientLimits, ClientState, ViewerEvidence, truncate_for_log};
 use ivyward_event_loop::EventSender;
 use ivyward_session::{RequestId, SessionCore};
 use ivyward_signal::line::{self, Lines};
@@ -210,12 +210,12 @@
         &mut self, core: &mut SessionCore, now: Duration, client_id: u64, reason: ViewerCloseReason,
     ) {
         let Some(connection) = self.viewers.connections.remove(&client_id) else { return };
-        let ClientState { open_set_ups, active_sessions, had_session, .. } = connection.state;
+        let ClientState { open_set_ups, active_sessions, evidence, .. } = connection.state;
         tracing::debug!(
             client = client_id,
             open = open_set_ups,
             stand = active_sessions,
-            served = had_session,
+            ?evidence,
             from = %connection.viewer_ip,
             why = ?reason,
             "viewer connection closed"
@@ -331,6 +331,7 @@
                     if let Ok(line) = line::write(Kind::HeartbeatAck, signal.session, &[], Some(1), None) {
                         self.viewers.write_line(client_id, line);
                     }
+                    self.record_evidence(now, client_id, ViewerEvidence::Heartbeat);
                 }
                 _ => {}
             }
@@ -360,18 +361,7 @@
 
     /// Closes connections that are not needed and retries undelivered ends.
     pub fn sweep_viewers(&mut self, now: Duration) {
-        self.viewers
-            .undelivered_ends
-            .retain(|_, end| now < end.ended_at + ClientLimits::END_DELIVERY_TIMEOUT);
-        // If no viewer's connection was found for half of the allowed time, any connection is used.
-        let due = self
-            .viewers
-            .undelivered_ends
-            .values()
-            .any(|end| now >= end.ended_at + ClientLimits::END_DELIVERY_TIMEOUT / 2);
-        if let Some(newest_id) = self.viewers.connections.keys().next_back().copied().filter(|_| due) {
-            self.retry_undelivered_ends(now, newest_id);
-        }
+        self.deliver_waiting_ends(now);
         let mut session_counts = BTreeMap::new();
         for client_id in self.sessions.client_ids() {
             *session_counts.entry(client_id).or_insert(0) += 1;
--- a/crates/node/src/viewers/ends.rs
+++ b/crates/node/src/viewers/ends.rs
@@ -3,7 +3,7 @@
 use super::Viewers;
 use crate::connection::SessionEnd;
 use crate::host::NodeHost;
-use ivyward_edge::ClientLimits;
+use ivyward_edge::{ClientLimits, ViewerEvidence, end_recipients};
 use ivyward_signal::{Kind, line};
 use std::time::Duration;
 
@@ -32,14 +32,25 @@
     fn write_end_elsewhere(&mut self, now: Duration, client_id: u64, line: Vec<u8>, end: SessionEnd) -> bool {
         let Some(connection) = self.connections.get_mut(&client_id) else { return false };
         while connection.recent_ends.pop_front_if(|sent| sent.unread_at(now).is_none()).is_some() {}
-        connection.recent_ends.push_back(SentEnd { end, sent_at: now });
-        connection.writer.write_end(line, Some(end))
+        let written = connection.writer.write_end(line, Some(end));
+        if written {
+            connection.recent_ends.push_back(SentEnd { end, sent_at: now });
+        }
+        written
+    }
+
+    /// Writes the end of a session on the best connection of viewers, and returns that connection.
+    fn write_end_to_any(&mut self, now: Duration, line: &[u8], end: SessionEnd) -> Option<u64> {
+        let waiting = now.saturating_sub(end.ended_at);
+        let clients = self.connections.iter().map(|(id, connection)| (*id, connection.state));
+        let recipients = end_recipients(waiting, clients);
+        recipients.into_iter().find(|id| self.write_end_elsewhere(now, *id, line.to_vec(), end))
     }
 }
 
 impl NodeHost {
-    /// Notifies the viewer that its session is over, on the connection that requested it, else on the
-    /// most recently used connection of a viewer.
+    /// Notifies the viewer that its session is over, on the connection that requested it, else on the best one
+    /// of viewers, else as soon as there is one.
     pub fn notify_viewer(&mut self, now: Duration, client_id: Option<u64>, end: SessionEnd) {
         let SessionEnd { session_ref, cause, .. } = end;
         let Ok(line) = line::write(Kind::Release, session_ref, &[], Some(cause), None) else { return };
@@ -47,47 +58,59 @@
         if client_id.is_some_and(|client_id| self.viewers.write_end(client_id, line.clone(), end)) {
             return tracing::debug!(of, cause, client = client_id, "end sent to the viewer");
         }
-        // Only connections that had a session belong to viewers. An end that is written to another
-        // client, whose requests were refused at most, would not reach the viewer.
-        let notified = self
-            .viewers
-            .connections
-            .iter()
-            .filter(|(_, c)| c.state.active_sessions > 0 || c.state.had_session);
-        let latest_id = notified.max_by_key(|(id, c)| (c.state.last_message_at, **id)).map(|(id, _)| *id);
-        if latest_id.is_some_and(|client_id| self.viewers.write_end_elsewhere(now, client_id, line, end)) {
-            return tracing::debug!(of, cause, client = latest_id, "end sent on another viewer connection");
+        if let Some(other_id) = self.viewers.write_end_to_any(now, &line, end) {
+            self.viewers.undelivered_ends.remove(&session_ref);
+            let evidence =
+                self.viewers.connections.get(&other_id).map(|connection| connection.state.evidence);
+            return tracing::debug!(
+                of,
+                cause,
+                requested_on = client_id,
+                client = other_id,
+                ?evidence,
+                waited = ?now.saturating_sub(end.ended_at),
+                "end sent on another connection"
+            );
         }
-        let connections = self.viewers.connections.values();
-        tracing::debug!(
-            of,
-            cause,
-            requested_on = client_id,
-            open = connections.len(),
-            answered = connections.filter(|connection| connection.state.answered).count(),
-            "end waits for a viewer connection: none is open that had a session"
-        );
-        self.viewers.undelivered_ends.insert(session_ref, end);
-    }
-
-    /// Writes, on this connection, the ends that could not be delivered before.
-    pub(super) fn retry_undelivered_ends(&mut self, now: Duration, client_id: u64) {
-        if let Some(connection) = self.viewers.connections.get(&client_id)
-            && !self.viewers.undelivered_ends.is_empty()
-        {
+        if self.viewers.undelivered_ends.insert(session_ref, end).is_none() {
+            let open = self.viewers.connections.len();
             tracing::debug!(
-                client = client_id,
-                from = %connection.viewer_ip,
-                answered = connection.state.answered,
-                had_session = connection.state.had_session,
-                ends = self.viewers.undelivered_ends.len(),
-                "ends that waited are sent on this connection"
+                of,
+                cause,
+                requested_on = client_id,
+                open,
+                "end waits for a connection of viewers"
             );
         }
-        for end in std::mem::take(&mut self.viewers.undelivered_ends).into_values() {
+    }
+
+    /// Tries to deliver the ends that wait for a connection, and drops those that waited too long.
+    pub(super) fn deliver_waiting_ends(&mut self, now: Duration) {
+        for end in self.viewers.undelivered_ends.values().copied().collect::<Vec<_>>() {
             if now < end.ended_at + ClientLimits::END_DELIVERY_TIMEOUT {
-                self.notify_viewer(now, Some(client_id), end);
+                self.notify_viewer(now, None, end);
+                continue;
+            }
+            self.viewers.undelivered_ends.remove(&end.session_ref);
+            if let Some(left_out) = self.log_limiter.check(now, "an undelivered end") {
+                let of = format!("{:016x}", end.session_ref.0);
+                let open = self.viewers.connections.len();
+                tracing::info!(
+                    of,
+                    open,
+                    left_out,
+                    "no viewer connected in time to be told of a session's end"
+                );
             }
         }
     }
+
+    /// A message shows that a connection belongs to viewers. Ends that wait for one are delivered.
+    pub(super) fn record_evidence(&mut self, now: Duration, client_id: u64, evidence: ViewerEvidence) {
+        let connection = self.viewers.connections.get_mut(&client_id);
+        if let Some(connection) = connection.filter(|connection| connection.state.evidence < evidence) {
+            connection.state.evidence = evidence;
+            self.deliver_waiting_ends(now);
+        }
+    }
 }
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -4,7 +4,7 @@
 use crate::active_sessions::{ActiveSession, ReportRoute};
 use crate::host::NodeHost;
 use ivyward::interface::{Cells, PackageId, TitleId};
-use ivyward_edge::{ClientLimits, truncate_for_log};
+use ivyward_edge::{ClientLimits, ViewerEvidence, truncate_for_log};
 use ivyward_session::{Answer, EndReason, RequestId, SessionCore, SessionId};
 use ivyward_signal::{Field, Kind, SessionRef, Signal, binary, line, parse_id};
 use std::time::Duration;
@@ -79,6 +79,9 @@
             if first_invalid.is_none() && !is_known {
                 self.adopt_session(core, now, client_id, signal, server_name);
             }
+            if self.sessions.get(session_ref).is_some() {
+                self.record_evidence(now, client_id, ViewerEvidence::Session);
+            }
             return;
         }
         let within_limits = self
@@ -128,6 +131,7 @@
         self.viewers.pending.insert(session_ref, set_up);
         self.viewers.requests.insert(request, session_ref);
         self.viewers.connections.entry(client_id).and_modify(|c| c.state.open_set_ups += 1);
+        self.record_evidence(now, client_id, ViewerEvidence::SetUp);
         core.on_single_request(
             self,
             now,
@@ -185,7 +189,12 @@
         if self.viewers.pending.get(&session_ref).is_some_and(|set_up| set_up.client_id == client_id) {
             return self.abandon_set_up(core, now, session_ref);
         }
-        if let Some(active_session) = self.sessions.remove(session_ref) {
+        let waiting_end = self.viewers.undelivered_ends.remove(&session_ref);
+        let active_session = self.sessions.remove(session_ref);
+        if waiting_end.is_some() || active_session.is_some() {
+            self.record_evidence(now, client_id, ViewerEvidence::Session);
+        }
+        if let Some(active_session) = active_session {
             self.release_session(active_session.server, session_ref);
             core.on_viewing_ended(
                 self,
@@ -195,7 +204,6 @@
                 EndReason::ViewerLeft,
             );
         }
-        self.viewers.undelivered_ends.remove(&session_ref);
         if let Ok(line) = line::write(Kind::Ack, session_ref, &[], None, None) {
             self.viewers.write_line(client_id, line);
         }
@@ -216,17 +224,16 @@
                 if let Some(active_session) = self.sessions.get_mut(session_ref) {
                     active_session.client_id = Some(set_up.client_id);
                 }
-                self.viewers.connections.entry(set_up.client_id).and_modify(|c| c.state.had_session = true);
                 let written = self.viewers.write_line(set_up.client_id, line);
                 self.events.send(move |core, host, now| {
-                    host.retry_undelivered_ends(now, set_up.client_id);
                     // If the answer could not be written, or the viewer disconnected before it, nobody
                     // watches this session.
                     if !written || host.has_disconnected(core, now, set_up.client_id) {
                         let reason = ViewerCloseReason::AnswerNotWritten;
                         host.close_viewer_connection(core, now, set_up.client_id, reason);
-                        host.end_by_viewer(core, now, set_up.client_id, session_ref);
+                        return host.end_by_viewer(core, now, set_up.client_id, session_ref);
                     }
+                    host.record_evidence(now, set_up.client_id, ViewerEvidence::Session);
                 });
             }
             (Answer::Blocked { why, .. }, _) => {
