The only connection of viewers is kept while sessions play whose own connection is over

What callers saw: viewers that connected again, passed a test and then had nothing to send for 6 s lost that connection too; what ended afterwards was released to nobody, as no connection of theirs was open.

Cause: sweep_viewers counted a session only for the connection that had requested it.

Mend: sessions whose own connection is over count for the connection on which their ends would be delivered now. The test also sees that it is closed as idle once the last of them is over.

--- a/crates/daemon/tests/node/end_delivery.rs
+++ b/crates/daemon/tests/node/end_delivery.rs
@@ -108,3 +108,20 @@
         );
     });
 }
+
+// The only connection of viewers was closed as idle while sessions stood whose own connection was over.
+#[test]
+fn the_only_connection_of_viewers_is_kept_while_a_session_plays_whose_own_connection_is_over() {
+    with_harness(Behavior::Plays, |harness| async move {
+        let (mut viewer, session_ref) = (harness.viewer().await, SessionRef(0x320));
+        let server = harness.set_up_session(&mut viewer, session_ref).await;
+        viewer.reset();
+        let mut viewer = harness.viewer().await;
+        assert!(viewer.send_signal(Kind::Heartbeat, SessionRef(1), Some(0)).await);
+        sleep(ms(7000)).await;
+        server.release(0, session_ref, 16);
+        let deadline = Instant::now() + REPORTED_END_DEADLINE;
+        assert!(wait_for_release(&mut viewer, session_ref, deadline).await, "not released in time");
+        assert!(viewer.wait_closed(ms(1000)).await, "an idle connection without sessions is closed");
+    });
+}
--- a/crates/node/src/active_sessions.rs
+++ b/crates/node/src/active_sessions.rs
@@ -129,10 +129,9 @@
         self.by_server.keys().copied()
     }
 
-    /// The viewer connections that requested the active sessions. A connection occurs once for each of
-    /// its sessions.
-    pub fn client_ids(&self) -> impl Iterator<Item = u64> {
-        self.by_ref.values().filter_map(|active_session| active_session.client_id)
+    /// The viewer connections that requested the active sessions, one item for each session.
+    pub fn client_ids(&self) -> impl Iterator<Item = Option<u64>> {
+        self.by_ref.values().map(|active_session| active_session.client_id)
     }
 
     /// The number of active sessions.
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -362,10 +362,7 @@
     /// Closes connections that are not needed and retries undelivered ends.
     pub fn sweep_viewers(&mut self, now: Duration) {
         self.deliver_waiting_ends(now);
-        let mut session_counts = BTreeMap::new();
-        for client_id in self.sessions.client_ids() {
-            *session_counts.entry(client_id).or_insert(0) += 1;
-        }
+        let session_counts = self.session_counts();
         let expired = self.viewers.connections.iter_mut().filter_map(|(id, connection)| {
             connection.state.active_sessions = session_counts.get(id).copied().unwrap_or_default();
             // A connection that was to be closed is closed by now, or stays open because of new input.
--- a/crates/node/src/viewers/ends.rs
+++ b/crates/node/src/viewers/ends.rs
@@ -5,6 +5,7 @@
 use crate::host::NodeHost;
 use ivyward_edge::{ClientLimits, ViewerEvidence, end_recipients};
 use ivyward_signal::{Kind, line};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The end of a session that was written on a connection.
@@ -39,16 +40,38 @@
         written
     }
 
+    /// The connections on which an end that has waited for this time may be delivered, the best one first.
+    fn end_recipients(&self, waiting: Duration) -> Vec<u64> {
+        let clients = self.connections.iter().map(|(id, connection)| (*id, connection.state));
+        end_recipients(waiting, clients)
+    }
+
     /// Writes the end of a session on the best connection of viewers, and returns that connection.
     fn write_end_to_any(&mut self, now: Duration, line: &[u8], end: SessionEnd) -> Option<u64> {
-        let waiting = now.saturating_sub(end.ended_at);
-        let clients = self.connections.iter().map(|(id, connection)| (*id, connection.state));
-        let recipients = end_recipients(waiting, clients);
+        let recipients = self.end_recipients(now.saturating_sub(end.ended_at));
         recipients.into_iter().find(|id| self.write_end_elsewhere(now, *id, line.to_vec(), end))
     }
 }
 
 impl NodeHost {
+    /// The number of sessions whose ends each connection receives. Sessions whose own connection is over count
+    /// for the one on which their ends would be delivered now, so that it is kept.
+    pub(super) fn session_counts(&self) -> BTreeMap<u64, usize> {
+        let (mut session_counts, mut without_connection) = (BTreeMap::new(), 0);
+        for client_id in self.sessions.client_ids() {
+            match client_id.filter(|client_id| self.viewers.connections.contains_key(client_id)) {
+                Some(own_id) => *session_counts.entry(own_id).or_insert(0) += 1,
+                None => without_connection += 1,
+            }
+        }
+        if without_connection > 0
+            && let Some(recipient_id) = self.viewers.end_recipients(Duration::MAX).first()
+        {
+            *session_counts.entry(*recipient_id).or_insert(0) += without_connection;
+        }
+        session_counts
+    }
+
     /// Notifies the viewer that its session is over, on the connection that requested it, else on the best one
     /// of viewers, else as soon as there is one.
     pub fn notify_viewer(&mut self, now: Duration, client_id: Option<u64>, end: SessionEnd) {
