An end that its session's own connection took and a reset discarded is delivered again

What callers saw: an end that was written on the connection of its session within 0.15 s of that connection's reset was never released to the viewers, who hadn't read it and connected again at once.

But a session belongs to no connection, and a reset discards what is unread, whoever sends it.

Evidence: end_delivery::an_end_is_delivered_again_if_its_own_connection_ends_before_the_viewer_has_read_it failed with the program before for a reset and for a close with the end unread, each run alone. Its third case, a viewer that has ended the session itself meanwhile, held before.

Mend: an end is kept in the same way on whichever connection it is written. A viewer's own release of the session takes it back. A clean close gives nothing back, as before.

--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -50,7 +50,7 @@
     closing: bool,
     /// The number of chunks read from this connection.
     processed_chunks: u64,
-    /// Ends of sessions that another connection had requested, in the order in which they were written.
+    /// Ends of sessions that were written last, in their order.
     recent_ends: VecDeque<SentEnd>,
 }
 
--- a/crates/node/src/viewers/ends.rs
+++ b/crates/node/src/viewers/ends.rs
@@ -4,7 +4,7 @@
 use crate::connection::SessionEnd;
 use crate::host::NodeHost;
 use ivyward_edge::{ClientLimits, ViewerEvidence, end_recipients};
-use ivyward_signal::{Kind, line};
+use ivyward_signal::{Kind, SessionRef, line};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,15 +22,8 @@
 }
 
 impl Viewers {
-    /// Writes the end of a session on the connection that requested it.
-    fn write_end(&mut self, client_id: u64, line: Vec<u8>, end: SessionEnd) -> bool {
-        self.connections
-            .get(&client_id)
-            .is_some_and(|connection| connection.writer.write_end(line, Some(end)))
-    }
-
-    /// Writes the end of a session on another connection than the one that requested it.
-    fn write_end_elsewhere(&mut self, now: Duration, client_id: u64, line: Vec<u8>, end: SessionEnd) -> bool {
+    /// Writes the end of a session on a connection. Returns false if it is closed or reads too slowly.
+    fn write_end(&mut self, now: Duration, client_id: u64, line: Vec<u8>, end: SessionEnd) -> bool {
         let Some(connection) = self.connections.get_mut(&client_id) else { return false };
         while connection.recent_ends.pop_front_if(|sent| sent.unread_at(now).is_none()).is_some() {}
         let written = connection.writer.write_end(line, Some(end));
@@ -40,6 +33,13 @@
         written
     }
 
+    /// Forgets an end of which the client has shown that it knows it, so that it isn't delivered again.
+    pub(super) fn forget_end(&mut self, client_id: u64, session_ref: SessionRef) {
+        if let Some(connection) = self.connections.get_mut(&client_id) {
+            connection.recent_ends.retain(|sent| sent.end.session_ref != session_ref);
+        }
+    }
+
     /// The connections on which an end that has waited for this time may be delivered, the best one first.
     fn end_recipients(&self, waiting: Duration) -> Vec<u64> {
         let clients = self.connections.iter().map(|(id, connection)| (*id, connection.state));
@@ -49,7 +49,7 @@
     /// Writes the end of a session on the best connection of viewers, and returns that connection.
     fn write_end_to_any(&mut self, now: Duration, line: &[u8], end: SessionEnd) -> Option<u64> {
         let recipients = self.end_recipients(now.saturating_sub(end.ended_at));
-        recipients.into_iter().find(|id| self.write_end_elsewhere(now, *id, line.to_vec(), end))
+        recipients.into_iter().find(|id| self.write_end(now, *id, line.to_vec(), end))
     }
 }
 
@@ -78,7 +78,7 @@
         let SessionEnd { session_ref, cause, .. } = end;
         let Ok(line) = line::write(Kind::Release, session_ref, &[], Some(cause), None) else { return };
         let of = format!("{:016x}", session_ref.0);
-        if client_id.is_some_and(|client_id| self.viewers.write_end(client_id, line.clone(), end)) {
+        if client_id.is_some_and(|client_id| self.viewers.write_end(now, client_id, line.clone(), end)) {
             return tracing::debug!(of, cause, client = client_id, "end sent to the viewer");
         }
         if let Some(other_id) = self.viewers.write_end_to_any(now, &line, end) {
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -189,6 +189,7 @@
         if self.viewers.pending.get(&session_ref).is_some_and(|set_up| set_up.client_id == client_id) {
             return self.abandon_set_up(core, now, session_ref);
         }
+        self.viewers.forget_end(client_id, session_ref);
         let waiting_end = self.viewers.undelivered_ends.remove(&session_ref);
         let active_session = self.sessions.remove(session_ref);
         if waiting_end.is_some() || active_session.is_some() {
