--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod checker;
 mod discovery;
+mod fault_injector;
 mod observations;
 mod plan;
 mod process;
@@ -14,21 +15,21 @@
 
 pub use checker::Violation;
 
-use observations::{Observations, PhaseChange, SharedContext, TrialContext};
-use plan::{Fault, Plan, TRIAL_DURATION};
+use fault_injector::FaultInjector;
+use observations::{Observations, SharedContext, TrialContext};
+use plan::{Plan, TRIAL_DURATION};
 use process::Process;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
 use serde_json::{Value, json};
-use server::{Listening, PathState, Server};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use server::Server;
+use std::cell::RefCell;
 use std::fs;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use viewer::SimulatedViewer;
@@ -39,8 +40,6 @@
 const CPU_WAIT_INTERVAL: Duration = Duration::from_millis(100);
 /// Shorter delays are not recorded.
 const MIN_RECORDED_DELAY: Duration = Duration::from_millis(15);
-/// Delay after which discovery publishes that a server has crashed.
-const CRASH_NOTICE_DELAY: Duration = Duration::from_millis(150);
 /// Largest fraction of the trials that may be void.
 const MAX_VOID_FRACTION: f64 = 0.1;
 
@@ -77,280 +76,6 @@
     json!({"offset": number, "topology": {"revision": number, "complete": complete, "members": members}})
 }
 
-/// A server's entry in the server list.
-struct ListEntry {
-    /// The server's id.
-    id: String,
-    /// The published phase: ready, draining or gone.
-    phase: &'static str,
-}
-
-/// Injects the faults of a trial.
-struct FaultInjector {
-    context: SharedContext,
-    servers: Vec<Rc<Server>>,
-    processes: Vec<Rc<Process>>,
-    /// The server list that is published, by server.
-    entries: RefCell<Vec<ListEntry>>,
-    /// Servers whose process, phase or paths a fault is changing; further such faults skip them.
-    busy_servers: RefCell<BTreeSet<usize>>,
-    /// Number of server ids made for replacements.
-    replacement_count: Cell<usize>,
-    /// Number of additional viewers started by [`Fault::Crowd`].
-    burst_viewer_count: Cell<u64>,
-}
-
-impl FaultInjector {
-    /// A server's entry as published to a manager; each manager gets its own address of the server.
-    fn list_member(&self, server: usize, manager: usize) -> Value {
-        let entries = self.entries.borrow();
-        let stand_in = &self.servers[server];
-        json!({"id": entries[server].id, "host_port": stand_in.addresses[manager].to_string(), "locality": "east",
-            "flavor": "std", "cell": server, "phase": entries[server].phase, "size": 4,
-            "up_since_ms": stand_in.started_unix_ms.get()})
-    }
-
-    /// The whole server list as published to a manager.
-    fn list_members(&self, manager: usize) -> Vec<Value> {
-        (0..self.servers.len()).map(|server| self.list_member(server, manager)).collect()
-    }
-
-    /// Changes a server's phase and publishes it to all managers.
-    fn publish_phase(&self, server: usize, phase: &'static str) {
-        self.entries.borrow_mut()[server].phase = phase;
-        let at = self.context.now();
-        let change_index = {
-            let mut observations = self.context.observations.borrow_mut();
-            let notified_at = Default::default();
-            observations.phase_changes.push(PhaseChange {
-                at,
-                server,
-                is_ready: phase == "ready",
-                notified_at,
-            });
-            observations.phase_changes.len() - 1
-        };
-        for process in &self.processes {
-            process.discovery.publish(&[self.list_member(server, process.manager)], &[change_index]);
-        }
-    }
-
-    /// Records that the path to a server is disrupted for `span`: a manager's, or all managers' if `None`.
-    fn record_disruption(&self, manager: Option<usize>, server: usize, span: Duration) {
-        let now = self.context.now();
-        let mut observations = self.context.observations.borrow_mut();
-        let managers = 0..self.processes.len();
-        let affected = managers.filter(|candidate| manager.is_none_or(|manager| manager == *candidate));
-        affected.for_each(|manager| observations.disrupted_paths.push((manager, server, now, now + span)));
-    }
-
-    /// Injects a fault and ends it after its span.
-    async fn inject(self: Rc<Self>, fault: Fault) {
-        match fault {
-            Fault::Restart { server, .. }
-            | Fault::Replace { server, .. }
-            | Fault::Vanish { server, .. }
-            | Fault::SlowConnects { server, .. }
-            | Fault::ClosesAtOnce { server, .. }
-            | Fault::Drain { server, .. } => {
-                if self.busy_servers.borrow_mut().insert(server) {
-                    self.inject_server_fault(server, fault).await;
-                    self.busy_servers.borrow_mut().remove(&server);
-                }
-            }
-            Fault::Hang { server, span } => {
-                self.record_disruption(None, server, span);
-                self.servers[server].set_hung(true);
-                sleep(span).await;
-                self.servers[server].set_hung(false);
-            }
-            Fault::Stall { server, span } => {
-                self.record_disruption(None, server, span);
-                let now = self.context.now();
-                self.context.observations.borrow_mut().unread_periods.push((server, now, now + span));
-                self.servers[server].set_stalled(true);
-                sleep(span).await;
-                self.servers[server].set_stalled(false);
-            }
-            Fault::Partition { manager, server, forth, back, span } => {
-                if !self.busy_servers.borrow_mut().insert(server) {
-                    return;
-                }
-                self.record_disruption(Some(manager), server, span);
-                self.servers[server].set_path(manager, PathState { to_server: !forth, to_manager: !back });
-                sleep(span).await;
-                self.servers[server].set_path(manager, PathState { to_server: true, to_manager: true });
-                self.busy_servers.borrow_mut().remove(&server);
-            }
-            Fault::HalfOpen { manager, server, in_message } => {
-                self.record_disruption(Some(manager), server, Duration::ZERO);
-                self.servers[server].make_half_open(manager, in_message).await;
-            }
-            Fault::ResetAll { manager, server } => {
-                self.record_disruption(Some(manager), server, Duration::ZERO);
-                self.servers[server].reset_connections(Some(manager));
-            }
-            Fault::DiscoveryDown { manager, mute, span } => {
-                self.processes[manager].discovery.take_down(mute);
-                sleep(span).await;
-                self.processes[manager].discovery.bring_up();
-                // For some managers, the first event after the outage is the whole list.
-                if manager % 2 == 1 {
-                    self.processes[manager].discovery.publish_full_list(&self.list_members(manager));
-                }
-            }
-            Fault::WholeList { manager } => {
-                self.processes[manager].discovery.publish_full_list(&self.list_members(manager));
-            }
-            Fault::DiscoverySilent { manager } => self.processes[manager].discovery.silence_watches(),
-            Fault::DiscoveryBreaks { manager } => self.processes[manager].discovery.break_watches(),
-            Fault::Reconfigure { manager } => {
-                for _ in 0..2 {
-                    self.processes[manager].reconfigure().await;
-                    sleep(Duration::from_millis(30)).await;
-                }
-            }
-            Fault::Shutdown { manager, hangup } => {
-                if self.processes[manager].begin_ending() {
-                    self.processes[manager].shut_down(hangup).await;
-                    self.start_manager(manager).await;
-                }
-            }
-            Fault::Kill { manager } => {
-                if self.processes[manager].begin_ending() {
-                    self.processes[manager].kill_process().await;
-                    self.start_manager(manager).await;
-                }
-            }
-            Fault::Crowd { clients } => self.start_viewer_burst(clients).await,
-        }
-    }
-
-    /// Injects a fault that changes a server's process, connections or phase.
-    async fn inject_server_fault(&self, server: usize, fault: Fault) {
-        let stand_in = &self.servers[server];
-        match fault {
-            Fault::Restart { down, .. } => {
-                self.stop_server(server, down);
-                sleep(CRASH_NOTICE_DELAY.min(down)).await;
-                self.publish_phase(server, "gone");
-                sleep(down.saturating_sub(CRASH_NOTICE_DELAY)).await;
-                self.start_server(server, None);
-            }
-            Fault::Replace { drains, down, anew, .. } => {
-                self.publish_phase(server, "draining");
-                sleep(drains).await;
-                self.stop_server(server, down);
-                self.publish_phase(server, "gone");
-                sleep(down).await;
-                self.start_server(server, anew.then(|| self.make_server_id()));
-            }
-            Fault::Vanish { span, .. } => {
-                self.record_disruption(None, server, span);
-                stand_in.set_listening(Listening::Unresponsive);
-                self.set_all_paths(server, false);
-                stand_in.stop_process();
-                sleep(span).await;
-                stand_in.reset_connections(None);
-                self.set_all_paths(server, true);
-                self.start_server(server, None);
-            }
-            Fault::SlowConnects { span, .. } => {
-                self.record_disruption(None, server, span);
-                stand_in.set_listening(Listening::Unresponsive);
-                sleep(span).await;
-                stand_in.set_listening(Listening::Accepting);
-            }
-            Fault::ClosesAtOnce { span, resets, .. } => {
-                self.record_disruption(None, server, span);
-                stand_in.set_listening(Listening::Closing { with_reset: resets });
-                sleep(span).await;
-                stand_in.set_listening(Listening::Accepting);
-            }
-            Fault::Drain { span, .. } => {
-                self.publish_phase(server, "draining");
-                sleep(span).await;
-                self.publish_phase(server, "ready");
-            }
-            _ => {}
-        }
-    }
-
-    /// Opens or cuts the paths of all managers to a server.
-    fn set_all_paths(&self, server: usize, open: bool) {
-        let managers = 0..self.processes.len();
-        managers.for_each(|manager| {
-            self.servers[server].set_path(manager, PathState { to_server: open, to_manager: open })
-        });
-    }
-
-    /// Makes the id for a server that replaces another.
-    fn make_server_id(&self) -> String {
-        self.replacement_count.set(self.replacement_count.get() + 1);
-        format!("s-new{:05x}", self.replacement_count.get())
-    }
-
-    /// Stops a server's process: its state is lost, and its connections are reset.
-    fn stop_server(&self, server: usize, down: Duration) {
-        self.record_disruption(None, server, down);
-        let stand_in = &self.servers[server];
-        stand_in.set_listening(Listening::Refusing);
-        stand_in.stop_process();
-        stand_in.reset_connections(None);
-    }
-
-    /// Starts a server's process, under a new id if one is given, and publishes it as ready.
-    fn start_server(&self, server: usize, new_id: Option<String>) {
-        let stand_in = &self.servers[server];
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        stand_in.started_unix_ms.set(unix.as_millis() as u64);
-        stand_in.set_listening(Listening::Accepting);
-        if let Some(new_id) = new_id {
-            *stand_in.id.borrow_mut() = new_id.clone();
-            self.entries.borrow_mut()[server].id = new_id;
-        }
-        let now = self.context.now();
-        self.context.observations.borrow_mut().server_starts.push((server, now));
-        self.publish_phase(server, "ready");
-    }
-
-    /// Starts a manager's process on the current server list.
-    async fn start_manager(&self, manager: usize) {
-        let members = self.list_members(manager);
-        if let Err(error) = self.processes[manager].launch(&members).await {
-            let now = self.context.now();
-            self.context
-                .observations
-                .borrow_mut()
-                .violations
-                .push((now, format!("crash: manager {manager} can't be started: {error}")));
-        }
-        // The list in its configuration notifies it of all earlier changes.
-        let incarnation = self.context.current_incarnation(manager);
-        let mut observations = self.context.observations.borrow_mut();
-        let now =
-            observations.incarnations[manager].last().map(|last_run| last_run.started_at).unwrap_or_default();
-        for change in &mut observations.phase_changes {
-            change.notified_at.entry((manager, incarnation)).or_insert(now.max(change.at));
-        }
-    }
-
-    /// Starts additional viewers, spread over one second.
-    async fn start_viewer_burst(&self, clients: usize) {
-        let addresses: Vec<_> = self.processes.iter().map(|process| process.address).collect();
-        for _ in 0..clients {
-            let burst_number = self.burst_viewer_count.get() + 1;
-            self.burst_viewer_count.set(burst_number);
-            let profile = (burst_number as usize % addresses.len(), plan::Habit::Plain);
-            spawn_local(
-                SimulatedViewer::new(&self.context, addresses.clone(), profile, 1000 + burst_number, 1)
-                    .run_until_done(),
-            );
-            sleep(Duration::from_secs(1) / clients as u32).await;
-        }
-    }
-}
-
 /// Describes the plan of a seed as text.
 pub fn describe_plan(seed: u64) -> String {
     format!("{:#?}", Plan::draw(seed))
@@ -386,23 +111,13 @@
         let process = Process::new(&context, manager, program, (directory, keep_logs)).await;
         processes.push(process.map_err(|e| e.to_string())?);
     }
-    let entries =
-        servers.iter().map(|server| ListEntry { id: server.id.borrow().clone(), phase: "ready" }).collect();
-    let fault_injector = Rc::new(FaultInjector {
-        context: context.clone(),
-        servers,
-        processes,
-        entries: RefCell::new(entries),
-        busy_servers: RefCell::default(),
-        replacement_count: Cell::default(),
-        burst_viewer_count: Cell::default(),
-    });
+    let fault_injector = FaultInjector::new(&context, servers, processes.clone());
     for manager in 0..plan.managers {
         fault_injector.start_manager(manager).await;
     }
     spawn_local(record_harness_delays(context.clone()));
-    spawn_local(record_cpu_waits(context.clone(), fault_injector.processes.clone()));
-    let addresses: Vec<_> = fault_injector.processes.iter().map(|process| process.address).collect();
+    spawn_local(record_cpu_waits(context.clone(), processes.clone()));
+    let addresses: Vec<_> = processes.iter().map(|process| process.address).collect();
     for (viewer_index, profile) in plan.clients.iter().enumerate() {
         spawn_local(
             SimulatedViewer::new(&context, addresses.clone(), *profile, viewer_index as u64 + 1, u64::MAX)
@@ -414,7 +129,7 @@
         spawn_local(fault_injector.clone().inject(fault));
     }
     sleep_until(context.trial_started_at + TRIAL_DURATION).await;
-    for process in &fault_injector.processes {
+    for process in &processes {
         if process.has_crashed() {
             let now = context.now();
             let crash_text = format!("crash: manager {} exited without a request to end", process.manager);
