Soak: the viewers of a manager lose their connections at once, beside clients that say nothing

Now up to two times in a trial all connections of a manager's viewers are reset, with what is unread on them; the viewers connect again at once and only send heartbeats for 1.5 to 5 s, and 0, 5 or 15 clients a second connect and say nothing. What these receive is a violation, also for the silent clients that there were before. A viewer's sessions outlive the reset, and it ends none that was released on another viewer's connection.

--- a/crates/lab/src/soak/fault_injector.rs
+++ b/crates/lab/src/soak/fault_injector.rs
@@ -4,14 +4,14 @@
 use super::plan::{Fault, Habit};
 use super::process::Process;
 use super::server::{Listening, PathState, Server};
-use super::viewer::SimulatedViewer;
+use super::viewer::{self, SimulatedViewer};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Delay after which discovery publishes that a server has crashed.
 const CRASH_NOTICE_DELAY: Duration = Duration::from_millis(150);
@@ -177,6 +177,15 @@
                 }
             }
             Fault::Crowd { clients } => self.start_viewer_burst(clients).await,
+            Fault::ResetViewers { manager, span, silent_clients } => {
+                let quiet_until = Instant::now() + span;
+                self.context.viewer_resets[manager].send_replace(Some(quiet_until));
+                while silent_clients > 0 && Instant::now() < quiet_until {
+                    let address = self.processes[manager].address;
+                    spawn_local(viewer::connect_silently(self.context.clone(), address));
+                    sleep(Duration::from_secs(1) / silent_clients).await;
+                }
+            }
         }
     }
 
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -30,6 +30,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use viewer::SimulatedViewer;
@@ -99,8 +100,9 @@
 ) -> Result<Trial, String> {
     let incarnations = vec![vec![]; plan.managers];
     let observations = RefCell::new(Observations { incarnations, ..Observations::default() });
+    let viewer_resets = (0..plan.managers).map(|_| watch::Sender::new(None)).collect();
     let context: SharedContext =
-        Rc::new(TrialContext { plan, trial_started_at: Instant::now(), observations });
+        Rc::new(TrialContext { plan, trial_started_at: Instant::now(), observations, viewer_resets });
     let plan = &context.plan;
     let (mut servers, mut processes) = (vec![], vec![]);
     for index in 0..plan.servers {
--- a/crates/lab/src/soak/observations.rs
+++ b/crates/lab/src/soak/observations.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// The final answer that a viewer received.
@@ -159,6 +160,8 @@
     pub trial_started_at: Instant,
     /// What was recorded so far.
     pub observations: RefCell<Observations>,
+    /// By manager: when the viewers' connections were reset, the time until which viewers only send heartbeats.
+    pub viewer_resets: Vec<watch::Sender<Option<Instant>>>,
 }
 
 /// Shared ownership of the context; a trial runs on one thread.
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -123,6 +123,9 @@
     Kill { manager: usize },
     /// This many additional viewers send one request each, spread over one second.
     Crowd { clients: usize },
+    /// All viewers' connections to a manager are reset. Viewers connect again at once and only send heartbeats
+    /// for `span`; meanwhile this many clients a second connect and send nothing.
+    ResetViewers { manager: usize, span: Duration, silent_clients: u32 },
 }
 
 /// How a viewer behaves.
@@ -280,6 +283,7 @@
             self.faults.push((draw_millis(rng, 1500, 7000), Fault::Crowd { clients }));
         }
         self.draw_lasting_faults(rng);
+        self.draw_viewer_resets(rng);
         self.faults.sort_by_key(|(at, _)| *at);
     }
 
@@ -302,6 +306,21 @@
         }
     }
 
+    /// Draws resets of viewers' connections. They are over early enough for viewers to send requests again, so that
+    /// some are connected until all sessions have ended.
+    fn draw_viewer_resets(&mut self, rng: &mut Pcg64Mcg) {
+        let reset_count = rng.random_range(0..=2);
+        for _ in 0..reset_count {
+            let at = draw_millis(rng, 1500, 4000);
+            let fault = Fault::ResetViewers {
+                manager: rng.random_range(0..self.managers),
+                span: draw_millis(rng, 1500, 5000),
+                silent_clients: [0, 5, 15][rng.random_range(0..3)],
+            };
+            self.faults.push((at, fault));
+        }
+    }
+
     /// Draws one fault and its targets.
     fn draw_fault(&self, rng: &mut Pcg64Mcg) -> Fault {
         let server = rng.random_range(0..self.servers);
--- a/crates/lab/src/soak/viewer.rs
+++ b/crates/lab/src/soak/viewer.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// An unused connection without sessions is closed after this time.
@@ -28,11 +29,17 @@
 const CONNECT_AFTER_TERM_TIMEOUT: Duration = Duration::from_millis(400);
 /// A connection on which nothing was sent or received for this long is closed even with open requests.
 const OPEN_REQUEST_TIMEOUT: Duration = Duration::from_secs(9);
+/// Interval between heartbeats of viewers that have nothing else to send after a reset.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a client that sends nothing keeps its connection.
+const SILENT_DURATION: Duration = Duration::from_secs(4);
 /// A quarter of the request count from which a refused viewer with [`Habit::Repeats`] no longer sends its
 /// next request at once.
 const REPEAT_COUNT: usize = 30;
 /// Additional size of a long description.
 const LONG_DESCRIPTION_BYTES: usize = 11_000;
+/// The reference that heartbeats carry; no session has it.
+const HEARTBEAT_REF: SessionRef = SessionRef(0);
 /// Inputs that are invalid for every manager.
 const INVALID_INPUTS: [&[u8]; 6] = [
     b"\xfe\xfe\xfe\xfe\n",
@@ -57,8 +64,13 @@
     rng: Pcg64Mcg,
     /// Requests to send again on the next connection, as the close of the last one may have crossed them.
     to_resend: Vec<SessionRef>,
+    /// Sessions that were active on the last connection when that was reset.
+    sessions_before_reset: ActiveSessions,
 }
 
+/// Active sessions, with the time at which the viewer ends them, if it does.
+type ActiveSessions = BTreeMap<SessionRef, Option<Instant>>;
+
 /// An open connection to a manager.
 struct Connection {
     stream: TcpStream,
@@ -68,8 +80,12 @@
     record: usize,
     /// Unanswered requests, with the time at which their last byte was written.
     unanswered: BTreeMap<SessionRef, Instant>,
-    /// Active sessions, with the time at which the viewer ends them, if it does.
-    sessions: BTreeMap<SessionRef, Option<Instant>>,
+    sessions: ActiveSessions,
+    /// Until when only heartbeats are sent on it, and when the next one is due.
+    quiet_until: Instant,
+    next_heartbeat_at: Instant,
+    /// Signals that the connection is reset.
+    reset: watch::Receiver<Option<Instant>>,
     /// When the viewer gives up requests.
     abandon_at: BTreeMap<SessionRef, Instant>,
     /// When something was last sent or received.
@@ -93,6 +109,7 @@
             max_requests,
             rng,
             to_resend: vec![],
+            sessions_before_reset: ActiveSessions::new(),
         }
     }
 
@@ -109,7 +126,7 @@
             let record = connection.record;
             match self.habit {
                 Habit::Rude => self.send_invalid_input(connection).await,
-                Habit::Silent => stay_silent(connection).await,
+                Habit::Silent => stay_silent(&self.context, connection.stream).await,
                 _ => self.exchange_messages(connection).await,
             }
             let now = self.context.now();
@@ -129,15 +146,20 @@
             timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addresses[self.manager])).await.ok()?.ok()?;
         stream.set_nodelay(true).ok();
         let incarnation = self.context.current_incarnation(self.manager);
+        let mut reset = self.context.viewer_resets[self.manager].subscribe();
+        let quiet_until = reset.borrow_and_update().unwrap_or(Instant::now());
         let mut observations = self.context.observations.borrow_mut();
         observations.viewer_connections.push((self.manager, incarnation, now, None));
         Some(Connection {
             stream,
+            quiet_until,
+            next_heartbeat_at: Instant::now(),
+            reset,
             lines: Lines::default(),
             incarnation,
             record: observations.viewer_connections.len() - 1,
             unanswered: BTreeMap::new(),
-            sessions: BTreeMap::new(),
+            sessions: std::mem::take(&mut self.sessions_before_reset),
             abandon_at: BTreeMap::new(),
             last_used_at: Instant::now(),
         })
@@ -146,13 +168,14 @@
     /// Sends requests and handles answers until the connection ends, or nothing more is expected on it.
     async fn exchange_messages(&mut self, mut connection: Connection) {
         let mut buffer = [0; 4096];
-        let mut next_request_at = Instant::now();
+        let mut next_request_at = connection.quiet_until;
         for viewing_id in std::mem::take(&mut self.to_resend) {
             if !self.send_set_up(&mut connection, viewing_id).await {
                 return self.connection_lost(&connection);
             }
         }
         loop {
+            let is_quiet = Instant::now() < connection.quiet_until;
             let may_request = self.context.now() < REQUESTS_END_AT && self.request_count < self.max_requests;
             let is_unused = connection.unanswered.is_empty() && connection.sessions.is_empty();
             if is_unused && (!may_request || connection.last_used_at.elapsed() >= IDLE_TIMEOUT) {
@@ -163,13 +186,16 @@
             }
             let next_end =
                 connection.sessions.values().flatten().chain(connection.abandon_at.values()).min().copied();
-            let wake_at = next_end.unwrap_or(Instant::now() + IDLE_TIMEOUT).min(if may_request {
-                next_request_at
-            } else {
-                Instant::now() + IDLE_TIMEOUT
-            });
+            let wake_times = [
+                Some(Instant::now() + IDLE_TIMEOUT),
+                next_end,
+                may_request.then_some(next_request_at),
+                is_quiet.then_some(connection.next_heartbeat_at),
+            ];
+            let wake_at = wake_times.into_iter().flatten().min().unwrap_or(next_request_at);
             tokio::select! {
                 biased;
+                Ok(()) = connection.reset.changed() => return self.reset(connection),
                 read = connection.stream.read(&mut buffer) => {
                     let Ok(read @ 1..) = read else { return self.connection_lost(&connection) };
                     connection.lines.push(&buffer[..read]);
@@ -178,9 +204,12 @@
                     }
                 }
                 () = sleep_until(wake_at) => {
-                    if !self.release_due(&mut connection).await {
+                    if !self.release_due(&mut connection).await || !send_due_heartbeat(&mut connection).await {
                         return self.connection_lost(&connection);
                     }
+                    if is_quiet {
+                        continue;
+                    }
                     if self.habit == Habit::Drops
                         && connection.unanswered.is_empty()
                         && !connection.sessions.is_empty()
@@ -360,6 +389,10 @@
             connection.unanswered.remove(viewing_id);
             let at = self.context.now();
             if let Some(viewing) = self.context.observations.borrow_mut().viewings.get_mut(viewing_id) {
+                // After a reset, the end may have arrived on another viewer's connection.
+                if viewing.released_at.is_some() {
+                    continue;
+                }
                 let recorded =
                     if was_active { &mut viewing.ended_by_viewer_at } else { &mut viewing.abandoned_at };
                 recorded.get_or_insert(at);
@@ -388,6 +421,19 @@
         }
     }
 
+    /// Resets the connection and gives up its unanswered requests. The sessions continue.
+    fn reset(&mut self, connection: Connection) {
+        connection.stream.set_zero_linger().ok();
+        self.sessions_before_reset = connection.sessions;
+        let now = self.context.now();
+        let mut observations = self.context.observations.borrow_mut();
+        for viewing_id in connection.unanswered.keys() {
+            if let Some(viewing) = observations.viewings.get_mut(viewing_id) {
+                viewing.abandoned_at.get_or_insert(now);
+            }
+        }
+    }
+
     /// Records that the connection ended. A request that the close may have crossed is queued to be sent
     /// again.
     fn connection_lost(&mut self, connection: &Connection) {
@@ -427,8 +473,32 @@
     }
 }
 
-/// Keeps a connection open without sending anything, until it is closed or 4 s have passed.
-async fn stay_silent(mut connection: Connection) {
+/// Sends a heartbeat if one is due. Returns whether the connection is still writable.
+async fn send_due_heartbeat(connection: &mut Connection) -> bool {
+    let now = Instant::now();
+    if now >= connection.quiet_until || now < connection.next_heartbeat_at {
+        return true;
+    }
+    connection.next_heartbeat_at = now + HEARTBEAT_INTERVAL;
+    let heartbeat = line::write(Kind::Heartbeat, HEARTBEAT_REF, &[], Some(0), None).unwrap_or_default();
+    connection.last_used_at = now;
+    connection.stream.write_all(&heartbeat).await.is_ok()
+}
+
+/// Connects to a manager and sends nothing.
+pub async fn connect_silently(context: SharedContext, address: SocketAddr) {
+    if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        stay_silent(&context, stream).await;
+    }
+}
+
+/// Keeps a connection open without sending anything, until it is closed or some time has passed. Nothing may be
+/// sent on it.
+async fn stay_silent(context: &SharedContext, mut stream: TcpStream) {
     let mut buffer = [0; 64];
-    timeout(Duration::from_secs(4), connection.stream.read(&mut buffer)).await.ok();
+    if let Ok(Ok(read @ 1..)) = timeout(SILENT_DURATION, stream.read(&mut buffer)).await {
+        let text = String::from_utf8_lossy(&buffer[..read]).into_owned();
+        let violation = format!("lost: a client that has sent nothing received {text}");
+        context.observations.borrow_mut().violations.push((context.now(), violation));
+    }
 }
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -215,6 +215,7 @@
             client = client_id,
             open = open_set_ups,
             stand = active_sessions,
+            served = evidence == ViewerEvidence::Session,
             ?evidence,
             from = %connection.viewer_ip,
             why = ?reason,
