A server's start is identified by the time that discovery reports, not by one within 0.5 s

What callers saw: sessions at a server that restarted within half a second of its start were never released.

Cause: a start was taken for the one before if the two, converted to this process's clock, were less than 0.5 s apart, meant for the drift of the two clocks between reports of one start. So the sessions there were not earlier than the server's start, and nothing ended them.

Mend: the reported millisecond is kept with the row. The same millisecond is the same start, whose converted time stays; another one is another start.

Test: discovery::sessions_at_a_server_that_restarts_soon_after_its_start_are_released failed before (not released in time), passes.

--- a/crates/daemon/tests/node/discovery.rs
+++ b/crates/daemon/tests/node/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// How slow the discovery service is.
 struct SlowCase {
@@ -91,3 +92,32 @@
         assert_eq!(harness.servers[2].received(Kind::SetUp).len(), 8, "all set-ups go where nothing drains");
     });
 }
+
+/// The system's Unix clock in milliseconds.
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis() as u64
+}
+
+// A start within half a second of the one before was taken for the same start.
+#[test]
+fn sessions_at_a_server_that_restarts_soon_after_its_start_are_released() {
+    with_harness(Behavior::Plays, |harness| async move {
+        let publish_start = |number| {
+            let members = harness.servers.iter().enumerate().map(|(cell, server)| {
+                let mut member = member(server, cell, "ready");
+                member["up_since_ms"] = unix_ms().into();
+                member
+            });
+            harness.bus.publish(number, &event(number, false, &members.collect::<Vec<_>>()), 1);
+        };
+        publish_start(2);
+        sleep(ms(150)).await;
+        let (mut viewer, session_ref) = (harness.viewer().await, SessionRef(0x340));
+        assert!(viewer.write(&set_up_bytes(session_ref, "clip", 3500, "")).await);
+        assert_eq!(viewer.receive(ms(1000)).await.map(|reply| reply.kind), Some(Kind::Answer));
+        sleep(ms(50)).await;
+        publish_start(3);
+        let deadline = Instant::now() + ms(1050);
+        assert!(wait_for_release(&mut viewer, session_ref, deadline).await, "not released in time");
+    });
+}
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -20,6 +20,8 @@
     pub address: SocketAddr,
     /// The entry that the core gets.
     pub entry: ServerEntry,
+    /// Its start in milliseconds of the Unix clock, as reported, which identifies the start.
+    started_unix_ms: Option<u64>,
     /// Since when the server is gone.
     gone_since: Option<Duration>,
 }
@@ -34,6 +36,14 @@
     last_id: u32,
 }
 
+/// A member of a reported list that was parsed and is not stored yet.
+struct ParsedMember<'a> {
+    name: &'a str,
+    address: SocketAddr,
+    entry: ServerEntry,
+    started_unix_ms: Option<u64>,
+}
+
 /// Converts a start time from milliseconds of the Unix clock to the event loop's clock. Returns `None` if
 /// the start time was not reported (0).
 fn started_at(unix_ms: u64, unix_now: Duration, now: Duration) -> Option<Duration> {
@@ -70,27 +80,26 @@
         ServerId([a, b, c, d, 0, 0])
     }
 
-    /// Parses a member of the list and returns its name, address and entry. A field that is left out
-    /// keeps its previous value. Nothing is stored yet.
+    /// Parses a member of the list. A field that is left out keeps its previous value.
     ///
     /// # Errors
     /// Returns the name of the missing or invalid field.
     fn parse_member<'a>(
         &self, member: &'a Value, unix_now: Duration, now: Duration,
-    ) -> Result<(&'a str, SocketAddr, ServerEntry), &'static str> {
+    ) -> Result<ParsedMember<'a>, &'static str> {
         let name = member["id"].as_str().ok_or("id")?;
-        let previous =
-            self.ids.get(name).and_then(|id| self.rows.get(id)).map(|row| (row.address, row.entry));
+        let previous = self.ids.get(name).and_then(|id| self.rows.get(id));
         let position_of =
             |names: &[String], field: &str| names.iter().position(|name| member[field] == name.as_str());
-        let previous_entry = previous.map(|(_, entry)| entry);
+        let previous_entry = previous.map(|row| row.entry);
         let address = member["host_port"].as_str().and_then(|text| text.parse().ok());
-        let address: SocketAddr = address.or(previous.map(|known| known.0)).ok_or("host_port")?;
+        let address: SocketAddr = address.or(previous.map(|row| row.address)).ok_or("host_port")?;
         let zone = position_of(&self.zones, "locality").and_then(|zone| u8::try_from(zone).ok()).map(ZoneId);
         let kind = position_of(&self.kinds, "flavor").map(KindId);
         let cell = member["cell"].as_u64().and_then(|cell| u32::try_from(cell).ok());
         let weight = member["size"].as_f64().filter(|weight| *weight > 0.0);
-        let started_ms = member["up_since_ms"].as_u64();
+        let previous_unix_ms = previous.and_then(|row| row.started_unix_ms);
+        let started_unix_ms = member["up_since_ms"].as_u64().or(previous_unix_ms);
         let entry = ServerEntry {
             server: self.ids.get(name).copied().unwrap_or(ServerId([0; 6])),
             state: match member["phase"].as_str() {
@@ -101,38 +110,29 @@
             },
             // The same start may be converted to a slightly different time, because the two clocks drift.
             // Keep the first one.
-            started_at: match (started_ms, previous_entry) {
-                (Some(at), previous_entry) => {
-                    let started_at = started_at(at, unix_now, now);
-                    let same = |previous_entry: &ServerEntry| {
-                        previous_entry
-                            .started_at
-                            .zip(started_at)
-                            .is_some_and(|(a, b)| a.abs_diff(b) < Duration::from_millis(500))
-                    };
-                    previous_entry.filter(same).map_or(started_at, |previous_entry| previous_entry.started_at)
-                }
-                (None, previous_entry) => previous_entry.and_then(|previous_entry| previous_entry.started_at),
+            started_at: match previous_entry.filter(|_| started_unix_ms == previous_unix_ms) {
+                Some(previous_entry) => previous_entry.started_at,
+                None => started_unix_ms.and_then(|unix_ms| started_at(unix_ms, unix_now, now)),
             },
             weight: weight.or(previous_entry.map(|previous_entry| previous_entry.weight)).ok_or("size")?,
             zone: zone.or(previous_entry.map(|previous_entry| previous_entry.zone)).ok_or("locality")?,
             kind: kind.or(previous_entry.map(|previous_entry| previous_entry.kind)).ok_or("flavor")?,
             cell: cell.or(previous_entry.map(|previous_entry| previous_entry.cell)).ok_or("cell")?,
         };
-        Ok((name, address, entry))
+        Ok(ParsedMember { name, address, entry, started_unix_ms })
     }
 
     /// Stores a parsed member and returns its entry with the server's id.
-    fn store(
-        &mut self, now: Duration, (name, address, entry): (&str, SocketAddr, ServerEntry),
-    ) -> ServerEntry {
+    fn store(&mut self, now: Duration, member: ParsedMember) -> ServerEntry {
+        let ParsedMember { name, address, entry, started_unix_ms } = member;
         let server = self.ids.get(name).copied().unwrap_or_else(|| self.allocate_id());
         let entry = ServerEntry { server, ..entry };
         let gone_now = (entry.state == ServerState::Gone).then_some(now);
         let previous_gone_since = self.rows.get(&server).and_then(|row| row.gone_since);
         self.ids.insert(name.into(), server);
         let gone_since = gone_now.map(|now| previous_gone_since.unwrap_or(now));
-        self.rows.insert(server, ServerRow { name: name.into(), address, entry, gone_since });
+        self.rows
+            .insert(server, ServerRow { name: name.into(), address, entry, started_unix_ms, gone_since });
         entry
     }
 
@@ -190,7 +190,7 @@
                 return false;
             }
         };
-        let names: Vec<_> = parsed.iter().map(|(name, ..)| name.to_string()).collect();
+        let names: Vec<_> = parsed.iter().map(|member| member.name.to_string()).collect();
         let entries: Vec<_> = parsed.into_iter().map(|member| self.server_list.store(now, member)).collect();
         let complete = event["topology"]["complete"] == true;
         if complete {
