An end is heard on a connection that was opened to the server's address under another id

What callers saw: ends of sessions were released 3.3 to 3.9 s late at a server that had been replaced under a new id at its address.

Cause: whose a connection is was judged by the list's id at its opening. A connection to the id before may reach the process after, when it comes up between the two; the server takes it for any other of its open connections and reports ends on it, and handle_release dropped them, as the session is at another id. Each was heard only with the next fresh connection, 4 s later.

Mend: an end counts for the session that it names if the session's id has the address of the connection's.

Test: end_delivery::an_end_is_released_although_its_server_reports_it_on_a_connection_to_its_earlier_id failed before (not released in time), passes.

--- a/crates/daemon/tests/node/end_delivery.rs
+++ b/crates/daemon/tests/node/end_delivery.rs
@@ -157,3 +157,37 @@
         });
     }
 }
+
+// An end was ignored that a server reported on a connection which had been opened to its address under another id.
+#[test]
+fn an_end_is_released_although_its_server_reports_it_on_a_connection_to_its_earlier_id() {
+    with_harness(Behavior::Plays, |harness| async move {
+        let server = Server::start("s-earlier", Behavior::Plays).await.expect("a server");
+        harness.list_only("s-earlier", server.address).await;
+        let (mut viewer, sessions) = (harness.viewer().await, [SessionRef(0x350), SessionRef(0x351)]);
+        let set_up = async |viewer: &mut Viewer, session_ref| {
+            assert!(viewer.write(&set_up_bytes(session_ref, "clip", 3500, "")).await);
+            let deadline = Instant::now() + ms(1000);
+            while let Some(reply) = viewer.receive(deadline.saturating_duration_since(Instant::now())).await {
+                if (reply.kind, reply.session) == (Kind::Answer, session_ref) {
+                    return;
+                }
+            }
+            panic!("{session_ref:?} does not play");
+        };
+        set_up(&mut viewer, sessions[0]).await;
+        let member = |server_id: &str, phase: &str| {
+            let mut member = member(&server, 0, phase);
+            member["id"] = server_id.into();
+            member
+        };
+        let members = [member("s-earlier", "gone"), member("s-later", "ready")];
+        harness.bus.publish(3, &event(3, false, &members), 1);
+        sleep(ms(200)).await;
+        set_up(&mut viewer, sessions[1]).await;
+        assert_eq!(server.accepted_connection_count(), 2);
+        server.release(0, sessions[1], 16);
+        let deadline = Instant::now() + REPORTED_END_DEADLINE;
+        assert!(wait_for_release(&mut viewer, sessions[1], deadline).await, "not released in time");
+    });
+}
--- a/crates/node/src/server_list.rs
+++ b/crates/node/src/server_list.rs
@@ -155,6 +155,12 @@
         self.rows.values().any(shares_address)
     }
 
+    /// Whether two ids are the same or have the same address, so that the same process listens there.
+    pub fn share_address(&self, server: ServerId, other: ServerId) -> bool {
+        let address = |server| self.rows.get(&server).map(|row| row.address);
+        server == other || address(server).is_some_and(|known| address(other) == Some(known))
+    }
+
     /// The number of rows.
     pub fn count(&self) -> usize {
         self.rows.len()
--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -259,9 +259,13 @@
             return core.on_attempt_result(self, now, key.0, key.1, result, load);
         }
         core.on_load_report(now, server, load);
-        let is_active =
-            self.sessions.get(session_ref).is_some_and(|active_session| active_session.server == server);
-        if ![CAUSE_COMPLETED, CAUSE_CANCELLED, CAUSE_LOST].contains(&cause) && is_active {
+        // The connection may have been opened to the server's address under an earlier id.
+        let session_server = self.sessions.get(session_ref).map(|active_session| active_session.server);
+        let Some(server) = session_server.filter(|other| self.server_list.share_address(server, *other))
+        else {
+            return;
+        };
+        if ![CAUSE_COMPLETED, CAUSE_CANCELLED, CAUSE_LOST].contains(&cause) {
             // The server answered the set-up and then withdrew the answer with an unexpected cause. It
             // may still play the session, so it is released there too.
             self.release_session(server, session_ref);
