A mute server is found lost although set-ups there replace its connections

What callers saw: at a server that hung for 9.8 s, sessions that had ended were released 8.1 to 11.4 s after their end.

Cause: a server is lost when nothing came from it for 7.5 s and it was asked in vain; only an unanswered test and a failed connection counted as that. A set-up that runs out of time makes its connection suspect, which is replaced at once, so with set-ups coming no connection lived the 0.5 s that a test waits.

Manager 0's log: server 3 is last heard at 1.75 s; connections 10 to 77 are opened and retired as Suspect within 0.2 to 1.4 s each; one test is sent in five seconds; the sessions end with the server's recovery.

Mend: a connection that is retired as suspect counts as asked in vain. That alone ends nothing: 7.5 s without a sign are still needed, and a live server is heard at least each 6.4 s, as it is tested.

Test: half_open::sessions_at_a_mute_server_are_released_although_set_ups_there_run_out_of_time failed before (not released in time), passes; half_open 9 passed.

--- a/crates/daemon/tests/node/half_open.rs
+++ b/crates/daemon/tests/node/half_open.rs
@@ -288,3 +288,24 @@
         },
     );
 }
+
+// Set-ups that ran out of time replaced each connection before a test on it could go unanswered.
+#[test]
+fn sessions_at_a_mute_server_are_released_although_set_ups_there_run_out_of_time() {
+    with_proxied_server(one_set_up_on_a_connection, |path| async move {
+        let (mut viewer, session_ref) = (path.harness.viewer().await, SessionRef(0x280));
+        path.set_up(&mut viewer, session_ref).await;
+        path.server.set_accept_mode(AcceptMode::Mute);
+        let mut other_viewer = path.harness.viewer().await;
+        let set_ups = spawn_local(async move {
+            for number in 0..100 {
+                let bytes = set_up_bytes(SessionRef(0x1000 + number), "clip", 350, "");
+                assert!(other_viewer.write(&bytes).await);
+                sleep(ms(100)).await;
+            }
+        });
+        let deadline = Instant::now() + RELEASE_DEADLINE;
+        assert!(wait_for_release(&mut viewer, session_ref, deadline).await, "not released in time");
+        set_ups.abort();
+    });
+}
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -84,7 +84,7 @@
 struct LastContact {
     /// When anything last arrived from it; if nothing has, since when something is expected.
     heard_at: Duration,
-    /// Whether since then a test was not answered, or a connection failed.
+    /// Whether since then a test or a set-up was not answered, or a connection failed.
     asked_in_vain: bool,
 }
 
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -255,6 +255,10 @@
             why = ?reason,
             "connection retired"
         );
+        if reason == RetireReason::Suspect {
+            // A set-up or a test on it was not answered.
+            self.note_asked_in_vain(server);
+        }
         // Unless it may be dead, what the server reports on it is read until the server closes it, too.
         self.update_report_routes(now, server, link_id, reason != RetireReason::Suspect);
     }
--- a/crates/node/src/servers/liveness.rs
+++ b/crates/node/src/servers/liveness.rs
@@ -147,8 +147,8 @@
             })
     }
 
-    /// A server did not answer a test, or a connection to it failed.
-    fn note_asked_in_vain(&mut self, server: ServerId) {
+    /// A server did not answer a test or a set-up, or a connection to it failed.
+    pub(super) fn note_asked_in_vain(&mut self, server: ServerId) {
         self.servers.last_contacts.entry(server).and_modify(|contact| contact.asked_in_vain = true);
     }
 
