Soak: viewers that drop their connection come back for the sessions on it

Followed by the log of one: manager 0 was killed and its plain viewers went elsewhere; the viewer that drops its connections was the last one there and, as requests had ended, did not come back.

Now such a viewer keeps its sessions in mind, as after a reset, and drops its connection at 8.5 s for the last time, so that it connects and sends requests once more.

--- a/crates/lab/src/soak/viewer.rs
+++ b/crates/lab/src/soak/viewer.rs
@@ -29,6 +29,9 @@
 const CONNECT_AFTER_TERM_TIMEOUT: Duration = Duration::from_millis(400);
 /// A connection on which nothing was sent or received for this long is closed even with open requests.
 const OPEN_REQUEST_TIMEOUT: Duration = Duration::from_secs(9);
+/// Viewers with [`Habit::Drops`] keep their connection from this time on, so that they connect and send requests
+/// once more, and receive the ends of their sessions.
+const LAST_DROP_AT: Duration = Duration::from_millis(8500);
 /// Interval between heartbeats of viewers that have nothing else to send after a reset.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a client that sends nothing keeps its connection.
@@ -64,8 +67,8 @@
     rng: Pcg64Mcg,
     /// Requests to send again on the next connection, as the close of the last one may have crossed them.
     to_resend: Vec<SessionRef>,
-    /// Sessions that were active on the last connection when that was reset.
-    sessions_before_reset: ActiveSessions,
+    /// Sessions that were active on the last connection when that was reset or dropped.
+    carried_sessions: ActiveSessions,
 }
 
 /// Active sessions, with the time at which the viewer ends them, if it does.
@@ -81,6 +84,8 @@
     /// Unanswered requests, with the time at which their last byte was written.
     unanswered: BTreeMap<SessionRef, Instant>,
     sessions: ActiveSessions,
+    /// Whether a session was set up on it.
+    has_new_session: bool,
     /// Until when only heartbeats are sent on it, and when the next one is due.
     quiet_until: Instant,
     next_heartbeat_at: Instant,
@@ -109,7 +114,7 @@
             max_requests,
             rng,
             to_resend: vec![],
-            sessions_before_reset: ActiveSessions::new(),
+            carried_sessions: ActiveSessions::new(),
         }
     }
 
@@ -152,6 +157,7 @@
         observations.viewer_connections.push((self.manager, incarnation, now, None));
         Some(Connection {
             stream,
+            has_new_session: false,
             quiet_until,
             next_heartbeat_at: Instant::now(),
             reset,
@@ -159,7 +165,7 @@
             incarnation,
             record: observations.viewer_connections.len() - 1,
             unanswered: BTreeMap::new(),
-            sessions: std::mem::take(&mut self.sessions_before_reset),
+            sessions: std::mem::take(&mut self.carried_sessions),
             abandon_at: BTreeMap::new(),
             last_used_at: Instant::now(),
         })
@@ -176,6 +182,7 @@
         }
         loop {
             let is_quiet = Instant::now() < connection.quiet_until;
+            let may_drop = self.context.now() < LAST_DROP_AT;
             let may_request = self.context.now() < REQUESTS_END_AT && self.request_count < self.max_requests;
             let is_unused = connection.unanswered.is_empty() && connection.sessions.is_empty();
             if is_unused && (!may_request || connection.last_used_at.elapsed() >= IDLE_TIMEOUT) {
@@ -211,9 +218,11 @@
                         continue;
                     }
                     if self.habit == Habit::Drops
+                        && may_drop
+                        && connection.has_new_session
                         && connection.unanswered.is_empty()
-                        && !connection.sessions.is_empty()
                     {
+                        self.carried_sessions = connection.sessions;
                         return;
                     }
                     if may_request && Instant::now() >= next_request_at {
@@ -347,6 +356,7 @@
                 let answer_text = signal.description.as_deref().unwrap_or_default().to_vec();
                 viewing.answers.push((now, FinalAnswer::Served(answer_text)));
                 connection.unanswered.remove(&viewing_id);
+                connection.has_new_session = true;
                 let ends_session = self.rng.random_bool(0.3);
                 let after = Duration::from_millis(self.rng.random_range(100..2500));
                 connection.sessions.insert(viewing_id, ends_session.then(|| Instant::now() + after));
@@ -424,7 +434,7 @@
     /// Resets the connection and gives up its unanswered requests. The sessions continue.
     fn reset(&mut self, connection: Connection) {
         connection.stream.set_zero_linger().ok();
-        self.sessions_before_reset = connection.sessions;
+        self.carried_sessions = connection.sessions;
         let now = self.context.now();
         let mut observations = self.context.observations.borrow_mut();
         for viewing_id in connection.unanswered.keys() {
