Logs: signals, stalls of the process, and what a shutdown finds

What could not be told from the log: which signals came and how often, that the process had stood still and for how long, how long a set-up may have lain unread, how many connections and sessions a shutdown found when it answered what waited, and that a session was released because its viewer's connection ended with its answer. Each has a line now. Nothing else changes.

--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -55,6 +55,8 @@
     /// notice or the end of a session.
     pub fn is_catching_up(&mut self, now: Duration) -> bool {
         if self.deferred_set_ups.is_none() && now > self.last_sweep_at + STALL_THRESHOLD {
+            let stalled_for = now.saturating_sub(self.last_sweep_at);
+            tracing::info!(?stalled_for, "the process stood still; what arrived meanwhile is read first");
             self.deferred_set_ups = Some(vec![]);
             let events = self.events.clone();
             spawn_local(async move {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -145,7 +145,10 @@
             }
         };
         tokio::select! {
-            _ = hangup.recv() => reread_at = Some(Instant::now()),
+            _ = hangup.recv() => {
+                tracing::info!("SIGHUP received; the configuration is read again");
+                reread_at = Some(Instant::now());
+            }
             () = reread_due => {
                 let new_address = config::read(file).and_then(|changed| config::address(file, &changed, "bus"));
                 // Reads the file again later if it was half written, or if no file descriptor was free to
@@ -161,8 +164,8 @@
                     }
                 }
             }
-            _ = terminate.recv() => shutdown.begin(),
-            _ = interrupt.recv() => shutdown.begin(),
+            _ = terminate.recv() => shutdown.begin("SIGTERM"),
+            _ = interrupt.recv() => shutdown.begin("SIGINT"),
             () = shutdown.finished() => break,
         }
     }
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -48,9 +48,14 @@
     }
 
     /// Starts the shutdown. Further calls change nothing.
-    pub fn begin(&self) {
-        tracing::info!("stop requested; new requests are still answered");
-        self.requested_at.set(self.requested_at.get().or(Some(Instant::now())));
+    pub fn begin(&self, signal_name: &str) {
+        let earlier = self.requested_at.get();
+        tracing::info!(
+            signal_name,
+            since_first = ?earlier.map(|requested_at| requested_at.elapsed()),
+            "stop requested; new requests are still answered"
+        );
+        self.requested_at.set(earlier.or(Some(Instant::now())));
     }
 
     /// Waits until the shutdown is finished.
@@ -64,7 +69,13 @@
             return;
         };
         if elapsed >= self.answer_pending_after && !self.pending_answered.replace(true) {
-            tracing::info!(waiting = core.pending_count(), "answering pending set-ups before the kill");
+            tracing::info!(
+                waiting = core.pending_count(),
+                ?elapsed,
+                connections = host.viewers.connection_count(),
+                sessions = host.sessions.count(),
+                "answering pending set-ups before the kill"
+            );
             core.stop(host, now);
         }
         if elapsed < REQUEST_GRACE_PERIOD || !host.has_no_work(core) || !host.viewers_are_drained(core, now) {
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// The number of viewer connections.
+    pub fn connection_count(&self) -> usize {
+        self.connections.len()
+    }
+
     /// The maximum number of viewer connections.
     pub fn connection_limit(&self) -> usize {
         self.limits.connection_limit()
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -126,6 +126,8 @@
             of = format!("{:016x}", session_ref.0),
             left = ?time_left,
             package = set_up.package,
+            client = client_id,
+            unread_for_at_most = ?now.saturating_sub(self.last_sweep_at),
             "set-up requested"
         );
         self.viewers.pending.insert(session_ref, set_up);
@@ -230,6 +232,12 @@
                     // If the answer could not be written, or the viewer disconnected before it, nobody
                     // watches this session.
                     if !written || host.has_disconnected(core, now, set_up.client_id) {
+                        tracing::debug!(
+                            of = format!("{:016x}", session_ref.0),
+                            client = set_up.client_id,
+                            written,
+                            "the viewer's connection ended with its answer; the session is released"
+                        );
                         let reason = ViewerCloseReason::AnswerNotWritten;
                         host.close_viewer_connection(core, now, set_up.client_id, reason);
                         return host.end_by_viewer(core, now, set_up.client_id, session_ref);
