Tests: a closed connection is closed on the wire, whatever programs other tests start

Cause: a fault of the tests. A child process holds copies of all descriptors from its fork to its exec. A connection or listener that one test drops meanwhile stays open on the wire until the program that another test starts runs.

Mend: the stand-in of a viewer shuts its connection down when it is dropped, which acts on the connection and not on the descriptor; the holder of the address doesn't listen. What the tests ask of the program is unchanged.

--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -786,15 +786,17 @@
 #[test]
 fn a_start_waits_for_its_address_to_be_free() {
     with_harness(Behavior::Plays, |harness| async move {
-        let address_holder = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        // It doesn't listen: a child process that is just being started would hold a copy of the listener.
+        let address_holder = TcpSocket::new_v4().expect("a socket");
+        address_holder.bind(own_address()).expect("a free address");
+        let address = address_holder.local_addr().expect("its address");
         let mut config = harness.config.clone();
-        config["listen"] = address_holder.local_addr().expect("its address").to_string().into();
+        config["listen"] = address.to_string().into();
         let config_file = harness.file.with_extension("held");
         fs::write(&config_file, config.to_string()).expect("written");
         let mut program = start_program(&config_file, &config);
         sleep(ms(300)).await;
         assert!(program.try_wait().expect("its status").is_none(), "the program waits for its address");
-        let address = address_holder.local_addr().expect("its address");
         drop(address_holder);
         let deadline = Instant::now() + ms(3000);
         let mut viewer = loop {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,10 +7,11 @@
 use ivyward_signal::line::{self, Lines};
 use ivyward_signal::{Field, Kind, SessionRef, Signal};
 use serde_json::Value;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr};
 use std::process;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -538,12 +539,14 @@
     format!("id: {number}\ndata: {event}\n\n")
 }
 
-/// A viewer's connection.
+/// A viewer's connection. When it is dropped, its end reaches the other side at once.
 pub struct Viewer {
     stream: TcpStream,
     lines: Lines,
     /// Complete lines received and not yet returned.
     received_lines: VecDeque<Vec<u8>>,
+    /// Whether its end is a reset.
+    is_reset: bool,
 }
 
 impl Viewer {
@@ -555,12 +558,12 @@
         let stream = TcpStream::connect(address).await?;
         // Without a delay, a second message arrives as soon as the first.
         stream.set_nodelay(true)?;
-        Ok(Viewer { stream, lines: Lines::default(), received_lines: VecDeque::new() })
+        Ok(Viewer { stream, lines: Lines::default(), received_lines: VecDeque::new(), is_reset: false })
     }
 
     /// Resets the connection.
-    pub fn reset(self) {
-        self.stream.set_zero_linger().ok();
+    pub fn reset(mut self) {
+        self.is_reset = self.stream.set_zero_linger().is_ok();
     }
 
     /// Writes bytes as they are and returns whether this succeeded.
@@ -599,3 +602,13 @@
         timeout(max_wait, reads_to_end).await.is_ok()
     }
 }
+
+impl Drop for Viewer {
+    /// A child process that is just being started holds a copy of the descriptor, which would keep the connection
+    /// open until its program runs.
+    fn drop(&mut self) {
+        if !self.is_reset {
+            SockRef::from(&self.stream).shutdown(Shutdown::Both).ok();
+        }
+    }
+}
