A session goes on when its viewer's connection ends right behind the answer

Cause: deliver_answer read the viewer's socket once more after the answer was written. A close that it found there was taken for one that came before the answer; so the session was released at its server as one that nobody watches. A close a moment later was read elsewhere and did nothing to the session, as the protocol has it: what stands belongs to no connection.

Mend: the viewer's socket is read before the answer is handled. A viewer that has left by then abandons its set-up, which releases it at the server as for any other abandoned set-up. Once the answer is written, the session goes on whatever becomes of the connection; only an answer that can't be written ends it.

Not covered: a close that crosses the answer on the network. The session then plays to its end for nobody, as before.

--- a/crates/node/src/servers/messages.rs
+++ b/crates/node/src/servers/messages.rs
@@ -214,6 +214,8 @@
         signal: &Signal, load: LoadReport,
     ) -> Result<(), String> {
         let session_ref = signal.session;
+        // A viewer that has left before the answer abandons its set-up here.
+        self.check_viewer_socket(core, now, session_ref);
         let Some(link) = self.servers.links.get_mut(&link_id) else { return Ok(()) };
         // A duplicate answer, or one to an abandoned set-up, is ignored.
         let Some(key) = link.open_set_ups.get(&session_ref).copied() else {
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -266,13 +266,6 @@
         !more
     }
 
-    /// Whether a viewer's connection is closed, according to all input that its socket holds.
-    fn has_disconnected(&mut self, core: &mut SessionCore, now: Duration, client_id: u64) -> bool {
-        let Some(connection) = self.viewers.connections.get(&client_id) else { return true };
-        let input = read_available(&connection.stream);
-        !self.handle_viewer_input(core, now, client_id, input)
-    }
-
     /// Handles the result of a read. Returns whether the connection still exists.
     fn handle_viewer_input(
         &mut self, core: &mut SessionCore, now: Duration, client_id: u64, input: ReadResult,
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -229,14 +229,13 @@
                 }
                 let written = self.viewers.write_line(set_up.client_id, line);
                 self.events.send(move |core, host, now| {
-                    // If the answer could not be written, or the viewer disconnected before it, nobody
-                    // watches this session.
-                    if !written || host.has_disconnected(core, now, set_up.client_id) {
+                    // Nobody watches a session whose answer could not be written. Once it is written, the session
+                    // goes on without its connection.
+                    if !written {
                         tracing::debug!(
                             of = format!("{:016x}", session_ref.0),
                             client = set_up.client_id,
-                            written,
-                            "the viewer's connection ended with its answer; the session is released"
+                            "the answer can't be written to the viewer; the session is released"
                         );
                         let reason = ViewerCloseReason::AnswerNotWritten;
                         host.close_viewer_connection(core, now, set_up.client_id, reason);
