Tests that fail: requests left at the SIGKILL after a shutdown, and late ones after a stall

A: clients go on using their connections after SIGTERM, until these are closed.

B: a request with 1 s of patience is written while the process is stopped for 0.8 s; servers don't answer. It is answered after 1.8 s, and lost after 1.5 s.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -32,6 +32,8 @@
 mod half_open;
 #[path = "node/link_limit.rs"]
 mod link_limit;
+#[path = "node/lost_requests.rs"]
+mod lost_requests;
 #[path = "node/outage.rs"]
 mod outage;
 #[path = "node/races.rs"]
