A manager closes its viewers' connections and its listener before it may be killed

Cause: from 0.3 s before the earliest SIGKILL on, requests were refused at once, but the connections stayed open to the end. The end of a manager had no state in which it takes nothing: whatever is written in the last moment lies unread in a socket of a process that is killed. Class: an end that is a moment and not a state.

Mend: what waits is answered 0.3 s before the kill, as before. 0.1 s before it, each viewers' connection is read dry, answered and closed for writing in one event; a set-up that crosses the close is sent again elsewhere, as the protocol has it. 0.05 s before it the listener is closed. Sessions play on; if the kill is 0.3 s late, the process ends by itself, since no viewer is connected any more to be told of an end.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,7 +26,7 @@
 use serde_json::Value;
 use server_list::ServerList;
 use servers::Servers;
-use shutdown::Shutdown;
+use shutdown::{Listening, Shutdown};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -120,14 +120,15 @@
     let listener = bind_listener(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     tracing::info!(%listen, bus = %discovery_address, offset, servers = host.server_list.count(), "ready");
     let (listener, slots) = (Rc::new(listener), Arc::new(Semaphore::new(host.viewers.connection_limit())));
-    spawn_local(viewers::accept(listener.clone(), events.clone(), slots.clone()));
+    let accept_task = spawn_local(viewers::accept(listener.clone(), events.clone(), slots.clone()));
+    let listening = Listening { listener, accept_task: accept_task.abort_handle(), slots };
     let (address_sender, address_receiver) = watch::channel(discovery_address);
     spawn_local(discovery::follow(events.clone(), address_receiver, offset, seed));
-    let shutdown = Rc::new(Shutdown::new(longest_patience, listener, slots));
+    let shutdown = Rc::new(Shutdown::new(longest_patience, listening));
     let (sweep_events, sweep_shutdown) = (events.clone(), shutdown.clone());
     spawn_local(async move {
         loop {
-            sleep(SWEEP_INTERVAL).await;
+            sleep(sweep_shutdown.sweep_interval()).await;
             let shutdown = sweep_shutdown.clone();
             sweep_events.send(move |core, host, now| {
                 host.sweep(core, now, cold_time * FORGET_AFTER_COLD_FACTOR);
@@ -169,7 +170,7 @@
             () = shutdown.finished() => break,
         }
     }
-    tracing::info!("no work is left; the manager ends");
+    tracing::info!("the manager ends");
     Ok(())
 }
 
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -15,7 +15,7 @@
 use ivyward_signal::{Kind, SessionRef};
 use socket2::SockRef;
 use std::collections::{BTreeMap, VecDeque};
-use std::net::IpAddr;
+use std::net::{IpAddr, Shutdown};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +37,8 @@
     ClosedHere,
     /// The answer to a set-up could not be written on it.
     AnswerNotWritten,
+    /// The process is about to end.
+    ShuttingDown,
 }
 
 /// A viewer's connection.
@@ -358,6 +360,25 @@
             && self.viewers.connections.values().all(all_written)
     }
 
+    /// Closes all viewer connections on which nothing is left to read, answer or write.
+    ///
+    /// All input is read before. What arrives later crosses the close, and the viewer sends it again
+    /// elsewhere.
+    pub fn close_drained_connections(&mut self, core: &mut SessionCore, now: Duration) {
+        for client_id in self.viewers.connections.keys().copied().collect::<Vec<_>>() {
+            let Some(connection) = self.viewers.connections.get(&client_id) else { continue };
+            let input = read_available(&connection.stream);
+            let more = matches!(input, ReadResult::MaybeMore(_));
+            self.handle_viewer_input(core, now, client_id, input);
+            let Some(connection) = self.viewers.connections.get(&client_id) else { continue };
+            if more || connection.state.open_set_ups > 0 || connection.writer.unsent_bytes() > 0 {
+                continue;
+            }
+            SockRef::from(&*connection.stream).shutdown(Shutdown::Write).ok();
+            self.close_viewer_connection(core, now, client_id, ViewerCloseReason::ShuttingDown);
+        }
+    }
+
     /// Closes connections that are not needed and retries undelivered ends.
     pub fn sweep_viewers(&mut self, now: Duration) {
         self.deliver_waiting_ends(now);
