The patience of a request that lay unread while the process stood still counts from its arrival

Cause: a set-up says how long its viewer waits from when it sent it. The manager counted that from when it read it. Class: a time limit that the other end began is begun anew here.

That is at most 0.1 s too much, so that the answer comes early rather than late. A start that waits for its address to be free is no such stall.

Related: delays of up to 0.2 s, and requests in the listener's queue while silent clients hold all places, still count from the read; both stay under the 0.5 s at which a late answer is lost, the second by reckoning only (some 1,100 silent connections a second with 256 descriptors).

--- a/crates/node/src/host.rs
+++ b/crates/node/src/host.rs
@@ -70,6 +70,13 @@
         }
         self.deferred_set_ups.is_some()
     }
+
+    /// How long a message that is read now may have been unread, if the process has just stalled.
+    ///
+    /// Time limits that a message states began when it was sent.
+    pub fn unread_for_at_most(&mut self, now: Duration) -> Duration {
+        if self.is_catching_up(now) { now.saturating_sub(self.last_sweep_at) } else { Duration::ZERO }
+    }
 }
 
 impl ivyward_event_loop::Host for NodeHost {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -118,6 +118,8 @@
     // If any part of the initial list is unreadable, the whole list is requested (offset 0).
     let offset = if all_read { offset } else { 0 };
     let listener = bind_listener(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    // Waiting for the address is no stall.
+    host.last_sweep_at = clock.now();
     tracing::info!(%listen, bus = %discovery_address, offset, servers = host.server_list.count(), "ready");
     let (listener, slots) = (Rc::new(listener), Arc::new(Semaphore::new(host.viewers.connection_limit())));
     let accept_task = spawn_local(viewers::accept(listener.clone(), events.clone(), slots.clone()));
--- a/crates/node/src/viewers/set_ups.rs
+++ b/crates/node/src/viewers/set_ups.rs
@@ -121,13 +121,16 @@
         let (package, title, top) = self.target(signal);
         let cells = |name| signal.extra(name).and_then(|text| text.parse().ok()).unwrap_or_default();
         let request_details = (package, title, Cells { first: cells("home"), spread: cells("copies") }, top);
-        let time_left = Duration::from_millis(signal.integer(Field::TimeLeft).unwrap_or_default());
+        // The viewer's patience began when it sent the request, not when that is read.
+        let unread_for_at_most = self.unread_for_at_most(now);
+        let time_left = Duration::from_millis(signal.integer(Field::TimeLeft).unwrap_or_default())
+            .saturating_sub(unread_for_at_most);
         tracing::debug!(
             of = format!("{:016x}", session_ref.0),
             left = ?time_left,
             package = set_up.package,
             client = client_id,
-            unread_for_at_most = ?now.saturating_sub(self.last_sweep_at),
+            ?unread_for_at_most,
             "set-up requested"
         );
         self.viewers.pending.insert(session_ref, set_up);
