--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -38,6 +38,8 @@
 mod outage;
 #[path = "node/races.rs"]
 mod races;
+#[path = "node/refused_connection.rs"]
+mod refused_connection;
 
 const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=video \u{e4}\"\\ 0\r\n";
 /// How many servers the stand-in platform has; each holds all titles.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -68,12 +68,16 @@
     Mute,
     /// Serves open connections; new ones are never established.
     OnlyOpen,
+    /// Closes the listener and serves open connections.
+    RefuseNew,
+    /// Closes the listener, and neither reads nor writes on open connections.
+    RefuseNewAndMute,
 }
 
 impl AcceptMode {
     /// Whether open connections are neither read nor written.
     fn suspends_open_connections(self) -> bool {
-        matches!(self, AcceptMode::Silent | AcceptMode::Mute)
+        matches!(self, AcceptMode::Silent | AcceptMode::Mute | AcceptMode::RefuseNewAndMute)
     }
 }
 
@@ -211,7 +215,7 @@
                         },
                     }
                 },
-                AcceptMode::Refuse => {
+                AcceptMode::Refuse | AcceptMode::RefuseNew | AcceptMode::RefuseNewAndMute => {
                     drop(listener);
                     mode_changed.changed().await.ok();
                     listener = listen(self.address, BACKLOG_CONNECTION_COUNT).await;
