A refused connection ends a server's sessions only if no open connection shows it alive

Cause: on_connect_failed took a refusal for the end of the process, whatever other connections stood. A refusal proves that nothing ran on that connection, no more. Class: what is known of one connection is taken for the server's process.

Mend: where another connection is open, it is tested, and the test decides (servers/refusals.rs). If anything arrives on a connection that was open at the refusal, the server is alive and nothing ends. If all of these are lost, or nothing arrives within two connect timeouts, what was active at the refusal is over towards its viewers and is released at the server, too. With no open connection a refusal is believed at once, as before; of draining servers it is not, as before.

--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -173,6 +173,14 @@
         now >= heard_at + MUTE_TIMEOUT
     }
 
+    /// Whether a refused connection proves by now that the server's process has ended, given that none of the
+    /// connections that were open at `refused_at` has received anything since, although all were tested.
+    ///
+    /// A live server may refuse a connection, too: when it holds all that it accepts.
+    pub fn is_refusal_proof(&self, now: Duration, refused_at: Duration) -> bool {
+        now >= refused_at + self.connect_timeout * TEST_TIMEOUT_FACTOR
+    }
+
     /// Whether a server that was unreachable for this long is lost.
     pub fn is_server_lost(&self, unreachable_for: Duration) -> bool {
         unreachable_for >= self.connect_timeout * LOST_FACTOR
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod liveness;
 mod messages;
+mod refusals;
 mod report_routes;
 mod sessions;
 
@@ -102,6 +103,9 @@
     /// Sessions to be released at servers that could not be reached, with the times of the requests.
     pending_releases: BTreeMap<ServerId, BTreeMap<SessionRef, Duration>>,
     unreachable: BTreeMap<ServerId, Unreachable>,
+    /// Servers that refused a connection while another one to them was open, and when they first did. Whether
+    /// their processes are alive is being tested on the open ones.
+    doubtful_refusals: BTreeMap<ServerId, Duration>,
     /// When each server that should send something was last heard.
     last_contacts: BTreeMap<ServerId, LastContact>,
     /// Servers with sessions or pending releases that wait for a connection to be established, and since
@@ -130,6 +134,7 @@
             attempts: BTreeMap::new(),
             pending_releases: BTreeMap::new(),
             unreachable: BTreeMap::new(),
+            doubtful_refusals: BTreeMap::new(),
             last_contacts: BTreeMap::new(),
             waiting_for_link: BTreeMap::new(),
             reconnect_required: BTreeMap::new(),
--- a/crates/node/src/servers/connections.rs
+++ b/crates/node/src/servers/connections.rs
@@ -159,7 +159,7 @@
     }
 
     /// A connection could not be established, so nothing that waited for it ran. If the server refused
-    /// it, its process has ended, and so have its sessions.
+    /// it and no other one is open, its process has ended, and so have its sessions.
     pub(super) fn on_connect_failed(
         &mut self, core: &mut SessionCore, now: Duration, link_id: u64, error: &io::Error,
     ) {
@@ -190,7 +190,10 @@
             .links_to(server)
             .any(|(_, link)| link.established && link.upstream.last_received_at > since);
         let lost = !received_since && self.servers.policy.is_server_lost(now.saturating_sub(since));
-        if refused && self.server_list.state_of(server) != ServerState::Draining || lost {
+        let refused = refused && self.server_list.state_of(server) != ServerState::Draining;
+        if refused && !lost && self.is_refusal_doubtful(server) {
+            self.doubt_refusal(now, server);
+        } else if refused || lost {
             self.servers.pending_releases.remove(&server);
             self.servers.unreachable.remove(&server);
             self.lose_all_sessions(core, now, server);
--- a/crates/node/src/servers/liveness.rs
+++ b/crates/node/src/servers/liveness.rs
@@ -30,6 +30,7 @@
                 && policy.is_recent_failure(now, (unreachable.since, unreachable.last_tried_at))
         });
         self.servers.last_contacts.retain(|server, _| server_list.row(*server).is_some());
+        self.servers.doubtful_refusals.retain(|server, _| self.sessions.any_at_server(*server));
         self.ensure_links(now);
     }
 
@@ -60,6 +61,7 @@
         for link_id in links {
             self.sweep_link(core, now, (link_id, server), last_received_at, &mut live_links);
         }
+        self.settle_refusal(core, now, server);
         if self.is_server_mute(now, server) {
             return self.lose_mute_server(core, now, server);
         }
@@ -120,14 +122,24 @@
         let reports_ends = self.sessions.any_set_up_on_link(server, link_id);
         let heard_at = if reports_ends { link.upstream.last_received_at } else { last_received_at };
         if has_sessions && self.servers.policy.needs_test(now, heard_at, &link.upstream) {
-            link.upstream.test_sent_at = Some(now);
-            let session_ref = SessionRef(self.servers.rng.random());
-            self.servers.write_to_link(
-                link_id,
-                binary::write(Kind::Heartbeat, session_ref, &[], Some(HEARTBEAT_ONLY), None),
-            );
-            tracing::debug!(server = self.server_name(server), connection = link_id, "test sent");
+            self.test_link(now, link_id);
+        }
+    }
+
+    /// Tests a connection, unless a test on it has no reply yet.
+    pub(super) fn test_link(&mut self, now: Duration, link_id: u64) {
+        let Some(link) = self.servers.links.get_mut(&link_id) else { return };
+        if link.upstream.test_sent_at.is_some() {
+            return;
         }
+        link.upstream.test_sent_at = Some(now);
+        let server = link.server;
+        let session_ref = SessionRef(self.servers.rng.random());
+        self.servers.write_to_link(
+            link_id,
+            binary::write(Kind::Heartbeat, session_ref, &[], Some(HEARTBEAT_ONLY), None),
+        );
+        tracing::debug!(server = self.server_name(server), connection = link_id, "test sent");
     }
 
     /// Whether a server with sessions sends nothing on any connection, and none is being established.
