--- a/crates/lab/src/soak/fault_injector.rs
+++ b/crates/lab/src/soak/fault_injector.rs
@@ -106,6 +106,7 @@
             | Fault::Vanish { server, .. }
             | Fault::SlowConnects { server, .. }
             | Fault::ClosesAtOnce { server, .. }
+            | Fault::RefusesNew { server, .. }
             | Fault::Drain { server, .. } => {
                 if self.busy_servers.borrow_mut().insert(server) {
                     self.inject_server_fault(server, fault).await;
@@ -165,17 +166,25 @@
                 }
             }
             Fault::Shutdown { manager, hangup } => {
-                if self.processes[manager].begin_ending() {
+                if self.processes[manager].reserve() {
                     self.processes[manager].shut_down(hangup).await;
                     self.start_manager(manager).await;
                 }
             }
             Fault::Kill { manager } => {
-                if self.processes[manager].begin_ending() {
+                if self.processes[manager].reserve() {
                     self.processes[manager].kill_process().await;
                     self.start_manager(manager).await;
                 }
             }
+            Fault::SignalSeries { manager } => self.processes[manager].repeat_signals().await,
+            Fault::Stop { manager, span } => {
+                if self.processes[manager].reserve() {
+                    let servers = 0..self.servers.len();
+                    servers.for_each(|server| self.record_disruption(Some(manager), server, span));
+                    self.processes[manager].stop_for(span).await;
+                }
+            }
             Fault::Crowd { clients } => self.start_viewer_burst(clients).await,
             Fault::ResetViewers { manager, span, silent_clients } => {
                 let quiet_until = Instant::now() + span;
@@ -230,6 +239,11 @@
                 sleep(span).await;
                 stand_in.set_listening(Listening::Accepting);
             }
+            Fault::RefusesNew { span, .. } => {
+                stand_in.set_listening(Listening::Refusing);
+                sleep(span).await;
+                stand_in.set_listening(Listening::Accepting);
+            }
             Fault::Drain { span, .. } => {
                 self.publish_phase(server, "draining");
                 sleep(span).await;
--- a/crates/lab/src/soak/observations.rs
+++ b/crates/lab/src/soak/observations.rs
@@ -141,6 +141,8 @@
     /// Periods in which a server's sockets were not read, so the times of writes are unknown: server, from
     /// and to.
     pub unread_periods: Vec<(usize, Duration, Duration)>,
+    /// Periods in which a manager's process was stopped: manager, from and to.
+    pub manager_stops: Vec<(usize, Duration, Duration)>,
     /// Connections of viewers: manager, incarnation, from and to.
     pub viewer_connections: Vec<(usize, usize, Duration, Option<Duration>)>,
     /// Viewers that sent invalid bytes: when each connected, and when it was answered or disconnected.
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -126,6 +126,12 @@
     /// All viewers' connections to a manager are reset. Viewers connect again at once and only send heartbeats
     /// for `span`; meanwhile this many clients a second connect and send nothing.
     ResetViewers { manager: usize, span: Duration, silent_clients: u32 },
+    /// A manager that is shutting down gets SIGHUP and SIGTERM again, several times.
+    SignalSeries { manager: usize },
+    /// A manager's process is stopped with SIGSTOP for `span`.
+    Stop { manager: usize, span: Duration },
+    /// A server refuses new connections for `span` and goes on serving the open ones.
+    RefusesNew { server: usize, span: Duration },
 }
 
 /// How a viewer behaves.
@@ -149,6 +155,8 @@
     Drops,
     /// Sends long descriptions.
     Bulky,
+    /// Sends one request after another, some milliseconds apart, while its manager shuts down.
+    Busy,
 }
 
 /// The plan of a trial.
@@ -284,9 +292,56 @@
         }
         self.draw_lasting_faults(rng);
         self.draw_viewer_resets(rng);
+        self.draw_shutdown_load(rng);
+        self.draw_stops_and_refusals(rng);
         self.faults.sort_by_key(|(at, _)| *at);
     }
 
+    /// Draws what happens while managers shut down: clients that keep using their connections until these are
+    /// closed, further signals, and a crowd of new connections.
+    fn draw_shutdown_load(&mut self, rng: &mut Pcg64Mcg) {
+        for manager in 0..self.managers {
+            let busy_count = rng.random_range(0..=2);
+            self.clients.extend((0..busy_count).map(|_| (manager, Habit::Busy)));
+        }
+        let shutdowns: Vec<_> = self
+            .faults
+            .iter()
+            .filter_map(|(at, fault)| match fault {
+                Fault::Shutdown { manager, .. } => Some((*at, *manager)),
+                _ => None,
+            })
+            .collect();
+        for (at, manager) in &shutdowns {
+            if rng.random_bool(0.4) {
+                self.faults
+                    .push((*at + draw_millis(rng, 10, 500), Fault::SignalSeries { manager: *manager }));
+            }
+        }
+        if let Some((at, _)) = shutdowns.first()
+            && rng.random_bool(0.4)
+        {
+            self.faults.push((*at, Fault::Crowd { clients: rng.random_range(20..=80) }));
+        }
+    }
+
+    /// Draws managers that stand still, and servers that refuse further connections.
+    fn draw_stops_and_refusals(&mut self, rng: &mut Pcg64Mcg) {
+        let (from, until) = (FAULTS_START_AT.as_millis() as u64, FAULTS_END_AT.as_millis() as u64);
+        let stop_count = rng.random_range(0..=3);
+        for _ in 0..stop_count {
+            let manager = rng.random_range(0..self.managers);
+            let fault = Fault::Stop { manager, span: draw_millis(rng, 250, 900) };
+            self.faults.push((draw_millis(rng, from, until), fault));
+        }
+        let refusal_count = rng.random_range(0..=2);
+        for _ in 0..refusal_count {
+            let server = rng.random_range(0..self.servers);
+            let fault = Fault::RefusesNew { server, span: draw_millis(rng, 200, 3000) };
+            self.faults.push((draw_millis(rng, from, until), fault));
+        }
+    }
+
     /// Draws faults whose effects last longer than the time within which an end must be released.
     fn draw_lasting_faults(&mut self, rng: &mut Pcg64Mcg) {
         let half_open_count = rng.random_range(0..=4);
