--- a/crates/lab/src/soak/server.rs
+++ b/crates/lab/src/soak/server.rs
@@ -75,6 +75,8 @@
 /// A connection from a manager.
 struct Connection {
     manager: usize,
+    /// The incarnation of the manager that opened it.
+    incarnation: usize,
     output: mpsc::UnboundedSender<Output>,
     is_alive: bool,
     /// An answer on it was malformed or truncated. The server ignores further set-ups on it, and what it sends
@@ -202,8 +204,14 @@
         let (output, to_write) = mpsc::unbounded_channel();
         let mut state = self.state.borrow_mut();
         let (connection_index, generation) = (state.connections.len(), state.generation);
-        let connection =
-            Connection { manager, output, is_alive: true, is_unusable: false, is_half_open: false };
+        let connection = Connection {
+            manager,
+            incarnation: self.context.current_incarnation(manager),
+            output,
+            is_alive: true,
+            is_unusable: false,
+            is_half_open: false,
+        };
         state.connections.push(connection);
         let ends = state.ends_to_repeat.remove(&manager).unwrap_or_default();
         drop(state);
@@ -281,7 +289,7 @@
         (first_byte_at, last_byte_at): (Duration, Duration),
     ) -> Option<usize> {
         let signal = binary::read(bytes).ok()?;
-        let incarnation = self.context.current_incarnation(manager);
+        let incarnation = self.state.borrow().connections[connection].incarnation;
         let mut observations = self.context.observations.borrow_mut();
         match signal.kind {
             Kind::SetUp => {
