--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -40,6 +40,8 @@
 mod races;
 #[path = "node/refused_connection.rs"]
 mod refused_connection;
+#[path = "node/shutdown.rs"]
+mod shutdown;
 
 const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=video \u{e4}\"\\ 0\r\n";
 /// How many servers the stand-in platform has; each holds all titles.
@@ -81,6 +83,12 @@
         "cell": cell, "phase": phase, "size": 4, "up_since_ms": 0})
 }
 
+/// A server's entry in an update of the list, for a server that is no stand-in of the harness.
+fn list_row(server_id: &str, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": server_id, "host_port": address.to_string(), "locality": "east", "flavor": "std", "cell": 0,
+        "phase": phase, "size": 4, "up_since_ms": 0})
+}
+
 /// An update of the server list, as the bus sends it.
 fn event(offset: u64, complete: bool, members: &[Value]) -> Value {
     json!({"offset": offset, "topology": {"revision": offset, "complete": complete, "members": members}})
@@ -629,37 +637,6 @@
     });
 }
 
-#[test]
-fn after_a_shutdown_signal_late_requests_are_answered_before_the_program_ends() {
-    with_harness(Behavior::Ignores, |mut harness| async move {
-        let mut viewer = harness.viewer().await;
-        assert!(viewer.write(&set_up_bytes(SessionRef(0x400), "ticket", 2000, "")).await);
-        wait_until("a set-up", || harness.signal_count(Kind::SetUp) == 1).await;
-        harness.send_unix_signal("-TERM");
-        sleep(ms(300)).await;
-        let mut late_viewer = harness.viewer().await;
-        assert!(late_viewer.write(&set_up_bytes(SessionRef(0x401), "ticket", 1500, "")).await);
-        sleep(ms(300)).await;
-        assert!(late_viewer.write(&set_up_bytes(SessionRef(0x402), "ticket", 1500, "")).await);
-        let mut answered_sessions = vec![];
-        for viewer in [&mut viewer, &mut late_viewer] {
-            while let Some(reply) = viewer.receive(ms(2500)).await {
-                answered_sessions.push(reply.session.0);
-                if answered_sessions.len() == 1 || answered_sessions.len() == 3 {
-                    break;
-                }
-            }
-        }
-        answered_sessions.sort_unstable();
-        assert_eq!(answered_sessions, [0x400, 0x401, 0x402]);
-        let exit_status = tokio::time::timeout(ms(2000), harness.program.wait())
-            .await
-            .expect("it ends")
-            .expect("its status");
-        assert!(exit_status.success());
-    });
-}
-
 #[test]
 fn malformed_set_ups_are_rejected_and_other_viewers_served() {
     let valid_set_up = String::from_utf8(set_up_bytes(SessionRef(0x500), "clip", 2000, "")).expect("text");
--- a/crates/daemon/tests/node/discovery.rs
+++ b/crates/daemon/tests/node/discovery.rs
@@ -1,8 +1,10 @@
-//! The discovery service is slow: drains still apply, and its requests stay few.
+//! The discovery service is slow, useless or unreadable, or its configuration is half written: drains and updates
+//! still apply, and requests to it stay few.
 
 use super::*;
 use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
 
 /// How slow the discovery service is.
 struct SlowCase {
@@ -121,3 +123,106 @@
         assert!(wait_for_release(&mut viewer, session_ref, deadline).await, "not released in time");
     });
 }
+
+/// Starts a bus that writes `text` to each reader at the interval, or once if it `closes` the connection
+/// then. Returns its address and a count of its readers.
+async fn start_bus(text: &'static [u8], interval: Duration, closes: bool) -> (SocketAddr, Rc<Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+    let (address, counter) = (listener.local_addr().expect("its address"), Rc::new(Cell::new(0)));
+    let reader_count = counter.clone();
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            reader_count.set(reader_count.get() + 1);
+            spawn_local(async move {
+                let mut buffer = [0; 1024];
+                let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+                if stream.read(&mut buffer).await.is_err() || stream.write_all(head).await.is_err() {
+                    return;
+                }
+                while !closes && stream.write_all(text).await.is_ok() {
+                    sleep(interval).await;
+                }
+                stream.write_all(text).await.ok();
+            });
+        }
+    });
+    (address, counter)
+}
+
+#[test]
+fn requests_to_a_useless_bus_are_spaced_by_pauses() {
+    // What the bus writes to each reader, the interval in ms, whether it closes the connection then; the
+    // least and most requests in two seconds.
+    let unreadable_event = b"id: 7\ndata: {\"offset\":7,\"topology\":{\"members\":[{\"id\":\"s\"}]}}\n\n";
+    let cases: [(&'static [u8], u64, bool, usize, usize); 4] = [
+        (b"", 1, true, 3, 12),
+        (b": here\n\n", 1, true, 3, 12),
+        (b"id: 2\ndata: {\n\n", 1000, false, 3, 12),
+        (unreadable_event, 1000, false, 3, 12),
+    ];
+    for (text, interval_ms, closes, min_requests, max_requests) in cases {
+        with_harness(Behavior::Plays, |harness| async move {
+            let (address, counter) = start_bus(text, ms(interval_ms), closes).await;
+            harness.configure(|config| config["bus"] = address.to_string().into());
+            harness.send_unix_signal("-HUP");
+            wait_until("a request to the bus", || counter.get() > 0).await;
+            sleep(ms(2000)).await;
+            let request_count = counter.get();
+            let bus_text = String::from_utf8_lossy(text);
+            assert!(
+                (min_requests..=max_requests).contains(&request_count),
+                "{bus_text:?}, closes {closes}: {request_count} requests"
+            );
+            harness.serve_viewer(0x40).await;
+        });
+    }
+}
+
+#[test]
+fn a_bus_that_sends_no_whole_line_counts_as_silent() {
+    with_harness(Behavior::Plays, |harness| async move {
+        let (address, counter) = start_bus(b"a", ms(300), false).await;
+        harness.configure(|config| config["bus"] = address.to_string().into());
+        harness.send_unix_signal("-HUP");
+        wait_until("a request to the bus", || counter.get() == 1).await;
+        wait_until("another request to the bus", || counter.get() > 1).await;
+    });
+}
+
+#[test]
+fn a_partly_unreadable_list_is_ignored_and_later_updates_apply() {
+    with_harness(Behavior::Plays, |harness| async move {
+        let dead_address =
+            TcpListener::bind("127.0.0.1:0").await.expect("a socket").local_addr().expect("its address");
+        let unreadable_members =
+            [list_row("s-00000000", dead_address, "ready"), json!({"id": "s-00000001", "phase": "lost"})];
+        harness.bus.publish(2, &event(2, false, &unreadable_members), 1);
+        wait_until("a new request for the list", || harness.bus.requested_after.borrow().len() > 1).await;
+        // The first server keeps its address, and is the only one that the next event leaves.
+        let removed = [member(&harness.servers[1], 1, "gone"), member(&harness.servers[2], 2, "gone")];
+        harness.bus.publish(3, &event(3, false, &removed), 1);
+        wait_until("the unreadable event is skipped", || harness.bus.requested_after.borrow().len() >= 3)
+            .await;
+        sleep(ms(300)).await;
+        for i in 0..6 {
+            harness.serve_viewer(0x50 + i).await;
+        }
+        assert_eq!(harness.servers[0].received(Kind::SetUp).len(), 6);
+    });
+}
+
+#[test]
+fn a_half_written_configuration_is_read_again() {
+    with_harness(Behavior::Plays, |harness| async move {
+        let new_bus = EventBus::start().await.expect("a bus");
+        let mut config = harness.config.clone();
+        config["bus"] = new_bus.address.to_string().into();
+        let config_text = config.to_string();
+        fs::write(&harness.file, &config_text[..config_text.len() / 2]).expect("written");
+        harness.send_unix_signal("-HUP");
+        sleep(ms(300)).await;
+        assert!(new_bus.requested_after.borrow().is_empty());
+        fs::write(&harness.file, config_text).expect("written");
+        wait_until("a request to the new bus", || !new_bus.requested_after.borrow().is_empty()).await;
+    });
+}
--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -5,7 +5,6 @@
 use super::*;
 use ivyward_signal::binary::{self, Messages};
 use std::cell::RefCell;
-use tokio::io::AsyncWriteExt;
 
 impl Harness {
     /// Stops the program with SIGSTOP, and waits until it is stopped.
@@ -25,7 +24,7 @@
     }
 
     /// Serves a new viewer: the program has processed what was in its sockets before.
-    async fn serve_viewer(&self, session_number: u64) {
+    pub(super) async fn serve_viewer(&self, session_number: u64) {
         let mut viewer = self.viewer().await;
         assert!(viewer.write(&set_up_bytes(SessionRef(session_number), "clip", 3000, "")).await);
         let reply = viewer.receive(ms(2500)).await.map(|reply| (reply.kind, reply.session));
@@ -49,12 +48,6 @@
     }
 }
 
-/// A server's entry in an update of the list, for a server that is no stand-in of the harness.
-fn list_row(server_id: &str, address: SocketAddr, phase: &str) -> Value {
-    json!({"id": server_id, "host_port": address.to_string(), "locality": "east", "flavor": "std", "cell": 0,
-        "phase": phase, "size": 4, "up_since_ms": 0})
-}
-
 /// How a viewer leaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Departure {
@@ -352,155 +345,6 @@
     });
 }
 
-#[test]
-fn requests_that_arrive_just_before_the_shutdown_are_answered() {
-    with_harness(Behavior::Ignores, |mut harness| async move {
-        let (mut idle_viewer, mut half_sent_viewer) = (harness.viewer().await, harness.viewer().await);
-        assert!(
-            idle_viewer.send_signal(Kind::Heartbeat, SessionRef(2), Some(0)).await
-                && idle_viewer.receive(ms(1000)).await.is_some()
-        );
-        let set_up = set_up_bytes(SessionRef(0x411), "ticket", 2500, "");
-        assert!(half_sent_viewer.write(&set_up[..60]).await);
-        // A second SIGTERM, and reloads before and after, change nothing.
-        for signal_name in ["-HUP", "-TERM", "-TERM", "-HUP"] {
-            harness.send_unix_signal(signal_name);
-        }
-        sleep(ms(600)).await;
-        harness.pause().await;
-        assert!(idle_viewer.write(&set_up_bytes(SessionRef(0x410), "ticket", 2500, "")).await);
-        assert!(half_sent_viewer.write(&set_up[60..]).await);
-        let mut queued_viewer = harness.viewer().await;
-        assert!(queued_viewer.write(&set_up_bytes(SessionRef(0x412), "ticket", 2500, "")).await);
-        // By then, the period in which the program accepts requests is over.
-        sleep(ms(300)).await;
-        harness.resume();
-        wait_until("all three set-ups reach servers", || harness.signal_count(Kind::SetUp) == 3).await;
-        sleep(ms(300)).await;
-        for server in &harness.servers {
-            for incoming in server.received(Kind::SetUp) {
-                let answer_bytes =
-                    binary::write(Kind::Answer, incoming.session_ref, &[], None, Some(b"late"))
-                        .expect("short");
-                server.send_bytes(incoming.connection, answer_bytes);
-            }
-        }
-        for (viewer, session_number) in
-            [(&mut idle_viewer, 0x410), (&mut half_sent_viewer, 0x411), (&mut queued_viewer, 0x412)]
-        {
-            let reply = viewer.receive(ms(1000)).await.map(|reply| (reply.kind, reply.session));
-            assert_eq!(reply, Some((Kind::Answer, SessionRef(session_number))));
-            assert!(viewer.send_signal(Kind::Release, SessionRef(session_number), Some(16)).await);
-        }
-        let exit_status =
-            timeout(ms(3000), harness.program.wait()).await.expect("it ends").expect("its status");
-        assert!(exit_status.success());
-    });
-}
-
-/// Starts a bus that writes `text` to each reader at the interval, or once if it `closes` the connection
-/// then. Returns its address and a count of its readers.
-async fn start_bus(text: &'static [u8], interval: Duration, closes: bool) -> (SocketAddr, Rc<Cell<usize>>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
-    let (address, counter) = (listener.local_addr().expect("its address"), Rc::new(Cell::new(0)));
-    let reader_count = counter.clone();
-    spawn_local(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            reader_count.set(reader_count.get() + 1);
-            spawn_local(async move {
-                let mut buffer = [0; 1024];
-                let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
-                if stream.read(&mut buffer).await.is_err() || stream.write_all(head).await.is_err() {
-                    return;
-                }
-                while !closes && stream.write_all(text).await.is_ok() {
-                    sleep(interval).await;
-                }
-                stream.write_all(text).await.ok();
-            });
-        }
-    });
-    (address, counter)
-}
-
-#[test]
-fn requests_to_a_useless_bus_are_spaced_by_pauses() {
-    // What the bus writes to each reader, the interval in ms, whether it closes the connection then; the
-    // least and most requests in two seconds.
-    let unreadable_event = b"id: 7\ndata: {\"offset\":7,\"topology\":{\"members\":[{\"id\":\"s\"}]}}\n\n";
-    let cases: [(&'static [u8], u64, bool, usize, usize); 4] = [
-        (b"", 1, true, 3, 12),
-        (b": here\n\n", 1, true, 3, 12),
-        (b"id: 2\ndata: {\n\n", 1000, false, 3, 12),
-        (unreadable_event, 1000, false, 3, 12),
-    ];
-    for (text, interval_ms, closes, min_requests, max_requests) in cases {
-        with_harness(Behavior::Plays, |harness| async move {
-            let (address, counter) = start_bus(text, ms(interval_ms), closes).await;
-            harness.configure(|config| config["bus"] = address.to_string().into());
-            harness.send_unix_signal("-HUP");
-            wait_until("a request to the bus", || counter.get() > 0).await;
-            sleep(ms(2000)).await;
-            let request_count = counter.get();
-            let bus_text = String::from_utf8_lossy(text);
-            assert!(
-                (min_requests..=max_requests).contains(&request_count),
-                "{bus_text:?}, closes {closes}: {request_count} requests"
-            );
-            harness.serve_viewer(0x40).await;
-        });
-    }
-}
-
-#[test]
-fn a_bus_that_sends_no_whole_line_counts_as_silent() {
-    with_harness(Behavior::Plays, |harness| async move {
-        let (address, counter) = start_bus(b"a", ms(300), false).await;
-        harness.configure(|config| config["bus"] = address.to_string().into());
-        harness.send_unix_signal("-HUP");
-        wait_until("a request to the bus", || counter.get() == 1).await;
-        wait_until("another request to the bus", || counter.get() > 1).await;
-    });
-}
-
-#[test]
-fn a_partly_unreadable_list_is_ignored_and_later_updates_apply() {
-    with_harness(Behavior::Plays, |harness| async move {
-        let dead_address =
-            TcpListener::bind("127.0.0.1:0").await.expect("a socket").local_addr().expect("its address");
-        let unreadable_members =
-            [list_row("s-00000000", dead_address, "ready"), json!({"id": "s-00000001", "phase": "lost"})];
-        harness.bus.publish(2, &event(2, false, &unreadable_members), 1);
-        wait_until("a new request for the list", || harness.bus.requested_after.borrow().len() > 1).await;
-        // The first server keeps its address, and is the only one that the next event leaves.
-        let removed = [member(&harness.servers[1], 1, "gone"), member(&harness.servers[2], 2, "gone")];
-        harness.bus.publish(3, &event(3, false, &removed), 1);
-        wait_until("the unreadable event is skipped", || harness.bus.requested_after.borrow().len() >= 3)
-            .await;
-        sleep(ms(300)).await;
-        for i in 0..6 {
-            harness.serve_viewer(0x50 + i).await;
-        }
-        assert_eq!(harness.servers[0].received(Kind::SetUp).len(), 6);
-    });
-}
-
-#[test]
-fn a_half_written_configuration_is_read_again() {
-    with_harness(Behavior::Plays, |harness| async move {
-        let new_bus = EventBus::start().await.expect("a bus");
-        let mut config = harness.config.clone();
-        config["bus"] = new_bus.address.to_string().into();
-        let config_text = config.to_string();
-        fs::write(&harness.file, &config_text[..config_text.len() / 2]).expect("written");
-        harness.send_unix_signal("-HUP");
-        sleep(ms(300)).await;
-        assert!(new_bus.requested_after.borrow().is_empty());
-        fs::write(&harness.file, config_text).expect("written");
-        wait_until("a request to the new bus", || !new_bus.requested_after.borrow().is_empty()).await;
-    });
-}
-
 #[test]
 fn idle_clients_that_fill_the_descriptors_block_no_viewer_while_discovery_is_down() {
     const SERVER_TOTAL: usize = 60;
@@ -1129,39 +973,6 @@
     }
 }
 
-#[test]
-fn requests_on_open_connections_are_answered_before_the_sigkill_after_a_shutdown() {
-    // The longest deadline is assumed to be 3 s, and SIGKILL follows 0.7 s later.
-    const KILL_AFTER: Duration = Duration::from_millis(3700);
-    with_harness(Behavior::Plays, |harness| async move {
-        // A playing session keeps the process running.
-        let mut playing_viewer = harness.viewer().await;
-        assert!(playing_viewer.write(&set_up_bytes(SessionRef(0xef), "clip", 3000, "")).await);
-        assert_eq!(playing_viewer.receive(ms(1000)).await.map(|reply| reply.kind), Some(Kind::Answer));
-        harness.servers.iter().for_each(|server| server.behavior.set(Behavior::Ignores));
-        let mut viewers = vec![];
-        for _ in 0..3 {
-            let mut viewer = harness.viewer().await;
-            assert!(
-                viewer.send_signal(Kind::Heartbeat, SessionRef(2), Some(0)).await
-                    && viewer.receive(ms(1000)).await.is_some()
-            );
-            viewers.push(viewer);
-        }
-        harness.send_unix_signal("-TERM");
-        let signalled_at = Instant::now();
-        for (i, (viewer, after_ms)) in viewers.iter_mut().zip([1000, 2500, 3550]).enumerate() {
-            sleep((signalled_at + ms(after_ms)).saturating_duration_since(Instant::now())).await;
-            assert!(viewer.write(&set_up_bytes(SessionRef(0xf0 + i as u64), "ticket", 4000, "")).await);
-        }
-        for (i, viewer) in viewers.iter_mut().enumerate() {
-            let time_left = (signalled_at + KILL_AFTER).saturating_duration_since(Instant::now());
-            let reply = viewer.receive(time_left).await.map(|reply| (reply.kind, reply.session));
-            assert_eq!(reply, Some((Kind::Release, SessionRef(0xf0 + i as u64))), "request {i}");
-        }
-    });
-}
-
 #[test]
 fn a_release_sent_on_a_closing_connection_is_sent_again() {
     // Which is in the sockets first: the server's release or the close.
