--- a/crates/lab/src/soak/fault_injector.rs
+++ b/crates/lab/src/soak/fault_injector.rs
@@ -1,10 +1,11 @@
 //! Injects the faults of a trial into its servers, discovery services, managers and viewers.
 
+use super::invalid_clients;
 use super::observations::{PhaseChange, SharedContext};
 use super::plan::{Fault, Habit};
 use super::process::Process;
 use super::server::{Listening, PathState, Server};
-use super::viewer::{self, SimulatedViewer};
+use super::viewer::SimulatedViewer;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -191,7 +192,7 @@
                 self.context.viewer_resets[manager].send_replace(Some(quiet_until));
                 while silent_clients > 0 && Instant::now() < quiet_until {
                     let address = self.processes[manager].address;
-                    spawn_local(viewer::connect_silently(self.context.clone(), address));
+                    spawn_local(invalid_clients::connect_silently(self.context.clone(), address));
                     sleep(Duration::from_secs(1) / silent_clients).await;
                 }
             }
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod checker;
 mod discovery;
 mod fault_injector;
+mod invalid_clients;
 mod observations;
 mod plan;
 mod process;
--- a/crates/lab/src/soak/viewer.rs
+++ b/crates/lab/src/soak/viewer.rs
@@ -3,6 +3,7 @@
 //! Each viewer sends requests on one connection for as long as that is open. When the connection ends it
 //! connects again; when a manager can't be reached it moves to the next one.
 
+use super::invalid_clients::{send_invalid_input, stay_silent};
 use super::observations::{FinalAnswer, SharedContext, Viewing};
 use super::plan::{Habit, REQUESTS_END_AT};
 use ivyward_signal::line::{self, Lines};
@@ -24,7 +25,7 @@
 /// may have crossed it.
 const RESEND_TIMEOUT: Duration = Duration::from_millis(50);
 /// Timeout for connecting to a manager.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Viewers connect to a manager until this long after its SIGTERM.
 const CONNECT_AFTER_TERM_TIMEOUT: Duration = Duration::from_millis(400);
 /// A connection on which nothing was sent or received for this long is closed even with open requests.
@@ -34,8 +35,6 @@
 const LAST_DROP_AT: Duration = Duration::from_millis(8500);
 /// Interval between heartbeats of viewers that have nothing else to send after a reset.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a client that sends nothing keeps its connection.
-const SILENT_DURATION: Duration = Duration::from_secs(4);
 /// A quarter of the request count from which a refused viewer with [`Habit::Repeats`] no longer sends its
 /// next request at once.
 const REPEAT_COUNT: usize = 30;
@@ -43,16 +42,6 @@
 const LONG_DESCRIPTION_BYTES: usize = 11_000;
 /// The reference that heartbeats carry; no session has it.
 const HEARTBEAT_REF: SessionRef = SessionRef(0);
-/// Inputs that are invalid for every manager.
-const INVALID_INPUTS: [&[u8]; 6] = [
-    b"\xfe\xfe\xfe\xfe\n",
-    b"[1,2]\n",
-    b"{\"t\":\"new\",\"ref\":\"12\"}\n",
-    b"{\"t\":\"new\",\"ref\":\"00000000000000aa\",\"f\":{\"class\":\"none\",\"left\":\"-3\"}}\n",
-    b"{\"t\":\"new\",\"ref\":\"00000000000",
-    b"{\"t\":\"down\",\"ref\":\"zz\",\"c\":999}\n",
-];
-
 /// A viewer and its position in the trial.
 pub struct SimulatedViewer {
     context: SharedContext,
@@ -130,7 +119,10 @@
             };
             let record = connection.record;
             match self.habit {
-                Habit::Rude => self.send_invalid_input(connection).await,
+                Habit::Rude => {
+                    self.request_count += 1;
+                    send_invalid_input(&self.context, connection.stream, &mut self.rng).await;
+                }
                 Habit::Silent => stay_silent(&self.context, connection.stream).await,
                 _ => self.exchange_messages(connection).await,
             }
@@ -465,26 +457,6 @@
             }
         }
     }
-
-    /// Sends invalid bytes and records whether the manager reacts.
-    async fn send_invalid_input(&mut self, mut connection: Connection) {
-        let bytes = INVALID_INPUTS[self.rng.random_range(0..INVALID_INPUTS.len())];
-        let connected_at = self.context.now();
-        let record_index = {
-            let mut observations = self.context.observations.borrow_mut();
-            observations.invalid_viewers.push((connected_at, None));
-            observations.invalid_viewers.len() - 1
-        };
-        connection.stream.write_all(bytes).await.ok();
-        self.request_count += 1;
-        let mut buffer = [0; 4096];
-        let got_response = timeout(Duration::from_secs(4), connection.stream.read(&mut buffer)).await.is_ok();
-        let now = self.context.now();
-        if got_response {
-            self.context.observations.borrow_mut().invalid_viewers[record_index].1 = Some(now);
-        }
-        sleep(Duration::from_millis(self.rng.random_range(50..600))).await;
-    }
 }
 
 /// Sends a heartbeat if one is due. Returns whether the connection is still writable.
@@ -498,21 +470,3 @@
     connection.last_used_at = now;
     connection.stream.write_all(&heartbeat).await.is_ok()
 }
-
-/// Connects to a manager and sends nothing.
-pub async fn connect_silently(context: SharedContext, address: SocketAddr) {
-    if let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        stay_silent(&context, stream).await;
-    }
-}
-
-/// Keeps a connection open without sending anything, until it is closed or some time has passed. Nothing may be
-/// sent on it.
-async fn stay_silent(context: &SharedContext, mut stream: TcpStream) {
-    let mut buffer = [0; 64];
-    if let Ok(Ok(read @ 1..)) = timeout(SILENT_DURATION, stream.read(&mut buffer)).await {
-        let text = String::from_utf8_lossy(&buffer[..read]).into_owned();
-        let violation = format!("lost: a client that has sent nothing received {text}");
-        context.observations.borrow_mut().violations.push((context.now(), violation));
-    }
-}
