Soak: a start of a manager forgets what befell the watches of the process before

Discovery keeps when it last moved and when a watch last broke off; that outlived a restart of the manager, whose configuration holds all events up to its start.

Mend: a start clears both.

--- a/crates/lab/src/soak/discovery.rs
+++ b/crates/lab/src/soak/discovery.rs
@@ -194,9 +194,12 @@
     }
 
     /// Drops all events as the manager starts: numbers restart, and the list in its configuration is event 1.
+    /// What befell the watches of the process before doesn't concern this one.
     pub fn restart_events(&self) {
         self.events.borrow_mut().clear();
         self.watches.borrow_mut().clear();
+        self.broken_at.set(None);
+        self.moved_at.set(None);
     }
 
     /// Publishes changed members: stores the event and sends it on open watches.
