--- a/crates/edge/src/tests.rs
+++ b/crates/edge/src/tests.rs
@@ -528,6 +528,8 @@
     assert!(
         !policy.is_partial_overdue(ms(1449), &upstream) && policy.is_partial_overdue(ms(1450), &upstream)
     );
+    // A refused connection proves nothing until the tests on open ones had their time.
+    assert!(!policy.is_refusal_proof(ms(1499), ms(1000)) && policy.is_refusal_proof(ms(1500), ms(1000)));
     // A lost server, and ends reported on connections that are over, are known within eight seconds.
     assert!(!policy.is_server_mute(ms(8499), ms(1000)) && policy.is_server_mute(ms(8500), ms(1000)));
     assert!(!policy.is_fresh_link_due(ms(4999), ms(1000)) && policy.is_fresh_link_due(ms(5000), ms(1000)));
