Tests: child processes are not started while sockets are closed whose end must be seen at once

- a_give_up_that_crosses_an_answer_releases_the_session: no answer to the first heartbeat.
The harness closes the listener whose address it gives to the program; a child process of another test still held it, so that the connection was established there.
- races::a_viewer_that_leaves_before_its_answer_is_written_...: no release at the server.

Mend: starts of child processes, and closes of sockets whose end must be seen at once, exclude each other.

--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -7,7 +7,9 @@
     check_closed_requests, check_rules, table,
 };
 use ivyward_signal::{Field, Kind, SessionRef, line};
-use ivyward_standin::platform::{Behavior, EventBus, Server, Viewer, answer, own_address};
+use ivyward_standin::platform::{
+    Behavior, EventBus, Server, Viewer, answer, exclude_child_starts, own_address,
+};
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
@@ -115,7 +117,9 @@
         let bus = EventBus::start().await.expect("a bus");
         let listener = TcpListener::bind(own_address()).await.expect("a socket");
         let address = listener.local_addr().expect("its address");
+        let guard = exclude_child_starts();
         drop(listener);
+        drop(guard);
         let members: Vec<_> =
             servers.iter().enumerate().map(|(i, server)| member(server, i, "ready")).collect();
         let mut config = json!({
@@ -164,9 +168,10 @@
     /// Sends a Unix signal to the program.
     fn send_unix_signal(&self, name: &str) {
         let process_id = self.program.id().expect("it runs").to_string();
-        assert!(
-            process::Command::new("kill").args([name, &process_id]).status().expect("kill runs").success()
-        );
+        let guard = exclude_child_starts();
+        let mut kill = process::Command::new("kill").args([name, &process_id]).spawn().expect("kill runs");
+        drop(guard);
+        assert!(kill.wait().expect("its status").success());
     }
 
     /// Writes a changed configuration file.
@@ -179,6 +184,7 @@
 
 /// Starts the program on a configuration, with the descriptor limit that this sets.
 fn start_program(file: &Path, config: &Value) -> Child {
+    let _guard = exclude_child_starts();
     Command::new("sh")
         .args(["-c", "ulimit -n $1; exec $0 node", env!("CARGO_BIN_EXE_ivyward")])
         .arg(config["limits"]["sockets"].to_string())
@@ -974,10 +980,15 @@
     let config_file = env::temp_dir().join(format!("ivyward-node-{}-bad.json", process::id()));
     let config_file_name = config_file.to_string_lossy().into_owned();
     let run = || {
-        process::Command::new(env!("CARGO_BIN_EXE_ivyward"))
+        let guard = exclude_child_starts();
+        let program = process::Command::new(env!("CARGO_BIN_EXE_ivyward"))
             .args(["node", &config_file_name])
-            .output()
-            .expect("it runs")
+            .stdout(process::Stdio::piped())
+            .stderr(process::Stdio::piped())
+            .spawn()
+            .expect("it runs");
+        drop(guard);
+        program.wait_with_output().expect("its output")
     };
     let mut config_texts: Vec<(String, &str)> = vec![("{".into(), "line 1")];
     for (field, value, expected) in cases {
--- a/crates/daemon/tests/node/races.rs
+++ b/crates/daemon/tests/node/races.rs
@@ -559,6 +559,7 @@
         let cores = std::thread::available_parallelism().map_or(4, usize::from);
         let busy_processes: Vec<_> = (0..cores)
             .map(|_| {
+                let _guard = exclude_child_starts();
                 Command::new("nice")
                     .args(["-n", "10", "sh", "-c", "while :; do :; done"])
                     .kill_on_drop(true)
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -15,6 +15,7 @@
 use std::process;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -140,6 +141,17 @@
     accept_mode: watch::Sender<AcceptMode>,
 }
 
+/// Held while a child process is started, and while sockets are closed whose end must be seen at once.
+static CHILD_STARTS: Mutex<()> = Mutex::new(());
+
+/// Keeps other threads from starting child processes that ask for this, too, until the guard is dropped.
+///
+/// A child process holds copies of all descriptors until its program runs. A socket that is closed meanwhile stays
+/// open for the other end.
+pub fn exclude_child_starts() -> MutexGuard<'static, ()> {
+    CHILD_STARTS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns a loopback address that nothing else uses, without a port.
 ///
 /// Guards against a listener that finds its port taken when it opens it again: by another test, or by the
@@ -216,7 +228,9 @@
                     }
                 },
                 AcceptMode::Refuse | AcceptMode::RefuseNew | AcceptMode::RefuseNewAndMute => {
+                    let guard = exclude_child_starts();
                     drop(listener);
+                    drop(guard);
                     mode_changed.changed().await.ok();
                     listener = listen(self.address, BACKLOG_CONNECTION_COUNT).await;
                 }
@@ -279,7 +293,11 @@
                     Some(Some(bytes)) if stream.write_all(&bytes).await.is_ok() => {
                         self.written_bytes.set(self.written_bytes.get() + bytes.len());
                     }
-                    _ => return drop(stream.set_zero_linger()),
+                    _ => {
+                        stream.set_zero_linger().ok();
+                        let _guard = exclude_child_starts();
+                        return drop(stream);
+                    }
                 },
                 read = stream.read(&mut buffer) => {
                     let Ok(read @ 1..) = read else { return };
@@ -568,6 +586,8 @@
     /// Resets the connection.
     pub fn reset(mut self) {
         self.is_reset = self.stream.set_zero_linger().is_ok();
+        let _guard = exclude_child_starts();
+        drop(self);
     }
 
     /// Writes bytes as they are and returns whether this succeeded.
